Build the thin whole path

Cause: nothing existed.

Change: the daemon with all roles (members, release notes, owners of backend servers, coordinators of steps, claims, plain calls, planned stop), the operators' client, stand-ins of engine, scorer, service, log, host list and weight store, a quickstart that embeds all of it, and a first test of the whole path.

Nothing is proved under failure yet.

--- /dev/null
+++ b/mulberrybench/internal/quickstart/quickstart.go
@@ -0,0 +1,217 @@
+// Package quickstart runs the main job once with everything embedded: three
+// entry hosts, four engines, two trainers whose weights change, a plain service
+// and a release note that changes all of it while it runs.
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"mulberrypier.example/mulberrybench/internal/cluster"
+	"mulberrypier.example/mulberrybench/internal/model"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/release"
+	"mulberrypier.example/pier/rollout"
+	"mulberrypier.example/pier/trainer"
+)
+
+// Config constructs a run.
+type Config struct {
+	Out io.Writer
+	Log *zap.Logger
+	// Steps is the number of steps of each trainer, Groups and Samples their size.
+	Steps   int
+	Groups  int
+	Samples int
+	// Rows is how many samples are printed of each step.
+	Rows int
+}
+
+// result is what one trainer saw of one step.
+type result struct {
+	trainer string
+	step    int64
+	took    time.Duration
+	idle    time.Duration
+	stale   []int64
+	samples []*rollout.Sample
+}
+
+// Run runs the job and prints its tables. It returns an error when a promise is
+// not kept.
+func Run(x context.Context, c Config) error {
+	k, err := cluster.New(x, cluster.Config{
+		Hosts: 3, Engines: 4, Services: 2, Domains: 3, Capacity: 16,
+		Trainers: []string{"thaw", "crack"}, Bound: 2, Log: c.Log,
+		Engine: model.Config{
+			Speed: 400, Half: 16, Batch: 16, Prefill: 20, CachePrefixes: 64,
+			LoadTime: 200 * time.Millisecond, Pause: 50 * time.Millisecond,
+		},
+		Lengths: model.Lengths{Median: 120, GroupSigma: 0.4, SampleSigma: 0.4, TailShare: 0.02, TailFactor: 4, Seed: 1},
+	})
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+	_, _ = fmt.Fprintf(c.Out, "3 entry hosts, 4 engines, 2 trainers; the first note is in force\n")
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var all []*result
+	var failed error
+	for _, t := range []string{"thaw", "crack"} {
+		wg.Go(func() {
+			l, err := train(x, k.Callers(), t, c)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, l...)
+			if err != nil && failed == nil {
+				failed = err
+			}
+		})
+	}
+	if err := around(x, k, c.Out); err != nil {
+		return err
+	}
+	wg.Wait()
+	if failed != nil {
+		return failed
+	}
+	report(c, all)
+	return nil
+}
+
+// around calls the plain service and changes the configuration while the
+// trainers train.
+func around(x context.Context, k *cluster.Cluster, w io.Writer) error {
+	if err := order(x, k, w); err != nil {
+		return err
+	}
+	s := k.Note().Added.Servers[3]
+	s.Leaving = true
+	n := &release.Note{ID: "second", Base: 1, Text: "engine-3 leaves"}
+	n.Changed.Servers = append(n.Changed.Servers, s)
+	p, err := k.Publish(x, n)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "note %q is %s on %d of %d hosts after %v\n", n.ID, p.State, p.InForce, p.Hosts, p.Took.Round(time.Millisecond))
+	return err
+}
+
+// order sends one keyed order twice, through two hosts, and prints both answers.
+func order(x context.Context, k *cluster.Cluster, w io.Writer) error {
+	id := uuid.Must(uuid.NewV7()).String()
+	for _, a := range k.Callers()[:2] {
+		q, err := http.NewRequestWithContext(x, http.MethodPost, "http://"+a.String()+"/v1/services/registry/reprints", strings.NewReader("certificate-17"))
+		if err != nil {
+			return err
+		}
+		q.Header.Set("Idempotency-Key", id)
+		r, err := http.DefaultClient.Do(q)
+		if err != nil {
+			return err
+		}
+		b, err := io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(w, "order through %v: %d, %d bytes, executed %d time(s)\n", a, r.StatusCode, len(b), k.Executed.Count("certificate-17"))
+	}
+	if k.Executed.Count("certificate-17") != 1 {
+		return outcome.Lost(outcome.ReasonCrossedAnswer, "the order was not executed exactly once", nil)
+	}
+	return nil
+}
+
+// train runs one trainer's steps; it publishes new weights in the middle of each.
+func train(x context.Context, hosts []netip.AddrPort, name string, c Config) ([]*result, error) {
+	t := trainer.New(trainer.Config{Trainer: name, Hosts: hosts})
+	var l []*result
+	v := rollout.Version(1)
+	for n := range c.Steps {
+		r := &result{trainer: name, step: int64(n)}
+		began := time.Now()
+		s, err := t.Open(x, r.step, groups(name, n, c))
+		if err != nil {
+			return l, err
+		}
+		s.Version = v
+		published := false
+		for !s.Whole() {
+			at := time.Now()
+			b, err := s.Pull(x)
+			if err != nil {
+				return l, err
+			}
+			r.idle += time.Since(at)
+			for _, m := range b {
+				r.stale = append(r.stale, int64(v-m.Oldest()))
+			}
+			r.samples = append(r.samples, b...)
+			if !published && s.Have() > c.Groups*c.Samples/2 {
+				published = true
+				v++
+				s.Version = v
+				if err := t.Publish(x, v); err != nil {
+					return l, err
+				}
+			}
+		}
+		if err := s.Finish(x); err != nil {
+			return l, err
+		}
+		r.took = time.Since(began)
+		l = append(l, r)
+	}
+	return l, nil
+}
+
+func groups(name string, step int, c Config) []rollout.Group {
+	var l []rollout.Group
+	for i := range c.Groups {
+		l = append(l, rollout.Group{
+			First: rollout.Slot(i * c.Samples), Samples: c.Samples, MaxTokens: 2000,
+			Prompt: fmt.Sprintf("%s: scene %d of step %d", name, i, step),
+		})
+	}
+	return l
+}
+
+// report prints the samples' versions and the steps' measures.
+func report(c Config, l []*result) {
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\ntrainer\tstep\tslot\tattempt\ttokens\tversions (tokens)\tserver\tscore")
+	for _, r := range l {
+		slices.SortFunc(r.samples, func(a, b *rollout.Sample) int { return int(a.Slot - b.Slot) })
+		for _, s := range r.samples[:min(c.Rows, len(r.samples))] {
+			var v []string
+			for _, g := range s.Segments {
+				v = append(v, fmt.Sprintf("%d (%d-%d)", g.Version, g.First, g.End))
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%.2f\n", r.trainer, r.step, s.Slot, s.Attempt, s.Tokens, strings.Join(v, " "), s.Server, *s.Score)
+		}
+	}
+	_, _ = fmt.Fprintln(w, "\ntrainer\tstep\tsamples\ttook\tidle\tstaleness mean\tmost")
+	for _, r := range l {
+		sum, most := int64(0), int64(0)
+		for _, v := range r.stale {
+			sum += v
+			most = max(most, v)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%v\t%v\t%.2f\t%d\n", r.trainer, r.step, len(r.samples), r.took.Round(time.Millisecond),
+			r.idle.Round(time.Millisecond), float64(sum)/float64(max(1, len(r.stale))), most)
+	}
+	_ = w.Flush()
+}
--- /dev/null
+++ b/mulberryctl/cmd/drain.go
@@ -0,0 +1,23 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+)
+
+type drainCmd struct{}
+
+// Run begins the planned stop of the host.
+func (c *drainCmd) Run(g *globals) error {
+	k, err := g.client()
+	if err != nil {
+		return err
+	}
+	x, stop := g.context()
+	defer stop()
+	a, err := k.Drain(x)
+	if err != nil {
+		return err
+	}
+	return g.print(a, func(w io.Writer) { _, _ = fmt.Fprintf(w, "drain is %s; follow it with status\n", a.State) })
+}
--- /dev/null
+++ b/mulberryctl/main.go
@@ -0,0 +1,10 @@
+// Command mulberryctl is the operators' client.
+package main
+
+import (
+	"os"
+
+	"mulberrypier.example/mulberryctl/cmd"
+)
+
+func main() { os.Exit(cmd.Main(os.Args[1:])) }
--- /dev/null
+++ b/mulberryd/cmd/check.go
@@ -0,0 +1,22 @@
+package cmd
+
+import (
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"mulberrypier.example/pier/settings"
+)
+
+type checkCmd struct {
+	Settings string `arg:"" help:"Settings file, in TOML."`
+}
+
+// Run checks the file and prints the settings with their defaults.
+func (c *checkCmd) Run() error {
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	return toml.NewEncoder(os.Stdout).Encode(s)
+}
--- /dev/null
+++ b/pier/chart/chart.go
@@ -0,0 +1,223 @@
+// Package chart interprets state charts that are written in TOML files.
+//
+// A chart names its states and the transitions between them. The code that owns
+// a state fires events; an event that the chart does not have in that state is
+// reported as a bug and leaves the state as it is. Charts are checked when they
+// are loaded, and can be printed as a diagram.
+package chart
+
+import (
+	"bytes"
+	"context"
+	"embed"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/qmuntal/stateless"
+
+	"mulberrypier.example/pier/bug"
+	"mulberrypier.example/pier/outcome"
+)
+
+//go:embed charts/*.toml
+var files embed.FS
+
+type (
+	// State is the name of a state.
+	State string
+	// Event is the name of an event.
+	Event string
+)
+
+// Transition is one line of a chart.
+type Transition struct {
+	From State `toml:"from"`
+	On   Event `toml:"on"`
+	To   State `toml:"to"`
+}
+
+// File is the form of a chart's file.
+type File struct {
+	Name        string       `toml:"name"`
+	Text        string       `toml:"text"`
+	Initial     State        `toml:"initial"`
+	Final       []State      `toml:"final"`
+	Transitions []Transition `toml:"transitions"`
+}
+
+// Chart is a checked state chart. It is safe for concurrent use.
+type Chart struct {
+	f File
+	m *stateless.StateMachine
+}
+
+type cell struct{}
+
+// Parse reads and checks a chart. An error is an *outcome.Error naming the place.
+func Parse(b []byte) (*Chart, error) {
+	var f File
+	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&f); err != nil {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, "chart: "+err.Error())
+	}
+	c := &Chart{f: f}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	c.build()
+	return c, nil
+}
+
+// Load returns an embedded chart. It panics when the chart is not valid, which a
+// test of this package rules out.
+func Load(name string) *Chart {
+	b, err := files.ReadFile("charts/" + name + ".toml")
+	if err != nil {
+		panic(err)
+	}
+	c, err := Parse(b)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// Names returns the names of the embedded charts.
+func Names() []string {
+	l, err := files.ReadDir("charts")
+	bug.Assert(err == nil, bug.ChartTransition, "charts: %v", err)
+	var n []string
+	for _, e := range l {
+		n = append(n, strings.TrimSuffix(path.Base(e.Name()), ".toml"))
+	}
+	return n
+}
+
+// check refuses unreachable states, doubled transitions and states without a way
+// out that are not final.
+func (c *Chart) check() error {
+	bad := func(s string) error {
+		return outcome.Refuse(outcome.ReasonBadRequest, "chart "+c.f.Name+": "+s)
+	}
+	if c.f.Name == "" || c.f.Initial == "" {
+		return bad("name or initial is missing")
+	}
+	seen := make(map[Transition]bool)
+	for _, t := range c.f.Transitions {
+		k := Transition{From: t.From, On: t.On}
+		if seen[k] {
+			return bad("two transitions from " + string(t.From) + " on " + string(t.On))
+		}
+		seen[k] = true
+	}
+	r := c.reachable()
+	for _, s := range c.States() {
+		if !slices.Contains(r, s) {
+			return bad("state " + string(s) + " cannot be reached")
+		}
+		out := slices.ContainsFunc(c.f.Transitions, func(t Transition) bool { return t.From == s })
+		if !out && !slices.Contains(c.f.Final, s) {
+			return bad("state " + string(s) + " has no way out")
+		}
+	}
+	return nil
+}
+
+func (c *Chart) reachable() []State {
+	r := []State{c.f.Initial}
+	for i := 0; i < len(r); i++ {
+		for _, t := range c.f.Transitions {
+			if t.From == r[i] && !slices.Contains(r, t.To) {
+				r = append(r, t.To)
+			}
+		}
+	}
+	return r
+}
+
+// build makes the library's machine; the state lives in the cell of each call.
+func (c *Chart) build() {
+	get := func(x context.Context) (stateless.State, error) { return *x.Value(cell{}).(*State), nil }
+	set := func(x context.Context, s stateless.State) error {
+		*x.Value(cell{}).(*State) = s.(State)
+		return nil
+	}
+	c.m = stateless.NewStateMachineWithExternalStorage(get, set, stateless.FiringImmediate)
+	for _, t := range c.f.Transitions {
+		if t.From == t.To {
+			c.m.Configure(t.From).PermitReentry(t.On)
+			continue
+		}
+		c.m.Configure(t.From).Permit(t.On, t.To)
+	}
+}
+
+// Initial returns the state in which every machine begins.
+func (c *Chart) Initial() State { return c.f.Initial }
+
+// Name returns the chart's name.
+func (c *Chart) Name() string { return c.f.Name }
+
+// States returns all states, the initial one first.
+func (c *Chart) States() []State {
+	l := []State{c.f.Initial}
+	for _, t := range c.f.Transitions {
+		for _, s := range []State{t.From, t.To} {
+			if !slices.Contains(l, s) {
+				l = append(l, s)
+			}
+		}
+	}
+	return l
+}
+
+// Events returns the events that the chart has in state s.
+func (c *Chart) Events(s State) []Event {
+	var l []Event
+	for _, t := range c.f.Transitions {
+		if t.From == s {
+			l = append(l, t.On)
+		}
+	}
+	return l
+}
+
+// Final reports whether s is a final state.
+func (c *Chart) Final(s State) bool { return slices.Contains(c.f.Final, s) }
+
+// Can reports whether the chart has event e in state s.
+func (c *Chart) Can(s State, e Event) bool { return slices.Contains(c.Events(s), e) }
+
+// Fire moves *s by event e and returns true. An event that the chart does not
+// have there is a bug, leaves *s as it is, and returns false.
+func (c *Chart) Fire(s *State, e Event) bool {
+	err := c.m.FireCtx(context.WithValue(context.Background(), cell{}, s), e)
+	return bug.Assert(err == nil, bug.ChartTransition, "chart %s: %s in %s", c.f.Name, e, *s)
+}
+
+// Dot returns the chart as a diagram in the dot language.
+func (c *Chart) Dot() string {
+	var b strings.Builder
+	b.WriteString("digraph \"" + c.f.Name + "\" {\n\trankdir=LR;\n\tnode [shape=box, style=rounded];\n")
+	for _, s := range c.States() {
+		if c.Final(s) {
+			b.WriteString("\t\"" + string(s) + "\" [peripheries=2];\n")
+		}
+	}
+	for _, t := range c.f.Transitions {
+		b.WriteString("\t\"" + string(t.From) + "\" -> \"" + string(t.To) + "\" [label=\"" + string(t.On) + "\"];\n")
+	}
+	b.WriteString("}\n")
+	return b.String()
+}
+
+// Text returns the chart as a table of transitions.
+func (c *Chart) Text() string {
+	var b strings.Builder
+	b.WriteString(c.f.Name + ": " + c.f.Text + "\n")
+	for _, t := range c.f.Transitions {
+		b.WriteString("  " + string(t.From) + " --" + string(t.On) + "--> " + string(t.To) + "\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pier/daemon/drain.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/chart"
+	"mulberrypier.example/pier/member"
+)
+
+const (
+	// drainPoll is the time between two looks at what is still in flight.
+	drainPoll = 50 * time.Millisecond
+	// leaveNotice is how long a host waits for its farewell to go out.
+	leaveNotice = 200 * time.Millisecond
+)
+
+var drainChart = chart.Load("drain")
+
+// drainer is the planned stop of this host. It first fails the balancer's health
+// check while it still serves, then refuses new work, hands its roles over, and
+// waits for what is in flight.
+type drainer struct {
+	d   *Daemon
+	log *zap.Logger
+	mu  sync.Mutex
+	// state follows the drain chart; guarded by mu.
+	state chart.State
+	// inflight counts the requests of callers, trainers and operators.
+	inflight atomic.Int64
+	once     sync.Once
+	done     chan struct{}
+}
+
+func newDrainer(d *Daemon) *drainer {
+	return &drainer{d: d, log: d.logger("drain"), state: drainChart.Initial(), done: make(chan struct{})}
+}
+
+func (r *drainer) current() chart.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+func (r *drainer) fire(e chart.Event) {
+	r.mu.Lock()
+	drainChart.Fire(&r.state, e)
+	s := r.state
+	r.mu.Unlock()
+	r.log.Info("drain is " + string(s))
+}
+
+// healthy reports what the balancer's health check answers.
+func (r *drainer) healthy() bool { return r.current() == drainChart.Initial() }
+
+// stopping reports whether new work is refused.
+func (r *drainer) stopping() bool {
+	s := r.current()
+	return s == "draining" || s == "left"
+}
+
+// run carries out the planned stop once; later calls wait for the first.
+func (r *drainer) run(x context.Context) {
+	r.once.Do(func() { go r.steps(x) })
+	<-r.done
+}
+
+func (r *drainer) steps(x context.Context) {
+	defer close(r.done)
+	x, stop := context.WithTimeout(x, r.d.s.Timing.Drain.D())
+	defer stop()
+	r.fire("stop")
+	r.d.members.leave(member.Leaving)
+	sleep(x, r.d.s.Timing.Announce.D())
+	if x.Err() != nil {
+		r.fire("limit")
+		return
+	}
+	r.fire("announced")
+	for r.busy() {
+		sleep(x, drainPoll)
+		if x.Err() != nil {
+			r.fire("limit")
+			return
+		}
+	}
+	r.fire("idle")
+	r.d.members.leave(member.Left)
+	sleep(x, leaveNotice)
+}
+
+// busy reports whether anything is in flight on this host.
+func (r *drainer) busy() bool {
+	if r.inflight.Load() > 0 || r.d.claims.busy() || r.d.steps.busy() {
+		return true
+	}
+	return r.d.owners.busy()
+}
+
+// Drained returns a channel that is closed when a planned stop is over.
+func (d *Daemon) Drained() <-chan struct{} { return d.drain.done }
--- /dev/null
+++ b/pier/daemon/operators.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"mulberrypier.example/pier/config"
+	"mulberrypier.example/pier/entryhost"
+	"mulberrypier.example/pier/member"
+	"mulberrypier.example/pier/operator"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/release"
+)
+
+// historyMost is the greatest number of verdicts in one answer.
+const historyMost = 1000
+
+// publishNote publishes a release note.
+func (d *Daemon) publishNote(c iris.Context, _ string) error {
+	b, err := body(c)
+	if err != nil {
+		return err
+	}
+	n, err := release.Parse(b)
+	if err != nil {
+		return err
+	}
+	if c.URLParamExists("check") {
+		return d.checkNote(c, n)
+	}
+	p, err := d.notes.publish(c.Request().Context(), n)
+	if err != nil {
+		return err
+	}
+	a := operator.Published{
+		State: string(p.State), Verdict: p.Verdict, Hosts: p.Hosts, InForce: p.InForce, Behind: p.Behind,
+		Took: p.Duration,
+	}
+	if p.Verdict.Err != nil {
+		c.StatusCode(http.StatusConflict)
+	}
+	return answerJSON(c, &a)
+}
+
+// checkNote says whether a note would be accepted now, and publishes nothing.
+func (d *Daemon) checkNote(c iris.Context, n *release.Note) error {
+	s := d.notes.snapshot()
+	_, v := s.Apply(s.Next(), n)
+	if v.Err != nil {
+		c.StatusCode(http.StatusConflict)
+	}
+	return answerJSON(c, &operator.Published{State: "checked", Verdict: v})
+}
+
+// listNotes returns the newest verdicts.
+func (d *Daemon) listNotes(c iris.Context, _ string) error {
+	n := min(c.URLParamIntDefault("max", 50), historyMost)
+	s := d.notes.snapshot()
+	return answerJSON(c, &operator.History{Revision: s.Revision(), Verdicts: s.History(n)})
+}
+
+// showNote returns the verdict on one note.
+func (d *Daemon) showNote(c iris.Context, _ string) error {
+	v, ok := d.notes.snapshot().Verdict(c.Params().Get("id"))
+	if !ok {
+		return outcome.Refuse(outcome.ReasonUnknownName, "note/"+c.Params().Get("id"))
+	}
+	return answerJSON(c, &v)
+}
+
+// showConfig returns the configuration in force.
+func (d *Daemon) showConfig(c iris.Context, _ string) error {
+	return answerJSON(c, configOf(d.notes.snapshot()))
+}
+
+func configOf(s *config.Snapshot) *operator.Config {
+	a := &operator.Config{Revision: s.Revision(), Next: s.Next()}
+	e := &a.Entries
+	s.EachDeployment(func(x release.Deployment) { e.Deployments = append(e.Deployments, x) })
+	s.EachService(func(x release.Service) { e.Services = append(e.Services, x) })
+	s.EachServer(func(x release.Server) { e.Servers = append(e.Servers, x) })
+	s.EachTrainer(func(x release.Trainer) { e.Trainers = append(e.Trainers, x) })
+	return a
+}
+
+// showStatus returns all hosts at a glance, or this one alone.
+func (d *Daemon) showStatus(c iris.Context, _ string) error {
+	if c.URLParamExists("self") {
+		return answerJSON(c, &operator.Status{Hosts: []entryhost.StatusAnswer{*d.status()}})
+	}
+	x, stop := context.WithTimeout(c.Request().Context(), 2*time.Second)
+	defer stop()
+	l := d.members.all()
+	a := &operator.Status{Hosts: make([]entryhost.StatusAnswer, len(l))}
+	var wg sync.WaitGroup
+	for i, m := range l {
+		wg.Go(func() { a.Hosts[i] = d.statusOf(x, m) })
+	}
+	wg.Wait()
+	return answerJSON(c, a)
+}
+
+// statusOf asks one host for its state.
+func (d *Daemon) statusOf(x context.Context, m member.Member) entryhost.StatusAnswer {
+	if m.ID == d.id {
+		return *d.status()
+	}
+	a := entryhost.StatusAnswer{Self: m, State: m.State.String()}
+	if m.State >= member.Dead {
+		return a
+	}
+	var r entryhost.StatusAnswer
+	if err := d.call(x, m.ID, entryhost.Status, struct{}{}, &r); err != nil {
+		a.Err = outcome.From(err)
+		return a
+	}
+	r.State = m.State.String()
+	return r
+}
+
+// startDrain begins the planned stop of this host.
+func (d *Daemon) startDrain(c iris.Context, _ string) error {
+	go d.Drain(context.WithoutCancel(d.x))
+	c.StatusCode(http.StatusAccepted)
+	return answerJSON(c, &operator.Drain{State: string(d.drain.current())})
+}
--- /dev/null
+++ b/pier/rollout/coordinator.go
@@ -0,0 +1,641 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"mulberrypier.example/pier/bug"
+	"mulberrypier.example/pier/outcome"
+)
+
+// Config constructs a Coordinator.
+type Config struct {
+	Key StepKey
+	// Epoch identifies this holder of the step; a trainer that pulls with another
+	// epoch is asked which slots it has.
+	Epoch string
+	// Grace is how long a stream whose owner is gone may be adopted by the
+	// server's next owner before its slot is generated again.
+	Grace time.Duration
+	// MaxAttempts bounds the attempts for one slot; 0 means no bound.
+	MaxAttempts int
+	// Policy decides which slot a server gets.
+	Policy Policy
+}
+
+type slotState uint8
+
+const (
+	slotPending slotState = iota
+	slotRunning
+	slotSealed
+	slotOffered
+	slotAcked
+)
+
+// run is one attempt in progress.
+type run struct {
+	attempt int
+	server  string
+	host    string
+	started time.Time
+	// orphan is when the owner was lost; zero while it is known.
+	orphan time.Time
+	tokens int
+}
+
+type slot struct {
+	state slotState
+	group *group
+	// next is the number of the next attempt; attempts are never numbered twice.
+	next int
+	runs []run
+	// sample is set from slotSealed to slotAcked.
+	sample *Sample
+}
+
+type group struct {
+	Group
+	// done counts the slots of the group that are sealed or later.
+	done int
+	// lengths sums the tokens of the sealed samples, for prediction.
+	lengths int
+	// servers counts the group's running streams by server.
+	servers map[string]int
+	pending []Slot
+}
+
+// Cancel asks the owner on Host to cancel a stream.
+type Cancel struct {
+	Stream
+	Host   string
+	Server string
+}
+
+// Batch is what one pull hands over.
+type Batch struct {
+	// Epoch and Seq identify the batch; a repeated batch has the same bytes.
+	Epoch   string    `msgpack:"e" json:"epoch"`
+	Seq     int64     `msgpack:"q" json:"seq"`
+	Samples []*Sample `msgpack:"s" json:"samples"`
+	// Whole tells that this batch is the last one of a closed step.
+	Whole bool `msgpack:"w" json:"whole"`
+}
+
+// Pull is a trainer's request for samples.
+type Pull struct {
+	// Epoch and Ack name the last batch that the trainer has read; empty at first.
+	Epoch string `msgpack:"e" json:"epoch"`
+	Ack   int64  `msgpack:"a" json:"ack"`
+	// Version is the version that the trainer trains at.
+	Version Version `msgpack:"v" json:"version"`
+	// Max is the greatest number of samples to return.
+	Max int `msgpack:"m" json:"max"`
+	// WholeGroups asks for groups only when all their samples are there.
+	WholeGroups bool `msgpack:"g" json:"whole-groups"`
+	// Wait is how long the pull may be held when there is nothing to return.
+	Wait time.Duration `msgpack:"w" json:"-"`
+	// Have is the set of slots that the trainer has; required after a resync.
+	Have Bitmap `msgpack:"h" json:"have,omitempty"`
+	// Stated tells that Have is set, also when it is empty.
+	Stated bool `msgpack:"t" json:"stated,omitempty"`
+}
+
+// Counts is the state of a step at a glance.
+type Counts struct {
+	Slots   int  `msgpack:"s" json:"slots"`
+	Pending int  `msgpack:"p" json:"pending"`
+	Running int  `msgpack:"r" json:"running"`
+	Sealed  int  `msgpack:"e" json:"sealed"`
+	Offered int  `msgpack:"o" json:"offered"`
+	Acked   int  `msgpack:"a" json:"acked"`
+	Closed  bool `msgpack:"c" json:"closed"`
+	// Dropped counts samples that were over the staleness bound when pulled.
+	Dropped int `msgpack:"d" json:"dropped"`
+	// Thrown counts tokens that were generated and not delivered.
+	Thrown int64 `msgpack:"t" json:"tokens-thrown"`
+	// Tokens counts the tokens of sealed samples.
+	Tokens int64 `msgpack:"k" json:"tokens"`
+	// Lost counts streams whose server, owner or stream failed.
+	Lost int `msgpack:"l" json:"lost"`
+}
+
+// Coordinator holds one step. It is not safe for concurrent use.
+type Coordinator struct {
+	c Config
+	// slots holds the opened slots; a slot leaves slotAcked never.
+	slots  map[Slot]*slot
+	groups map[Slot]*group
+	order  []*group
+	counts Counts
+	// offered is the batch that is not acknowledged yet, if any.
+	offered *Batch
+	seq     int64
+	// version is the highest version that the trainer stated or published.
+	version Version
+	// sealed lists sealed slots in the order in which they became so.
+	sealed []Slot
+	// have is what the trainer stated at the last resync.
+	have Bitmap
+}
+
+// NewCoordinator returns the holder of a step without groups.
+func NewCoordinator(c Config) *Coordinator {
+	return &Coordinator{c: c, slots: make(map[Slot]*slot), groups: make(map[Slot]*group)}
+}
+
+// Open adds groups to the step. A group that is there already must be the same.
+// Errors are *outcome.Error: bad-request or conflict.
+func (c *Coordinator) Open(g []Group) error {
+	for i := range g {
+		if err := g[i].Check(); err != nil {
+			return err
+		}
+		if err := c.fits(&g[i]); err != nil {
+			return err
+		}
+	}
+	for i := range g {
+		if _, ok := c.groups[g[i].First]; !ok {
+			c.add(g[i])
+		}
+	}
+	return nil
+}
+
+func (c *Coordinator) fits(g *Group) error {
+	if o, ok := c.groups[g.First]; ok {
+		if o.Group != *g {
+			return outcome.Refuse(outcome.ReasonConflict, "group differs from the one opened before")
+		}
+		return nil
+	}
+	if c.counts.Closed {
+		return outcome.Refuse(outcome.ReasonConflict, "step is closed")
+	}
+	for i := range g.Samples {
+		if _, ok := c.slots[g.First+Slot(i)]; ok {
+			return outcome.Refuse(outcome.ReasonConflict, "slot belongs to another group")
+		}
+	}
+	return nil
+}
+
+func (c *Coordinator) add(g Group) {
+	x := &group{Group: g, servers: make(map[string]int)}
+	c.groups[g.First] = x
+	c.order = append(c.order, x)
+	for i := range g.Samples {
+		n := g.First + Slot(i)
+		s := &slot{group: x}
+		c.slots[n] = s
+		c.counts.Slots++
+		if c.have.Has(n) {
+			s.state = slotAcked
+			x.done++
+			c.counts.Acked++
+			continue
+		}
+		x.pending = append(x.pending, n)
+		c.counts.Pending++
+	}
+}
+
+// Close tells that no more groups come.
+func (c *Coordinator) Close() { c.counts.Closed = true }
+
+// Counts returns the state of the step.
+func (c *Coordinator) Counts() Counts { return c.counts }
+
+// Done reports whether the step is closed and all its samples acknowledged.
+func (c *Coordinator) Done() bool {
+	return c.counts.Closed && c.counts.Acked == c.counts.Slots
+}
+
+// SetVersion tells that the trainer has published or trains at version v.
+func (c *Coordinator) SetVersion(v Version) { c.version = max(c.version, v) }
+
+// Ask assigns work to the servers that the host offers.
+func (c *Coordinator) Ask(now time.Time, host string, o []Offer) []Work {
+	var w []Work
+	for i := range o {
+		for range o[i].Room {
+			x, ok := c.assign(now, host, &o[i])
+			if !ok {
+				break
+			}
+			o[i].Running++
+			w = append(w, x)
+		}
+	}
+	return w
+}
+
+func (c *Coordinator) assign(now time.Time, host string, o *Offer) (Work, bool) {
+	n, ok := c.c.Policy.pick(c, now, o)
+	if !ok {
+		return Work{}, false
+	}
+	s := c.slots[n]
+	w := Work{
+		Stream:    Stream{Key: c.c.Key, Slot: n, Attempt: s.next},
+		Server:    o.Server,
+		Prompt:    s.group.Prompt,
+		MaxTokens: s.group.MaxTokens,
+		Group:     s.group.First,
+		Priority:  c.c.Policy.priority(c, s),
+	}
+	c.start(now, n, run{attempt: s.next, server: o.Server, host: host, started: now})
+	return w, true
+}
+
+// start moves a slot to running, or adds a run to one that is.
+func (c *Coordinator) start(_ time.Time, n Slot, r run) {
+	s := c.slots[n]
+	s.next = max(s.next, r.attempt+1)
+	s.runs = append(s.runs, r)
+	s.group.servers[r.server]++
+	if s.state == slotPending {
+		s.state = slotRunning
+		c.counts.Pending--
+		c.counts.Running++
+		s.group.pending = remove(s.group.pending, n)
+	}
+}
+
+// Holding tells what a host holds for the step, after this coordinator took it
+// over: streams in progress and finished samples. A slot that is unknown yet is
+// kept until its group is opened again.
+func (c *Coordinator) Holding(now time.Time, host string, running []Work, done []*Sample) []Cancel {
+	for i := range running {
+		w := &running[i]
+		s, ok := c.slots[w.Slot]
+		if !ok || s.state > slotRunning || s.find(w.Attempt) >= 0 {
+			continue
+		}
+		c.start(now, w.Slot, run{attempt: w.Attempt, server: w.Server, host: host, started: now})
+	}
+	var x []Cancel
+	for _, d := range done {
+		x = append(x, c.Seal(now, d)...)
+	}
+	return x
+}
+
+// Adopt tells that host now drives a stream on the server, in place of another.
+// It returns false when the stream's result is no longer wanted.
+func (c *Coordinator) Adopt(now time.Time, host, server string, t Stream) bool {
+	s, ok := c.slots[t.Slot]
+	if !ok || s.state > slotRunning {
+		return false
+	}
+	if i := s.find(t.Attempt); i >= 0 {
+		s.runs[i].host = host
+		s.runs[i].orphan = time.Time{}
+		return true
+	}
+	c.start(now, t.Slot, run{attempt: t.Attempt, server: server, host: host, started: now})
+	return true
+}
+
+// Progress tells how many tokens a stream has produced.
+func (c *Coordinator) Progress(t Stream, tokens int) {
+	s, ok := c.slots[t.Slot]
+	if !ok {
+		return
+	}
+	if i := s.find(t.Attempt); i >= 0 {
+		s.runs[i].tokens = tokens
+	}
+}
+
+// Seal takes a finished sample. The first one of a slot is kept; it returns the
+// other attempts of the slot, which are to be cancelled.
+func (c *Coordinator) Seal(_ time.Time, d *Sample) []Cancel {
+	s, ok := c.slots[d.Slot]
+	if !ok || !d.Whole() {
+		return nil
+	}
+	if s.state >= slotSealed {
+		if s.sample == nil || s.sample.Attempt != d.Attempt {
+			c.counts.Thrown += int64(d.Tokens)
+		}
+		return nil
+	}
+	var x []Cancel
+	for _, r := range s.runs {
+		s.group.drop(r.server)
+		if r.attempt != d.Attempt {
+			c.counts.Thrown += int64(r.tokens)
+			x = append(x, Cancel{Stream: Stream{c.c.Key, d.Slot, r.attempt}, Host: r.host, Server: r.server})
+		}
+	}
+	s.runs = nil
+	if s.state == slotPending {
+		c.counts.Pending--
+		s.group.pending = remove(s.group.pending, d.Slot)
+	} else {
+		c.counts.Running--
+	}
+	s.state = slotSealed
+	s.sample = d
+	s.next = max(s.next, d.Attempt+1)
+	s.group.done++
+	s.group.lengths += d.Tokens
+	c.counts.Sealed++
+	c.counts.Tokens += int64(d.Tokens)
+	c.sealed = append(c.sealed, d.Slot)
+	return x
+}
+
+// Failed tells that a stream ended without a sample; its slot is generated again.
+func (c *Coordinator) Failed(t Stream, tokens int) {
+	s, ok := c.slots[t.Slot]
+	if !ok {
+		return
+	}
+	i := s.find(t.Attempt)
+	if i < 0 {
+		return
+	}
+	c.counts.Lost++
+	c.counts.Thrown += int64(tokens)
+	c.drop(t.Slot, s, i)
+}
+
+// HostLost tells that a host left or died; its streams may be adopted for a while.
+func (c *Coordinator) HostLost(now time.Time, host string) {
+	for _, s := range c.slots {
+		for i := range s.runs {
+			if s.runs[i].host == host && s.runs[i].orphan.IsZero() {
+				s.runs[i].orphan = now
+			}
+		}
+	}
+}
+
+// Tick gives up streams that nobody adopted in time. It returns their number.
+func (c *Coordinator) Tick(now time.Time) int {
+	n := 0
+	for k, s := range c.slots {
+		for i := len(s.runs) - 1; i >= 0; i-- {
+			o := s.runs[i].orphan
+			if o.IsZero() || now.Sub(o) < c.c.Grace {
+				continue
+			}
+			c.counts.Lost++
+			c.counts.Thrown += int64(s.runs[i].tokens)
+			c.drop(k, s, i)
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Coordinator) drop(n Slot, s *slot, i int) {
+	s.group.drop(s.runs[i].server)
+	s.runs = slices.Delete(s.runs, i, i+1)
+	if s.state == slotRunning && len(s.runs) == 0 {
+		c.counts.Running--
+		c.requeue(n, s)
+	}
+}
+
+// requeue makes a slot pending again, in front of the others of its group.
+func (c *Coordinator) requeue(n Slot, s *slot) {
+	s.state = slotPending
+	s.sample = nil
+	c.counts.Pending++
+	i, _ := slices.BinarySearch(s.group.pending, n)
+	s.group.pending = slices.Insert(s.group.pending, i, n)
+}
+
+// Pull acknowledges the batch that the trainer names and returns the next one.
+// The batch is nil when there is nothing to hand over. bound is the trainer's
+// staleness bound in force. Errors are *outcome.Error: resync asks the trainer
+// to state which slots it has.
+func (c *Coordinator) Pull(p *Pull, bound int64) (*Batch, error) {
+	c.SetVersion(p.Version)
+	if p.Stated {
+		c.resync(p.Have)
+	} else if err := c.acknowledge(p); err != nil {
+		return nil, err
+	}
+	if c.offered != nil {
+		return c.repeat(bound)
+	}
+	b := c.batch(p, bound)
+	if b == nil {
+		return nil, nil
+	}
+	c.offered = b
+	return b, nil
+}
+
+// acknowledge settles the outstanding batch against the one that the pull names.
+// A pull that does not follow on from this coordinator's last batch cannot be
+// judged without the trainer's own record.
+func (c *Coordinator) acknowledge(p *Pull) error {
+	if p.Epoch == "" && c.counts.Acked == 0 && c.seq <= 1 {
+		return nil
+	}
+	switch {
+	case p.Epoch != c.c.Epoch:
+		return outcome.Refuse(outcome.ReasonResync, "pull belongs to another coordinator")
+	case p.Ack == c.seq:
+		c.ackOffered()
+		return nil
+	case p.Ack == c.seq-1 && c.offered != nil:
+		return nil
+	}
+	return outcome.Refuse(outcome.ReasonResync, "acknowledges a batch that was not handed out")
+}
+
+func (c *Coordinator) ackOffered() {
+	if c.offered == nil {
+		return
+	}
+	for _, s := range c.offered.Samples {
+		c.ack(s.Slot)
+	}
+	c.offered = nil
+}
+
+func (c *Coordinator) ack(n Slot) {
+	s := c.slots[n]
+	bug.Assert(s.state == slotOffered, bug.ExactlyOnce, "slot %d acknowledged in state %d", n, s.state)
+	s.state = slotAcked
+	s.sample = nil
+	c.counts.Offered--
+	c.counts.Acked++
+}
+
+// repeat hands the outstanding batch out again, as long as it is within bound.
+// Over it, only the trainer's own record tells which samples it has.
+func (c *Coordinator) repeat(bound int64) (*Batch, error) {
+	for _, s := range c.offered.Samples {
+		if int64(c.version-s.Oldest()) > bound {
+			return nil, outcome.Refuse(outcome.ReasonResync, "batch grew too old before it was acknowledged")
+		}
+	}
+	return c.offered, nil
+}
+
+// resync adopts the trainer's own record of what it has.
+func (c *Coordinator) resync(have Bitmap) {
+	c.have = slices.Clone(have)
+	if c.offered != nil {
+		for _, s := range c.offered.Samples {
+			c.counts.Offered--
+			c.counts.Sealed++
+			c.slots[s.Slot].state = slotSealed
+			c.sealed = append(c.sealed, s.Slot)
+		}
+		c.offered = nil
+	}
+	for n, s := range c.slots {
+		switch {
+		case have.Has(n) && s.state != slotAcked:
+			c.takeAway(n, s)
+		case !have.Has(n) && s.state == slotAcked:
+			c.counts.Acked--
+			s.group.done--
+			c.requeue(n, s)
+		}
+	}
+	c.sealed = slices.DeleteFunc(c.sealed, func(n Slot) bool { return c.slots[n].state != slotSealed })
+}
+
+// takeAway marks a slot that the trainer has as acknowledged, from any state.
+func (c *Coordinator) takeAway(n Slot, s *slot) {
+	switch s.state {
+	case slotPending:
+		c.counts.Pending--
+		s.group.pending = remove(s.group.pending, n)
+		s.group.done++
+	case slotRunning:
+		c.counts.Running--
+		s.group.done++
+	case slotSealed:
+		c.counts.Sealed--
+	}
+	for _, r := range s.runs {
+		s.group.drop(r.server)
+	}
+	s.runs = nil
+	s.sample = nil
+	s.state = slotAcked
+	c.counts.Acked++
+}
+
+// batch takes sealed samples that are within bound; the others are dropped and
+// generated again.
+func (c *Coordinator) batch(p *Pull, bound int64) *Batch {
+	c.dropStale(bound)
+	var (
+		keep []Slot
+		out  []*Sample
+	)
+	for _, n := range c.sealed {
+		s := c.slots[n]
+		full := !p.WholeGroups || s.group.done == s.group.Samples
+		room := len(out) < max(1, p.Max) || p.WholeGroups && contains(out, s.group)
+		if !room || !full {
+			keep = append(keep, n)
+			continue
+		}
+		out = append(out, s.sample)
+	}
+	whole := c.counts.Closed && c.counts.Acked+len(out) == c.counts.Slots
+	if len(out) == 0 && !whole {
+		return nil
+	}
+	c.sealed = keep
+	for _, s := range out {
+		x := c.slots[s.Slot]
+		bug.Assert(x.state == slotSealed, bug.ExactlyOnce, "slot %d offered in state %d", s.Slot, x.state)
+		bug.Assert(int64(c.version-s.Oldest()) <= bound, bug.StalenessBound, "%s", s.ID())
+		x.state = slotOffered
+		c.counts.Sealed--
+		c.counts.Offered++
+	}
+	c.seq++
+	return &Batch{Epoch: c.c.Epoch, Seq: c.seq, Samples: out, Whole: whole}
+}
+
+func (c *Coordinator) dropStale(bound int64) {
+	c.sealed = slices.DeleteFunc(c.sealed, func(n Slot) bool {
+		s := c.slots[n]
+		if int64(c.version-s.sample.Oldest()) <= bound {
+			return false
+		}
+		c.counts.Sealed--
+		c.counts.Dropped++
+		c.counts.Thrown += int64(s.sample.Tokens)
+		s.group.done--
+		s.group.lengths -= s.sample.Tokens
+		c.requeue(n, s)
+		return true
+	})
+}
+
+// contains reports whether a sample of group g is in out already; whole groups
+// are kept together even when they exceed the batch size.
+func contains(out []*Sample, g *group) bool {
+	return slices.ContainsFunc(out, func(s *Sample) bool {
+		return s.Slot >= g.First && int(s.Slot) < int(g.First)+g.Samples
+	})
+}
+
+func (s *slot) find(attempt int) int {
+	return slices.IndexFunc(s.runs, func(r run) bool { return r.attempt == attempt })
+}
+
+func (g *group) drop(server string) {
+	if g.servers[server]--; g.servers[server] <= 0 {
+		delete(g.servers, server)
+	}
+}
+
+func remove(l []Slot, n Slot) []Slot {
+	if i := slices.Index(l, n); i >= 0 {
+		return slices.Delete(l, i, i+1)
+	}
+	return l
+}
+
+// Key returns the step's name.
+func (c *Coordinator) Key() StepKey { return c.c.Key }
+
+// Seq returns the number of the batch that was acknowledged last, or of the
+// outstanding one.
+func (c *Coordinator) Seq() int64 { return c.seq }
+
+// Opened reports whether the slot belongs to a group of the step.
+func (c *Coordinator) Opened(n Slot) bool { return c.slots[n] != nil }
+
+// Acked reports whether the trainer has acknowledged the slot.
+func (c *Coordinator) Acked(n Slot) bool {
+	s := c.slots[n]
+	return s != nil && s.state == slotAcked
+}
+
+// Waits says in words why the step is not whole.
+func (c *Coordinator) Waits() string {
+	n := &c.counts
+	switch {
+	case c.Done():
+		return "whole"
+	case n.Pending > 0:
+		return "samples wait for a server"
+	case n.Running > 0:
+		return "samples are being generated"
+	case n.Sealed > 0:
+		return "samples wait for the trainer's pull"
+	case n.Offered > 0:
+		return "a batch waits for its acknowledgement"
+	case !n.Closed:
+		return "the trainer has not closed the step"
+	}
+	return ""
+}
--- /dev/null
+++ b/pier/scorer/scorer.go
@@ -0,0 +1,77 @@
+// Package scorer speaks to the service that scores samples, over HTTP and JSON.
+package scorer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"mulberrypier.example/pier/outcome"
+)
+
+const (
+	callLimit = 5 * time.Second
+	bodyLimit = 1 << 20
+)
+
+// Request is one sample to score.
+type Request struct {
+	// ID is the sample's stream id; the answer must carry it.
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+	Text   string `json:"text"`
+}
+
+// Answer is the score of one sample.
+type Answer struct {
+	ID    string  `json:"id"`
+	Score float64 `json:"score"`
+}
+
+// Client calls scorers. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client for all scorers.
+func New() *Client {
+	// A connection for each call: one that was idle may have gone silent, and a
+	// call that may not be repeated must not be lost to it.
+	return &Client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Score returns the score of one sample. Errors are *outcome.Error; unknown when
+// the scorer may have counted the sample.
+func (c *Client) Score(x context.Context, a netip.AddrPort, r *Request) (float64, error) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return 0, outcome.Refuse(outcome.ReasonBadRequest, err.Error())
+	}
+	x, stop := context.WithTimeout(x, callLimit)
+	defer stop()
+	q, err := http.NewRequestWithContext(x, http.MethodPost, "http://"+a.String()+"/v1/score", bytes.NewReader(b))
+	if err != nil {
+		return 0, outcome.Refuse(outcome.ReasonBadRequest, err.Error())
+	}
+	q.Header.Set("Content-Type", "application/json")
+	s, err := c.http.Do(q)
+	if err != nil {
+		return 0, outcome.Lost(outcome.ReasonConnectionLost, "scorer", err)
+	}
+	defer func() { _ = s.Body.Close() }()
+	if s.StatusCode != http.StatusOK {
+		return 0, outcome.Lost(outcome.ReasonServerError, "scorer: "+s.Status, nil)
+	}
+	var k Answer
+	if err := json.NewDecoder(io.LimitReader(s.Body, bodyLimit)).Decode(&k); err != nil {
+		return 0, outcome.Lost(outcome.ReasonShortAnswer, "scorer", err)
+	}
+	if k.ID != r.ID {
+		return 0, outcome.Lost(outcome.ReasonCrossedAnswer, "scorer", nil)
+	}
+	return k.Score, nil
+}
