Add the scenario language and prove the first failures

Cause: the whole path was only shown with everything well. A scenario with a lost owner showed a sample scored twice, as the next owner adopted a stream that was finished, read and scored already; a coordinator could also wait for ever for a stream that no host drives.

Change: txtar scenarios over embedded hosts or real processes (start, crash, drain, pause, silence, cut, lose-answer, outage, expect). An owner takes a finished stream off its engine before a scorer's call that may not be repeated; the engine lets one host take it. A coordinator drops a stream that no owner has spoken of for the adoption time, instead of following the members' deaths.

--- a/mulberrybench/internal/cluster/cluster.go
+++ b/mulberrybench/internal/cluster/cluster.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,9 +48,21 @@
 	ServiceDelay time.Duration
 	// Adjust changes the settings of each host before it starts.
 	Adjust func(*settings.Settings)
+	// Launch starts a host in another way than within this process.
+	Launch func(*settings.Settings) (*Process, error)
 	Log    *zap.Logger
 }
 
+// Process is a running host.
+type Process struct {
+	// Kill ends the host at once; Drain carries out its planned stop.
+	Kill  func()
+	Drain func(context.Context)
+	// Pause and Resume freeze the host; nil when it cannot be frozen.
+	Pause  func()
+	Resume func()
+}
+
 // Cluster is a set of entry hosts with their stand-ins.
 type Cluster struct {
 	c        Config
@@ -58,18 +72,20 @@
 	Scorer   *standin.Scorer
 	Scored   *standin.Ledger
 	Executed *standin.Ledger
+	Balancer *standin.Balancer
 	Engines  []*standin.Engine
 	Services []*standin.Service
 
 	mu    sync.Mutex
 	hosts []*Host
 	cuts  map[[2]string]bool
+	conns map[*cutConn]struct{}
 }
 
 // Host is one entry host.
 type Host struct {
 	Settings *settings.Settings
-	Daemon   *daemon.Daemon
+	Process  *Process
 	// Up is false after the host was killed or has drained.
 	Up bool
 }
@@ -79,7 +95,7 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	k := &Cluster{c: c, Scored: standin.NewLedger(), Executed: standin.NewLedger(), cuts: make(map[[2]string]bool)}
+	k := &Cluster{c: c, Scored: standin.NewLedger(), Executed: standin.NewLedger(), cuts: make(map[[2]string]bool), conns: make(map[*cutConn]struct{})}
 	if err := k.platform(); err != nil {
 		k.Close()
 		return nil, err
@@ -105,6 +121,9 @@
 	if k.Log, err = standin.NewLog(standin.LogConfig{Address: loopback(), Keep: k.c.KeepRecords}); err != nil {
 		return err
 	}
+	if k.Balancer, err = standin.NewBalancer(k.Callers); err != nil {
+		return err
+	}
 	if k.List, err = standin.NewHosts(standin.HostsConfig{Address: loopback(), Lag: time.Second}); err != nil {
 		return err
 	}
@@ -137,14 +156,29 @@
 	return nil
 }
 
+// The ports for hosts, below those that the kernel gives to outgoing connections:
+// a host that is started again must find its port free.
+const (
+	portFirst = 12000
+	portLast  = 32000
+)
+
+// port is the last one that was tried.
+var port atomic.Uint32
+
 // freePort returns a loopback address that nobody listens on.
 func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	port.CompareAndSwap(0, uint32(rand.IntN(portLast-portFirst)))
+	for range portLast - portFirst {
+		n := portFirst + port.Add(1)%(portLast-portFirst)
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(n))
+		l, err := net.Listen("tcp", a.String())
+		if err != nil {
+			continue
+		}
+		return a, l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, outcome.Refuse(outcome.ReasonUnreachable, "no free port")
 }
 
 // domain returns the failure domain of the i-th host or engine.
@@ -196,14 +230,32 @@
 }
 
 func (k *Cluster) start(h *Host) error {
-	h.Daemon = daemon.New(daemon.Config{Settings: h.Settings, Log: k.c.Log, DialPeer: k.dialFrom(h.Settings.Name)})
-	if err := h.Daemon.Start(); err != nil {
+	f := k.embed
+	if k.c.Launch != nil {
+		f = k.c.Launch
+	}
+	p, err := f(h.Settings)
+	if err != nil {
 		return err
 	}
+	h.Process = p
 	h.Up = true
 	return nil
 }
 
+// embed starts a host within this process.
+func (k *Cluster) embed(s *settings.Settings) (*Process, error) {
+	d := daemon.New(daemon.Config{Settings: s, Log: k.c.Log, DialPeer: k.dialFrom(s.Name)})
+	if err := d.Start(); err != nil {
+		return nil, err
+	}
+	drain := func(x context.Context) {
+		d.Drain(x)
+		d.Close()
+	}
+	return &Process{Kill: d.Close, Drain: drain}, nil
+}
+
 // dialFrom returns how a host opens connections to others: not across a cut.
 func (k *Cluster) dialFrom(name string) func(context.Context, netip.AddrPort) (net.Conn, error) {
 	return func(x context.Context, a netip.AddrPort) (net.Conn, error) {
@@ -216,24 +268,61 @@
 		if err != nil {
 			return nil, err
 		}
-		return &cutConn{Conn: c, cut: func() bool { return k.isCut(name, a) }}, nil
+		r := &cutConn{Conn: c, cut: func() bool { return k.isCut(name, a) }, k: k}
+		k.mu.Lock()
+		k.conns[r] = struct{}{}
+		k.mu.Unlock()
+		return r, nil
 	}
 }
 
-// cutConn drops what is written while its ends are cut.
+// cutConn drops what is written and read while its ends are cut, and for good
+// once it was made silent.
 type cutConn struct {
 	net.Conn
-	cut func() bool
+	k      *Cluster
+	cut    func() bool
+	silent atomic.Bool
 }
 
 // Write drops b while the ends are cut.
 func (c *cutConn) Write(b []byte) (int, error) {
-	if c.cut() {
+	if c.silent.Load() || c.cut() {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
 }
 
+// Read drops what comes while the ends are cut.
+func (c *cutConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() && !c.cut() {
+			return n, err
+		}
+		// What was dropped leaves a hole, so the connection is of no use any more.
+		c.silent.Store(true)
+	}
+}
+
+// Close closes the connection.
+func (c *cutConn) Close() error {
+	c.k.mu.Lock()
+	delete(c.k.conns, c)
+	c.k.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// SilencePeers makes all open connections between hosts silent for good, while
+// new ones work.
+func (k *Cluster) SilencePeers() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		c.silent.Store(true)
+	}
+}
+
 func (k *Cluster) isCut(name string, a netip.AddrPort) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -299,14 +388,15 @@
 // Kill ends a host at once, as when its process dies.
 func (k *Cluster) Kill(h *Host) {
 	h.Up = false
-	h.Daemon.Close()
+	h.Process.Kill()
 	k.list()
 }
 
 // Drain carries out the planned stop of a host.
 func (k *Cluster) Drain(x context.Context, h *Host) {
-	h.Daemon.Drain(x)
-	k.Kill(h)
+	h.Process.Drain(x)
+	h.Up = false
+	k.list()
 }
 
 // Restart starts a new process on a host that was killed.
@@ -377,7 +467,7 @@
 	for {
 		ok := true
 		for _, h := range k.Up() {
-			ok = ok && h.Daemon.Live() == n
+			ok = ok && Live(x, h) == n
 		}
 		if ok {
 			return nil
@@ -390,6 +480,17 @@
 	}
 }
 
+// Live returns how many members a host counts as live, or -1 when it does not
+// answer.
+func Live(x context.Context, h *Host) int {
+	c := operator.New(operator.ClientConfig{Address: h.Settings.Listen.Operators})
+	a, err := c.Self(x)
+	if err != nil {
+		return -1
+	}
+	return a.Hosts[0].Members
+}
+
 // Publish publishes a note through a host that runs.
 func (k *Cluster) Publish(x context.Context, n *release.Note) (*operator.Published, error) {
 	b, err := n.TOML()
@@ -403,7 +504,7 @@
 func (k *Cluster) Close() {
 	for _, h := range k.Up() {
 		h.Up = false
-		h.Daemon.Close()
+		h.Process.Kill()
 	}
 	for _, e := range k.Engines {
 		e.Close()
@@ -420,6 +521,9 @@
 	if k.List != nil {
 		k.List.Kill()
 	}
+	if k.Balancer != nil {
+		k.Balancer.Close()
+	}
 	if k.Log != nil {
 		k.Log.Kill()
 	}
--- a/mulberrybench/internal/model/engine.go
+++ b/mulberrybench/internal/model/engine.go
@@ -200,6 +200,9 @@
 	e.loads = append(e.loads, load{model, v, now.Add(e.c.LoadTime), e.rng.Float64() < e.c.LoadFails})
 }
 
+// SetLoadFails sets the part of the loads that fail from now on.
+func (e *Engine) SetLoadFails(f float64) { e.c.LoadFails = f }
+
 // FailLoads makes the loads in progress fail, as when the store refuses them.
 func (e *Engine) FailLoads() {
 	for i := range e.loads {
--- a/mulberrybench/internal/scenario/scenario.go
+++ b/mulberrybench/internal/scenario/scenario.go
@@ -1,3 +1,237 @@
-// Package scenario holds the scripted scenarios: txtar archives in a small
-// language that starts hosts, brings about failures and states what is expected.
+// Package scenario is the small language of the scripted scenarios. A scenario is
+// a txtar archive whose script starts hosts and stand-ins, brings about failures,
+// and states what is expected. docs/design/scenarios.md lists the commands.
 package scenario
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"mulberrypier.example/mulberrybench/internal/cluster"
+	"mulberrypier.example/mulberrybench/internal/model"
+	"mulberrypier.example/pier/settings"
+)
+
+// limit is how long an expectation is waited for when the script states nothing.
+const limit = 20 * time.Second
+
+type stateKey struct{}
+
+// state is what one running script has.
+type state struct {
+	k     *cluster.Cluster
+	dir   string
+	steps map[string]*step
+	calls map[string]*call
+	keys  map[string]string
+}
+
+// Setup gives each script a state of its own.
+func Setup(e *testscript.Env) error {
+	s := &state{dir: e.WorkDir, steps: make(map[string]*step), calls: make(map[string]*call), keys: make(map[string]string)}
+	e.Values[stateKey{}] = s
+	e.Defer(func() {
+		for _, p := range s.steps {
+			p.stop()
+		}
+		if s.k != nil {
+			s.k.Close()
+		}
+	})
+	return nil
+}
+
+// Commands returns the language.
+func Commands() map[string]func(*testscript.TestScript, bool, []string) {
+	m := map[string]func(*state, *testscript.TestScript, []string){
+		"cluster":     (*state).cluster,
+		"start":       (*state).start,
+		"crash":       (*state).crash,
+		"pause":       (*state).pause,
+		"resume":      (*state).resume,
+		"drain":       (*state).drain,
+		"silence":     (*state).silence,
+		"cut":         (*state).cut,
+		"heal":        (*state).heal,
+		"down":        (*state).down,
+		"up":          (*state).up,
+		"lose-answer": (*state).loseAnswer,
+		"spoil":       (*state).spoil,
+		"fail-loads":  (*state).failLoads,
+		"expire":      (*state).expire,
+		"leave":       (*state).leave,
+		"note":        (*state).note,
+		"step":        (*state).step,
+		"call":        (*state).call,
+		"chat":        (*state).chat,
+		"answer":      (*state).answer,
+		"wait":        (*state).wait,
+		"expect":      (*state).expect,
+	}
+	r := make(map[string]func(*testscript.TestScript, bool, []string))
+	for n, f := range m {
+		r[n] = func(t *testscript.TestScript, neg bool, args []string) {
+			if neg {
+				t.Fatalf("%s cannot be negated", n)
+			}
+			f(t.Value(stateKey{}).(*state), t, args)
+		}
+	}
+	return r
+}
+
+// options reads key=value arguments; the others are returned in order.
+func options(args []string) (map[string]string, []string) {
+	m := make(map[string]string)
+	var l []string
+	for _, a := range args {
+		if k, v, ok := strings.Cut(a, "="); ok {
+			m[k] = v
+			continue
+		}
+		l = append(l, a)
+	}
+	return m, l
+}
+
+func number(t *testscript.TestScript, m map[string]string, k string, d int) int {
+	v, ok := m[k]
+	if !ok {
+		return d
+	}
+	n, err := strconv.Atoi(v)
+	t.Check(err)
+	return n
+}
+
+func period(t *testscript.TestScript, m map[string]string, k string, d time.Duration) time.Duration {
+	v, ok := m[k]
+	if !ok {
+		return d
+	}
+	x, err := time.ParseDuration(v)
+	t.Check(err)
+	return x
+}
+
+// cluster starts the hosts and stand-ins: cluster [hosts=3] [engines=4]
+// [services=2] [capacity=16] [speed=1000] [median=120] [bound=2] [load=100ms]
+// [loads-fail=0] [keep=0] [processes] and settings as set.KEY=VALUE.
+func (s *state) cluster(t *testscript.TestScript, args []string) {
+	m, flags := options(args)
+	c := cluster.Config{
+		Hosts: number(t, m, "hosts", 3), Engines: number(t, m, "engines", 4), Services: number(t, m, "services", 2),
+		Domains: number(t, m, "domains", 3), Capacity: number(t, m, "capacity", 16),
+		Trainers: strings.Split(value(m, "trainers", "thaw"), ","), Bound: int64(number(t, m, "bound", 2)),
+		KeepRecords: number(t, m, "keep", 0), ServiceDelay: period(t, m, "service-delay", 0),
+		Engine: model.Config{
+			Speed: float64(number(t, m, "speed", 1000)), Half: 32, Batch: number(t, m, "capacity", 16), Prefill: 5,
+			CachePrefixes: 64, LoadTime: period(t, m, "load", 100*time.Millisecond), Pause: 20 * time.Millisecond,
+		},
+		Lengths: model.Lengths{Median: float64(number(t, m, "median", 120)), GroupSigma: 0.3, SampleSigma: 0.3, Seed: 1},
+		Adjust:  func(x *settings.Settings) { adjust(t, x, m) },
+	}
+	if slices.Contains(flags, "processes") {
+		c.Launch = s.launch
+	}
+	x, stop := context.WithTimeout(context.Background(), limit)
+	defer stop()
+	k, err := cluster.New(x, c)
+	t.Check(err)
+	s.k = k
+}
+
+func value(m map[string]string, k, d string) string {
+	if v, ok := m[k]; ok {
+		return v
+	}
+	return d
+}
+
+// adjust applies the settings that a script states.
+func adjust(t *testscript.TestScript, x *settings.Settings, m map[string]string) {
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		n, ok := strings.CutPrefix(k, "set.")
+		if !ok {
+			continue
+		}
+		d := func() settings.Duration { return settings.Duration(period(t, m, k, 0)) }
+		switch n {
+		case "drain":
+			x.Timing.Drain = d()
+		case "silence":
+			x.Timing.Silence = d()
+		case "adoption":
+			x.Timing.Adoption = d()
+		case "key-horizon":
+			x.Timing.KeyHorizon = d()
+		case "load-limit":
+			x.Timing.LoadLimit = d()
+		case "running":
+			x.Limits.Running = number(t, m, k, 0)
+		case "waiting":
+			x.Limits.Waiting = number(t, m, k, 0)
+		case "spares":
+			x.Policy.Spares = number(t, m, k, 0)
+		case "spare-after":
+			x.Policy.SpareAfter = d()
+		default:
+			t.Fatalf("unknown setting %s", n)
+		}
+	}
+}
+
+// host returns the named host.
+func (s *state) host(t *testscript.TestScript, name string) *cluster.Host {
+	h := s.k.Host(name)
+	if h == nil {
+		t.Fatalf("no host %s", name)
+	}
+	return h
+}
+
+// index returns N of a name such as engine-N.
+func index(t *testscript.TestScript, name, prefix string, most int) int {
+	n, err := strconv.Atoi(strings.TrimPrefix(name, prefix))
+	t.Check(err)
+	if n >= most {
+		t.Fatalf("no %s", name)
+	}
+	return n
+}
+
+// until waits for a condition; what says what was seen last.
+func until(t *testscript.TestScript, d time.Duration, f func() (bool, string)) {
+	end := time.Now().Add(d)
+	for {
+		ok, what := f()
+		if ok {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", d, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// write puts a settings file into the script's folder.
+func (s *state) write(x *settings.Settings) (string, error) {
+	b, err := tomlOf(x)
+	if err != nil {
+		return "", err
+	}
+	f := filepath.Join(s.dir, x.Name+".toml")
+	return f, os.WriteFile(f, b, 0o600)
+}
+
+func (s *state) String() string { return fmt.Sprintf("scenario in %s", s.dir) }
--- a/mulberrybench/internal/standin/engine.go
+++ b/mulberrybench/internal/standin/engine.go
@@ -109,6 +109,13 @@
 	e.m.Unlock()
 }
 
+// SetLoadFails sets the part of the loads that fail from now on.
+func (e *Engine) SetLoadFails(f float64) {
+	e.m.Lock()
+	e.e.SetLoadFails(f)
+	e.m.Unlock()
+}
+
 // SetLeaving makes the engine say that it is about to stop.
 func (e *Engine) SetLeaving(b bool) {
 	e.m.Lock()
@@ -211,9 +218,14 @@
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	id := r.URL.Query().Get("id")
 	e.m.Lock()
+	_, ok := e.meta[id]
 	e.e.Remove(time.Now(), id)
 	delete(e.meta, id)
 	e.m.Unlock()
+	if !ok && r.URL.Query().Has("take") {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
 	reply(w, struct{}{})
 }
 
--- a/pier/daemon/asks.go
+++ b/pier/daemon/asks.go
@@ -67,6 +67,11 @@
 			q.Progress = append(q.Progress, s.progress())
 		}
 	}
+	for _, h := range o.held {
+		if h.sample.Key.Trainer == t.Name && !h.sent {
+			q.Progress = append(q.Progress, h.progress())
+		}
+	}
 	o.mu.Unlock()
 	if len(q.Offers) == 0 && len(q.Progress) == 0 {
 		return
--- a/pier/daemon/daemon.go
+++ b/pier/daemon/daemon.go
@@ -270,6 +270,7 @@
 		State:    s.State.String(),
 		Revision: d.notes.snapshot().Revision(),
 		Drain:    string(d.drain.current()),
+		Members:  len(d.members.candidates()),
 		Servers:  d.owners.views(),
 		Steps:    d.steps.lines(),
 		Bugs:     bug.Total(),
--- a/pier/daemon/members.go
+++ b/pier/daemon/members.go
@@ -84,7 +84,6 @@
 		m.log.Info("member "+c.State.String(), zap.String("member", c.ID))
 		if c.State >= member.Dead {
 			m.d.peers.Forget(c.Address)
-			m.d.steps.hostLost(c.ID)
 		}
 	}
 	m.d.owners.refresh()
@@ -214,6 +213,3 @@
 	}
 	return id, nil
 }
-
-// Live returns the number of hosts that this one counts as members.
-func (d *Daemon) Live() int { return len(d.members.candidates()) }
--- a/pier/daemon/owners.go
+++ b/pier/daemon/owners.go
@@ -39,6 +39,11 @@
 	at   time.Time
 }
 
+// progress tells that the sample is on its way to its coordinator.
+func (h *held) progress() entryhost.Progress {
+	return entryhost.Progress{Stream: h.sample.Stream, Server: h.sample.Server, Tokens: h.sample.Tokens}
+}
+
 // owners is the shell of packages owner and weights: the role that admits all
 // work to the backend servers whose rendezvous hash names this host.
 type owners struct {
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -532,17 +532,6 @@
 	return nil
 }
 
-// hostLost tells all steps that a host left or died.
-func (s *steps) hostLost(id string) {
-	for _, t := range s.all() {
-		t.mu.Lock()
-		for _, p := range t.steps {
-			p.c.HostLost(time.Now(), id)
-		}
-		t.mu.Unlock()
-	}
-}
-
 // lines returns the steps at a glance.
 func (s *steps) lines() []entryhost.StepStatusLine {
 	var l []entryhost.StepStatusLine
--- a/pier/daemon/streams.go
+++ b/pier/daemon/streams.go
@@ -118,7 +118,7 @@
 	switch {
 	case err == nil:
 		o.send(o.d.x, s.Key.Trainer, []*rollout.Sample{&s.sample})
-	case s.state == "handed-over" || o.d.x.Err() != nil:
+	case s.state == "handed-over" || o.d.x.Err() != nil || outcome.Is(err, outcome.ReasonNotOwner):
 	default:
 		o.end(s, err)
 	}
@@ -242,6 +242,8 @@
 	tries := 1
 	if t.ScorerIdempotent {
 		tries = resumeTries
+	} else if err := o.take(x, s); err != nil {
+		return err
 	}
 	var last error
 	for range tries {
@@ -260,6 +262,22 @@
 	return last
 }
 
+// take removes the finished stream from its engine. Of two hosts that have read
+// the same stream, the engine lets one remove it, and only that one may make a
+// scorer's call that may not be repeated.
+func (o *owners) take(x context.Context, s *stream) error {
+	v, ok := o.d.notes.snapshot().Server(s.Server)
+	if !ok {
+		streamChart.Fire(&s.state, "unscored")
+		return outcome.Refuse(outcome.ReasonUnknownName, "server/"+s.Server)
+	}
+	err := o.d.engines.Take(x, v.Address, s.ID())
+	if err != nil {
+		streamChart.Fire(&s.state, "unscored")
+	}
+	return err
+}
+
 // send brings finished samples to the trainer's coordinator. Those that it does
 // not take stay held and are sent again.
 func (o *owners) send(x context.Context, trainer string, l []*rollout.Sample) {
--- a/pier/engine/engine.go
+++ b/pier/engine/engine.go
@@ -183,6 +183,16 @@
 	return c.call(x, http.MethodDelete, a, "/v1/streams?id="+url.QueryEscape(stream), nil, nil)
 }
 
+// Take removes a finished stream and succeeds for one caller only. The error
+// not-owner tells that the stream is not there any longer.
+func (c *Client) Take(x context.Context, a netip.AddrPort, stream string) error {
+	err := c.call(x, http.MethodDelete, a, "/v1/streams?take=1&id="+url.QueryEscape(stream), nil, nil)
+	if outcome.Is(err, outcome.ReasonUnknownName) {
+		return outcome.Refuse(outcome.ReasonNotOwner, stream)
+	}
+	return err
+}
+
 // Streams lists the streams that the engine holds.
 func (c *Client) Streams(x context.Context, a netip.AddrPort) ([]Running, error) {
 	var l []Running
--- a/pier/entryhost/entryhost.go
+++ b/pier/entryhost/entryhost.go
@@ -239,13 +239,15 @@
 
 // StatusAnswer is a host at a glance.
 type StatusAnswer struct {
-	Self     member.Member    `msgpack:"s" json:"self"`
-	State    string           `msgpack:"t" json:"state"`
-	Revision int64            `msgpack:"r" json:"revision"`
-	Drain    string           `msgpack:"d" json:"drain"`
-	Servers  []ServerStatus   `msgpack:"v" json:"servers"`
-	Steps    []StepStatusLine `msgpack:"p" json:"steps"`
-	Bugs     uint64           `msgpack:"b" json:"bugs"`
+	Self     member.Member `msgpack:"s" json:"self"`
+	State    string        `msgpack:"t" json:"state"`
+	Revision int64         `msgpack:"r" json:"revision"`
+	Drain    string        `msgpack:"d" json:"drain"`
+	// Members is the number of hosts that this one counts as members.
+	Members int              `msgpack:"m" json:"members"`
+	Servers []ServerStatus   `msgpack:"v" json:"servers"`
+	Steps   []StepStatusLine `msgpack:"p" json:"steps"`
+	Bugs    uint64           `msgpack:"b" json:"bugs"`
 	// Err is set by the asking host when this one did not answer.
 	Err *outcome.Error `msgpack:"e" json:"error,omitempty"`
 }
--- a/pier/operator/operator.go
+++ b/pier/operator/operator.go
@@ -111,6 +111,12 @@
 	return &a, c.do(x, http.MethodGet, "/v1/status", nil, &a)
 }
 
+// Self returns the host itself at a glance.
+func (c *Client) Self(x context.Context) (*Status, error) {
+	var a Status
+	return &a, c.do(x, http.MethodGet, "/v1/status?self=1", nil, &a)
+}
+
 // Drain starts the planned stop of the host.
 func (c *Client) Drain(x context.Context) (*Drain, error) {
 	var a Drain
--- a/pier/rollout/coordinator.go
+++ b/pier/rollout/coordinator.go
@@ -14,11 +14,9 @@
 	// Epoch identifies this holder of the step; a trainer that pulls with another
 	// epoch is asked which slots it has.
 	Epoch string
-	// Grace is how long a stream whose owner is gone may be adopted by the
-	// server's next owner before its slot is generated again.
+	// Grace is how long a stream that no owner speaks of may still be adopted by
+	// the server's next owner before its slot is generated again.
 	Grace time.Duration
-	// MaxAttempts bounds the attempts for one slot; 0 means no bound.
-	MaxAttempts int
 	// Policy decides which slot a server gets.
 	Policy Policy
 }
@@ -39,8 +37,8 @@
 	server  string
 	host    string
 	started time.Time
-	// orphan is when the owner was lost; zero while it is known.
-	orphan time.Time
+	// seen is when an owner last said that it drives the stream.
+	seen   time.Time
 	tokens int
 }
 
@@ -137,6 +135,9 @@
 	sealed []Slot
 	// have is what the trainer stated at the last resync.
 	have Bitmap
+	// ticked is the time of the last tick; resumed is when the coordinator went on
+	// after it had stood still.
+	ticked, resumed time.Time
 }
 
 // NewCoordinator returns the holder of a step without groups.
@@ -245,7 +246,7 @@
 		Group:     s.group.First,
 		Priority:  c.c.Policy.priority(c, s),
 	}
-	c.start(now, n, run{attempt: s.next, server: o.Server, host: host, started: now})
+	c.start(now, n, run{attempt: s.next, server: o.Server, host: host, started: now, seen: now})
 	return w, true
 }
 
@@ -273,7 +274,7 @@
 		if !ok || s.state > slotRunning || s.find(w.Attempt) >= 0 {
 			continue
 		}
-		c.start(now, w.Slot, run{attempt: w.Attempt, server: w.Server, host: host, started: now})
+		c.start(now, w.Slot, run{attempt: w.Attempt, server: w.Server, host: host, started: now, seen: now})
 	}
 	var x []Cancel
 	for _, d := range done {
@@ -282,8 +283,8 @@
 	return x
 }
 
-// Adopt tells that host now drives a stream on the server, in place of another.
-// It returns false when the stream's result is no longer wanted.
+// Adopt tells that host drives a stream on the server, in place of another if it
+// was another's before. It returns false when the stream's result is no longer wanted.
 func (c *Coordinator) Adopt(now time.Time, host, server string, t Stream) bool {
 	s, ok := c.slots[t.Slot]
 	if !ok || s.state > slotRunning {
@@ -291,10 +292,10 @@
 	}
 	if i := s.find(t.Attempt); i >= 0 {
 		s.runs[i].host = host
-		s.runs[i].orphan = time.Time{}
+		s.runs[i].seen = now
 		return true
 	}
-	c.start(now, t.Slot, run{attempt: t.Attempt, server: server, host: host, started: now})
+	c.start(now, t.Slot, run{attempt: t.Attempt, server: server, host: host, started: now, seen: now})
 	return true
 }
 
@@ -363,24 +364,18 @@
 	c.drop(t.Slot, s, i)
 }
 
-// HostLost tells that a host left or died; its streams may be adopted for a while.
-func (c *Coordinator) HostLost(now time.Time, host string) {
-	for _, s := range c.slots {
-		for i := range s.runs {
-			if s.runs[i].host == host && s.runs[i].orphan.IsZero() {
-				s.runs[i].orphan = now
-			}
-		}
-	}
-}
-
-// Tick gives up streams that nobody adopted in time. It returns their number.
+// Tick gives up streams that no owner has spoken of for the grace time. It
+// returns their number. Time during which this coordinator itself stood still
+// does not count.
 func (c *Coordinator) Tick(now time.Time) int {
+	if d := now.Sub(c.ticked); !c.ticked.IsZero() && d > c.c.Grace/2 {
+		c.resumed = now
+	}
+	c.ticked = now
 	n := 0
 	for k, s := range c.slots {
 		for i := len(s.runs) - 1; i >= 0; i-- {
-			o := s.runs[i].orphan
-			if o.IsZero() || now.Sub(o) < c.c.Grace {
+			if since := later(s.runs[i].seen, c.resumed); now.Sub(since) < c.c.Grace {
 				continue
 			}
 			c.counts.Lost++
@@ -392,6 +387,13 @@
 	return n
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (c *Coordinator) drop(n Slot, s *slot, i int) {
 	s.group.drop(s.runs[i].server)
 	s.runs = slices.Delete(s.runs, i, i+1)
