Measure the decisions; tests for the coordinator, the fold, claims and members

Cause: the decisions were chosen by argument, and the cores had no tests of their own.

Change: experiments in TOML over the real coordinator, owner and weight cores, a model of the engines shared with the stand-in, tables and SVG plots. Decisions: late binding, longest predicted group first (a heap of groups), siblings on the same server when nearly as long, moves with the tokens so far, express servers, the idle weight as the part of a step that may start early, cancelling what cannot arrive in bound. Randomised runs of coordinator, fold, claims and member table.

--- a/mulberrybench/internal/cluster/cluster.go
+++ b/mulberrybench/internal/cluster/cluster.go
@@ -245,8 +245,8 @@
 
 // embed starts a host within this process.
 func (k *Cluster) embed(s *settings.Settings) (*Process, error) {
-	d := daemon.New(daemon.Config{Settings: s, Log: k.c.Log, DialPeer: k.dialFrom(s.Name)})
-	if err := d.Start(); err != nil {
+	d, err := k.open(s)
+	if err != nil {
 		return nil, err
 	}
 	drain := func(x context.Context) {
@@ -256,6 +256,26 @@
 	return &Process{Kill: d.Close, Drain: drain}, nil
 }
 
+// open starts a daemon. A process that is being forked holds a closed port for a
+// moment, so a port in use is tried again.
+func (k *Cluster) open(s *settings.Settings) (*daemon.Daemon, error) {
+	var err error
+	for range startTries {
+		d := daemon.New(daemon.Config{Settings: s, Log: k.c.Log, DialPeer: k.dialFrom(s.Name)})
+		if err = d.Start(); err == nil {
+			return d, nil
+		}
+		d.Close()
+		time.Sleep(startWait)
+	}
+	return nil, err
+}
+
+const (
+	startTries = 50
+	startWait  = 20 * time.Millisecond
+)
+
 // dialFrom returns how a host opens connections to others: not across a cut.
 func (k *Cluster) dialFrom(name string) func(context.Context, netip.AddrPort) (net.Conn, error) {
 	return func(x context.Context, a netip.AddrPort) (net.Conn, error) {
--- a/mulberrybench/internal/cmd/cmd.go
+++ b/mulberrybench/internal/cmd/cmd.go
@@ -18,6 +18,7 @@
 // commands is the command line.
 type commands struct {
 	Quickstart quickstartCmd `cmd:"" help:"Run the main job once with everything embedded, and print its tables."`
+	Experiment experimentCmd `cmd:"" help:"Measure the decisions: policies before the model of the engines, in virtual time."`
 }
 
 // Main runs the command line and returns the exit code: 0 for success, 1 when
--- a/pier/config/config.go
+++ b/pier/config/config.go
@@ -58,7 +58,7 @@
 	// pools maps "deployment/x" or "service/x" to the names of its servers.
 	pools *immutable.Map[string, *immutable.SortedMap[string, struct{}]]
 	// touched maps each entry that ever existed to the revision that touched it.
-	touched *immutable.Map[string, int64]
+	touched *immutable.SortedMap[string, int64]
 	// verdicts holds the newest idsKept verdicts by note id.
 	verdicts *immutable.Map[string, Verdict]
 	order    *immutable.List[string]
@@ -72,7 +72,7 @@
 		servers:     immutable.NewSortedMap[string, release.Server](nil),
 		trainers:    immutable.NewSortedMap[string, release.Trainer](nil),
 		pools:       immutable.NewMap[string, *immutable.SortedMap[string, struct{}]](nil),
-		touched:     immutable.NewMap[string, int64](nil),
+		touched:     immutable.NewSortedMap[string, int64](nil),
 		verdicts:    immutable.NewMap[string, Verdict](nil),
 		order:       immutable.NewList[string](),
 	}
@@ -375,18 +375,24 @@
 	}
 }
 
+// touch is the revision that touched an entry last.
+type touch struct {
+	Key      string `msgpack:"k"`
+	Revision int64  `msgpack:"r"`
+}
+
 // image is the encoded form of a snapshot.
 type image struct {
-	Next     int64            `msgpack:"n"`
-	Revision int64            `msgpack:"r"`
-	Entries  release.Entries  `msgpack:"e"`
-	Touched  map[string]int64 `msgpack:"t"`
-	Verdicts []Verdict        `msgpack:"v"`
+	Next     int64           `msgpack:"n"`
+	Revision int64           `msgpack:"r"`
+	Entries  release.Entries `msgpack:"e"`
+	Touched  []touch         `msgpack:"t"`
+	Verdicts []Verdict       `msgpack:"v"`
 }
 
 // Encode returns the snapshot as msgpack.
 func (s *Snapshot) Encode() []byte {
-	m := image{Next: s.next, Revision: s.revision, Touched: make(map[string]int64, s.touched.Len())}
+	m := image{Next: s.next, Revision: s.revision}
 	s.EachDeployment(func(x release.Deployment) { m.Entries.Deployments = append(m.Entries.Deployments, x) })
 	s.EachService(func(x release.Service) { m.Entries.Services = append(m.Entries.Services, x) })
 	s.EachServer(func(x release.Server) { m.Entries.Servers = append(m.Entries.Servers, x) })
@@ -394,7 +400,7 @@
 	i := s.touched.Iterator()
 	for !i.Done() {
 		k, r, _ := i.Next()
-		m.Touched[k] = r
+		m.Touched = append(m.Touched, touch{k, r})
 	}
 	m.Verdicts = s.History(idsKept)
 	b, err := msgpack.Marshal(&m)
@@ -413,9 +419,9 @@
 	}
 	s := New()
 	s.put(&release.Note{Added: m.Entries}, m.Revision)
-	s.touched = immutable.NewMap[string, int64](nil)
-	for k, r := range m.Touched {
-		s.touched = s.touched.Set(k, r)
+	s.touched = immutable.NewSortedMap[string, int64](nil)
+	for _, t := range m.Touched {
+		s.touched = s.touched.Set(t.Key, t.Revision)
 	}
 	for _, v := range m.Verdicts {
 		s.remember(v)
--- a/pier/daemon/asks.go
+++ b/pier/daemon/asks.go
@@ -1,12 +1,11 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"mulberrypier.example/pier/entryhost"
+	"mulberrypier.example/pier/owner"
 	"mulberrypier.example/pier/release"
 	"mulberrypier.example/pier/rollout"
 )
@@ -34,26 +33,31 @@
 	}
 }
 
-// turns returns the trainers in the order in which they are offered room: the
-// one with the fewest running streams for its share first.
+// turns returns the trainers in the order in which they are offered room.
 func (o *owners) turns() []release.Trainer {
-	n := make(map[string]int)
+	s := o.d.notes.snapshot()
+	var l []owner.Turn
 	o.mu.Lock()
-	for _, s := range o.streams {
-		n[s.Key.Trainer]++
+	n := make(map[string]int)
+	for _, x := range o.streams {
+		n[x.Key.Trainer]++
 	}
+	s.EachTrainer(func(t release.Trainer) {
+		share := t.Share
+		if share == 0 {
+			share = 1
+		}
+		l = append(l, owner.Turn{Trainer: t.Name, Share: share, Running: n[t.Name], Left: o.left[t.Name], Since: o.since[t.Name]})
+	})
 	o.mu.Unlock()
-	var l []release.Trainer
-	o.d.notes.snapshot().EachTrainer(func(t release.Trainer) { l = append(l, t) })
-	load := func(t *release.Trainer) float64 {
-		s := t.Share
-		if s == 0 {
-			s = 1
+	owner.Turns(l, owner.Rule(o.d.s.Policy.Rule))
+	r := make([]release.Trainer, 0, len(l))
+	for _, x := range l {
+		if t, ok := s.Trainer(x.Trainer); ok {
+			r = append(r, t)
 		}
-		return float64(n[t.Name]) / s
 	}
-	slices.SortStableFunc(l, func(a, b release.Trainer) int { return cmp.Compare(load(&a), load(&b)) })
-	return l
+	return r
 }
 
 // askFor offers room to one trainer's coordinator and starts what it assigns.
@@ -88,6 +92,9 @@
 		return
 	}
 	o.learn(t.Name, a.Version)
+	o.mu.Lock()
+	o.left[t.Name], o.since[t.Name] = a.Left, a.Since
+	o.mu.Unlock()
 	for i := range a.Work {
 		o.begin(&a.Work[i])
 	}
--- a/pier/daemon/daemon.go
+++ b/pier/daemon/daemon.go
@@ -186,7 +186,9 @@
 	if d.operators != nil {
 		_ = d.operators.Close()
 	}
-	d.server.Close()
+	if d.server != nil {
+		d.server.Close()
+	}
 	d.peers.Close()
 	d.wg.Wait()
 }
--- a/pier/daemon/owners.go
+++ b/pier/daemon/owners.go
@@ -61,6 +61,9 @@
 	// unlisted holds servers whose streams were not listed since they were gained.
 	unlisted map[string]bool
 	versions map[string]rollout.Version
+	// left and since are what the coordinators said last of their oldest steps.
+	left  map[string]int
+	since map[string]time.Time
 	// leaving holds the addresses that the platform's list said are leaving.
 	leaving  map[netip.AddrPort]bool
 	fence    int64
@@ -89,6 +92,8 @@
 		unlisted: make(map[string]bool),
 		versions: make(map[string]rollout.Version),
 		leaving:  make(map[netip.AddrPort]bool),
+		left:     make(map[string]int),
+		since:    make(map[string]time.Time),
 		kick:     make(chan struct{}, 1),
 	}
 }
@@ -378,7 +383,8 @@
 func (o *owners) wake(q *entryhost.WakeRequest) error {
 	if q.Version > 0 {
 		o.learn(q.Trainer, q.Version)
-		o.d.steps.learn(q.Trainer, q.Version)
+		t, _ := o.d.notes.snapshot().Trainer(q.Trainer)
+		o.d.steps.learn(q.Trainer, q.Version, t.StalenessBound)
 	}
 	o.poke()
 	return nil
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -117,6 +117,22 @@
 	}
 }
 
+// expected returns the version that the trainer will train a step at: one more
+// than it has for each earlier step that is not whole; t.mu is held. A trainer
+// that has told no version yet expects none.
+func (t *trainerSteps) expected(step int64) rollout.Version {
+	if t.version == 0 {
+		return 0
+	}
+	v := t.version
+	for n, p := range t.steps {
+		if n < step && !p.whole {
+			v++
+		}
+	}
+	return v
+}
+
 // notify wakes the pulls that wait; t.mu is held.
 func (t *trainerSteps) notify() {
 	close(t.changed)
@@ -156,6 +172,7 @@
 		p.c.Close()
 	}
 	p.c.SetVersion(t.version)
+	p.c.Expect(t.expected(q.Key.Step))
 	s.applyHolds(p)
 	a := &entryhost.StepAnswer{Epoch: p.epoch, Holder: s.d.id, Counts: p.c.Counts()}
 	t.mu.Unlock()
@@ -196,15 +213,26 @@
 			Grace: s.d.s.Timing.Adoption.D(),
 			Policy: rollout.Policy{
 				Order:             rollout.Order(f.Order),
-				Siblings:          f.Siblings,
+				Siblings:          !f.NoSiblings,
 				StragglerPriority: f.StragglerPriority,
 				Spares:            f.Spares,
 				SpareAfter:        f.SpareAfter.D(),
+				Move:              f.Move,
+				StaleShare:        s.idleWeight(k.Trainer),
+				CancelLate:        true,
 			},
 		}),
 	}
 }
 
+// idleWeight returns how much the trainer's deployment weighs idle time.
+func (s *steps) idleWeight(trainer string) float64 {
+	c := s.d.notes.snapshot()
+	t, _ := c.Trainer(trainer)
+	d, _ := c.Deployment(t.Deployment)
+	return d.IdleWeight
+}
+
 // recover asks all hosts what they hold for a step that this host has just
 // begun to coordinate, as it may have been another's before.
 func (s *steps) recover(t *trainerSteps, k rollout.StepKey, p *step) {
@@ -269,7 +297,7 @@
 }
 
 // learn takes a version that a trainer published or trains at.
-func (s *steps) learn(name string, v rollout.Version) {
+func (s *steps) learn(name string, v rollout.Version, bound int64) {
 	t := s.trainer(name)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -279,6 +307,7 @@
 	t.version = v
 	for _, p := range t.steps {
 		p.c.SetVersion(v)
+		s.cancelAll(p.c.Late(bound))
 	}
 }
 
@@ -288,7 +317,7 @@
 	if !ok {
 		return nil, outcome.Refuse(outcome.ReasonUnknownName, "trainer/"+q.Key.Trainer)
 	}
-	s.learn(q.Key.Trainer, q.Pull.Version)
+	s.learn(q.Key.Trainer, q.Pull.Version, tr.StalenessBound)
 	t := s.trainer(q.Key.Trainer)
 	began := time.Now()
 	end := began.Add(q.Pull.Wait)
@@ -339,7 +368,7 @@
 		s.d.metrics.dropped.Add(float64(n))
 		s.wakeOwners(tr, 0)
 	}
-	if after.Acked > before.Acked {
+	if after.Acked > before.Acked || after.Dropped > before.Dropped {
 		s.releaseAcked(p)
 	}
 	if p.c.Done() && !p.whole {
@@ -368,11 +397,12 @@
 	}
 }
 
-// releaseAcked tells the owners which samples were acknowledged; t.mu is held.
+// releaseAcked tells the owners which samples were acknowledged or dropped; t.mu
+// is held.
 func (s *steps) releaseAcked(p *step) {
 	by := make(map[string][]rollout.Slot)
 	for n, id := range p.sealedBy {
-		if p.c.Acked(n) {
+		if !p.c.Keeps(n) {
 			by[id] = append(by[id], n)
 			delete(p.sealedBy, n)
 		}
@@ -403,7 +433,7 @@
 		go func() {
 			x, stop := context.WithTimeout(s.d.x, 2*time.Second)
 			defer stop()
-			q := &entryhost.CancelStreamRequest{Server: c.Server, Stream: c.Stream}
+			q := &entryhost.CancelStreamRequest{Server: c.Server, Stream: c.Stream, Move: c.Move}
 			if err := s.d.call(x, c.Host, entryhost.CancelStream, q, nil); err != nil {
 				s.d.metrics.retry("cancel", err)
 			}
@@ -456,11 +486,15 @@
 			takeRoom(q.Offers, w[i].Server)
 		}
 		a.Work = append(a.Work, w...)
+		s.cancelAll(p.c.Moves(now, q.Offers))
 		c := p.c.Counts()
 		a.Pending += c.Pending
-		if l := c.Pending + c.Running; l > 0 {
+		if l := c.Pending + c.Running; l > 0 && a.Left == 0 {
 			a.Left = l
 		}
+		if c.Pending > 0 && a.Since.IsZero() {
+			a.Since = p.opened
+		}
 	}
 	return a
 }
@@ -509,7 +543,7 @@
 			return outcome.Refuse(outcome.ReasonUnknownStep, x.Key.String())
 		}
 		s.cancelAll(p.c.Seal(time.Now(), x))
-		if p.c.Acked(x.Slot) {
+		if !p.c.Keeps(x.Slot) {
 			go s.sendRelease(q.Host, &entryhost.ReleaseRequest{Key: x.Key, Slots: []rollout.Slot{x.Slot}})
 			continue
 		}
@@ -528,7 +562,7 @@
 	if p == nil {
 		return outcome.Refuse(outcome.ReasonUnknownStep, q.Stream.Key.String())
 	}
-	p.c.Failed(q.Stream, q.Tokens)
+	p.c.Failed(q.Stream, q.Tokens, q.Partial)
 	return nil
 }
 
--- a/pier/daemon/streams.go
+++ b/pier/daemon/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -100,6 +101,10 @@
 // follow reads a stream to its end, has it scored and holds the sample.
 func (o *owners) follow(x context.Context, s *stream) {
 	s.sample = rollout.Sample{Stream: s.Stream, Server: s.Server}
+	if r := s.Resume; r != nil {
+		s.sample.Segments, s.sample.Tokens = slices.Clone(r.Segments), r.Tokens
+		s.text.WriteString(r.Text)
+	}
 	err := o.generate(x, s)
 	if err == nil {
 		err = o.score(x, s)
@@ -131,8 +136,22 @@
 	o.d.metrics.thrown.Add(float64(s.sample.Tokens))
 	o.cancelAt(s.Server, s.ID())
 	if !s.unwanted.Load() {
-		o.fail(s.Stream, &s.sample, s.sample.Tokens)
+		o.fail(s.Stream, s.partial(err), s.sample.Tokens)
+	}
+}
+
+// partial returns the tokens so far for another attempt to go on from, unless
+// they themselves were what was wrong.
+func (s *stream) partial(err error) *rollout.Sample {
+	switch outcome.From(err).Reason {
+	case outcome.ReasonTokenGap, outcome.ReasonUnversioned, outcome.ReasonCrossedAnswer:
+		return nil
+	}
+	if s.sample.Finish != "" && s.sample.Finish != "cancelled" || s.sample.Tokens == 0 {
+		return nil
 	}
+	s.sample.Text, s.sample.Finish = s.text.String(), ""
+	return &s.sample
 }
 
 // cancelAt ends a stream on its server.
@@ -160,6 +179,9 @@
 		Stream: s.ID(), Driver: o.d.id, Model: s.Key.Trainer, Prompt: s.Prompt, MaxTokens: s.MaxTokens,
 		Prefix: s.Key.String() + "/" + strconv.Itoa(int(s.Group)), Priority: s.Priority, Resume: s.adopted,
 	}
+	if r := s.Resume; r != nil {
+		q.Given, q.GivenTokens, q.Offset = r.Text, r.Tokens, r.Tokens
+	}
 	for tries := 0; ; {
 		streamChart.Fire(&s.state, "start")
 		n := s.sample.Tokens
@@ -395,7 +417,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if s := o.streams[q.Stream.ID()]; s != nil {
-		s.unwanted.Store(true)
+		s.unwanted.Store(!q.Move)
 		s.stop()
 	}
 	return nil
--- a/pier/entryhost/entryhost.go
+++ b/pier/entryhost/entryhost.go
@@ -130,8 +130,10 @@
 	Version rollout.Version `msgpack:"v"`
 	// Pending is the number of slots that still wait for a server.
 	Pending int `msgpack:"p"`
-	// Left is the number of slots of the newest step that are not sealed.
-	Left int `msgpack:"l"`
+	// Left is the number of slots of the oldest unfinished step that are not
+	// sealed; Since is when the oldest step with pending slots was opened.
+	Left  int       `msgpack:"l"`
+	Since time.Time `msgpack:"e"`
 }
 
 // SealedRequest brings finished samples.
@@ -167,6 +169,8 @@
 type CancelStreamRequest struct {
 	Server string         `msgpack:"b"`
 	Stream rollout.Stream `msgpack:"s"`
+	// Move asks to bring the tokens so far back to the coordinator.
+	Move bool `msgpack:"m"`
 }
 
 // WakeRequest tells that a trainer's coordinator has work or a new version.
--- a/pier/member/member.go
+++ b/pier/member/member.go
@@ -148,6 +148,8 @@
 	asked time.Time
 	// due is when the next heartbeat is sent, for neighbours.
 	due time.Time
+	// at is the place on the ring.
+	at uint64
 }
 
 // news is a delta that is still sent on.
@@ -338,11 +340,13 @@
 func (t *Table) Refused(now time.Time, id string) Output {
 	var o Output
 	e, ok := t.m[id]
-	if !ok || e.State >= Dead {
+	if !ok || e.State >= Dead || e.State == Suspect {
 		return o
 	}
 	t.suspect(now, e, &o)
-	e.since = now.Add(-t.c.Suspicion / 2)
+	if e.State == Suspect {
+		e.since = now.Add(-t.c.Suspicion / 2)
+	}
 	t.rebuild(now)
 	o.Sends = t.flush(now).Sends
 	return o
@@ -405,7 +409,7 @@
 		if d.State >= Dead && from != d.ID {
 			return
 		}
-		e = &entry{Member: *d, since: now}
+		e = &entry{Member: *d, since: now, at: ring.Score(d.ID, "")}
 		t.m[d.ID] = e
 		t.spread(d.ID, from, now)
 		o.Changes = append(o.Changes, Change{Member: *d, Was: Dead, New: true})
@@ -518,21 +522,37 @@
 	return slices.DeleteFunc(l, func(m Member) bool { return m.State >= Dead })
 }
 
+// place is a member's place on the ring.
+type place struct {
+	at uint64
+	id string
+}
+
 // rebuild derives the ring, the neighbours, the candidates and the sum.
 func (t *Table) rebuild(now time.Time) {
-	t.ring = t.ring[:0]
-	t.cache = nil
+	l := make([]place, 0, len(t.m)+1)
+	t.cache = make([]ring.Candidate, 0, len(t.m)+1)
 	t.sum = 0
-	for _, m := range t.all() {
-		t.ring = append(t.ring, m.ID)
-		t.sum += ring.Score(m.ID, m.State.String()) + m.Incarnation
+	add := func(m *Member, at uint64) {
+		if m.State >= Dead {
+			return
+		}
+		l = append(l, place{at, m.ID})
+		t.sum += at*uint64(m.State+1) + m.Incarnation
 		if m.State <= Suspect {
 			t.cache = append(t.cache, ring.Candidate{ID: m.ID, Region: m.Region})
 		}
 	}
-	slices.SortFunc(t.ring, func(a, b string) int {
-		return cmp.Or(cmp.Compare(ring.Score(a, ""), ring.Score(b, "")), cmp.Compare(a, b))
-	})
+	add(&t.self, ring.Score(t.self.ID, ""))
+	for _, e := range t.m {
+		add(&e.Member, e.at)
+	}
+	slices.SortFunc(l, func(a, b place) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
+	slices.SortFunc(t.cache, func(a, b ring.Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	t.ring = t.ring[:0]
+	for _, p := range l {
+		t.ring = append(t.ring, p.id)
+	}
 	t.neighbours(now)
 }
 
--- a/pier/owner/owner.go
+++ b/pier/owner/owner.go
@@ -33,6 +33,8 @@
 	// Reserve is the part of an interactive deployment's capacity that rollouts
 	// leave free, in [0, 1).
 	Reserve float64
+	// Express is the number of streams that an express server runs at once.
+	Express int
 }
 
 // server is one owned backend server.
@@ -52,6 +54,8 @@
 	seen time.Time
 	// down is set while the server does not answer.
 	down bool
+	// express tells that the server keeps its batch small for stragglers.
+	express bool
 	// loadAt is when a load of weights is planned; zero when none is.
 	loadAt time.Time
 }
@@ -75,6 +79,8 @@
 type Owned struct {
 	release.Server
 	Interactive bool
+	// Express tells that the server keeps its batch small for stragglers.
+	Express bool
 }
 
 // Own sets the servers that the host owns. It returns the names of those that
@@ -93,6 +99,7 @@
 		}
 		s.Server = o.Server
 		s.interactive = o.Interactive
+		s.express = o.Express
 		s.leaving = s.leaving || o.Leaving
 	}
 	var gained []string
@@ -105,6 +112,7 @@
 			Server:      l[i].Server,
 			running:     make(map[string]Class),
 			interactive: l[i].Interactive,
+			express:     l[i].Express,
 			leaving:     l[i].Leaving || t.marked[n],
 			down:        true,
 		}
@@ -200,7 +208,7 @@
 		if r <= 0 {
 			continue
 		}
-		o := rollout.Offer{Server: n, Room: r, Running: len(s.running), Version: s.versions[model], Until: -1}
+		o := rollout.Offer{Server: n, Room: r, Running: len(s.running), Version: s.versions[model], Until: -1, Express: s.express}
 		if !s.loadAt.IsZero() {
 			o.Until = max(0, s.loadAt.Sub(now).Seconds())
 		}
@@ -219,9 +227,70 @@
 	if c == Rollout && s.interactive {
 		r -= int(float64(s.Capacity) * t.c.Reserve)
 	}
+	if c == Rollout && s.express {
+		r = min(r, max(1, t.c.Express))
+	}
 	return r - len(s.running) - s.foreign
 }
 
+// Turn is a trainer that is offered room.
+type Turn struct {
+	Trainer string
+	// Share is the trainer's weight; Running is the number of its streams here.
+	Share   float64
+	Running int
+	// Left is the number of samples that its oldest step still lacks, as its
+	// coordinator said last; 0 when it has none or has not said.
+	Left int
+	// Since is when its oldest step with pending samples was opened; zero for none.
+	Since time.Time
+}
+
+// Rule is the order in which trainers are offered room.
+type Rule string
+
+// The rules.
+const (
+	// RuleFair offers room to the trainer with the fewest streams for its share.
+	RuleFair Rule = "fair"
+	// RuleNearest offers it to the trainer whose step is nearest to whole.
+	RuleNearest Rule = "nearest"
+	// RuleOldest offers it to the trainer whose step was opened first, so that one
+	// step's stragglers run while the next step's samples fill the servers.
+	RuleOldest Rule = "oldest"
+)
+
+// overShare is how many times its share a trainer may run before others come
+// first.
+const overShare = 2.5
+
+// Turns orders trainers for an offer. A trainer that already runs far more than
+// its share of the streams comes last, whatever the rule.
+func Turns(l []Turn, r Rule) {
+	all, shares := 0, 0.0
+	for i := range l {
+		all += l[i].Running
+		shares += l[i].Share
+	}
+	over := func(t *Turn) int {
+		if float64(t.Running)*shares > overShare*t.Share*float64(all) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(l, func(a, b Turn) int {
+		load := cmp.Compare(float64(a.Running)/a.Share, float64(b.Running)/b.Share)
+		first := 0
+		switch r {
+		case RuleNearest:
+			first = cmp.Compare(a.Left, b.Left)
+		case RuleOldest:
+			first = a.Since.Compare(b.Since)
+		}
+		return cmp.Or(cmp.Compare(over(&a), over(&b)), first, load, cmp.Compare(a.Trainer, b.Trainer))
+	})
+}
+
 // Pick returns the server of a deployment with the most room for interactive
 // work. Errors are *outcome.Error: no-server, queue-full.
 func (t *Table) Pick(deployment string) (string, error) {
--- a/pier/rollout/coordinator.go
+++ b/pier/rollout/coordinator.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -33,7 +35,14 @@
 
 // run is one attempt in progress.
 type run struct {
+	slot    Slot
 	attempt int
+	// version is what the server reported when the stream began; 0 if unknown.
+	version Version
+	// moving is when the owner was asked to give the stream up.
+	moving time.Time
+	// express tells that it is moving to an express server.
+	express bool
 	server  string
 	host    string
 	started time.Time
@@ -48,8 +57,17 @@
 	// next is the number of the next attempt; attempts are never numbered twice.
 	next int
 	runs []run
-	// sample is set from slotSealed to slotAcked.
+	// moves counts how often the slot was moved to another server.
+	moves int
+	// express tells that the slot was a straggler and belongs on express servers.
+	express bool
+	// early tells that the slot counts among the coordinator's early starts.
+	early bool
+	// partial holds the tokens of an attempt that was given up, to go on from.
+	partial *Sample
+	// sample is set from slotSealed to slotAcked; kept is its attempt.
 	sample *Sample
+	kept   int
 }
 
 type group struct {
@@ -58,9 +76,9 @@
 	done int
 	// lengths sums the tokens of the sealed samples, for prediction.
 	lengths int
-	// servers counts the group's running streams by server.
-	servers map[string]int
 	pending []Slot
+	// seq is the order of opening; at is the place in the queue, -1 for none.
+	seq, at int
 }
 
 // Cancel asks the owner on Host to cancel a stream.
@@ -68,6 +86,8 @@
 	Stream
 	Host   string
 	Server string
+	// Move asks the owner to bring back the tokens so far.
+	Move bool
 }
 
 // Batch is what one pull hands over.
@@ -124,7 +144,26 @@
 	// slots holds the opened slots; a slot leaves slotAcked never.
 	slots  map[Slot]*slot
 	groups map[Slot]*group
-	order  []*group
+	// queue holds the groups with pending slots, running the slots that run.
+	queue   groupQueue
+	running map[Slot]*slot
+	// load counts the step's streams by server, last is the group that a server
+	// was given last.
+	load map[string]int
+	last map[string]*group
+	// expected is the version that the trainer will train this step at; early
+	// counts the slots that were started at an older one.
+	expected Version
+	early    int
+	// late holds the stragglers that run on ordinary servers, urgent lists those
+	// that wait for an express server, leaving counts those on their way there.
+	late    map[Slot]*slot
+	urgent  []Slot
+	leaving int
+	// lateAt is the version at which late streams were looked for last.
+	lateAt Version
+	// bound is the trainer's staleness bound as it was stated last.
+	bound  int64
 	counts Counts
 	// offered is the batch that is not acknowledged yet, if any.
 	offered *Batch
@@ -142,7 +181,18 @@
 
 // NewCoordinator returns the holder of a step without groups.
 func NewCoordinator(c Config) *Coordinator {
-	return &Coordinator{c: c, slots: make(map[Slot]*slot), groups: make(map[Slot]*group)}
+	x := &Coordinator{
+		c:       c,
+		slots:   make(map[Slot]*slot),
+		groups:  make(map[Slot]*group),
+		running: make(map[Slot]*slot),
+		load:    make(map[string]int),
+		last:    make(map[string]*group),
+		late:    make(map[Slot]*slot),
+		bound:   math.MaxInt64,
+	}
+	x.queue.p = &x.c.Policy
+	return x
 }
 
 // Open adds groups to the step. A group that is there already must be the same.
@@ -183,9 +233,8 @@
 }
 
 func (c *Coordinator) add(g Group) {
-	x := &group{Group: g, servers: make(map[string]int)}
+	x := &group{Group: g, seq: len(c.groups), at: -1}
 	c.groups[g.First] = x
-	c.order = append(c.order, x)
 	for i := range g.Samples {
 		n := g.First + Slot(i)
 		s := &slot{group: x}
@@ -200,8 +249,13 @@
 		x.pending = append(x.pending, n)
 		c.counts.Pending++
 	}
+	c.queue.fix(x)
 }
 
+// Expect states the version that the trainer will train this step at, as far as
+// its earlier steps tell.
+func (c *Coordinator) Expect(v Version) { c.expected = max(c.expected, v) }
+
 // Close tells that no more groups come.
 func (c *Coordinator) Close() { c.counts.Closed = true }
 
@@ -238,32 +292,56 @@
 		return Work{}, false
 	}
 	s := c.slots[n]
+	if s.partial != nil && int64(c.version-s.partial.Oldest()) > c.bound {
+		c.counts.Thrown += int64(s.partial.Tokens)
+		s.partial = nil
+	}
 	w := Work{
 		Stream:    Stream{Key: c.c.Key, Slot: n, Attempt: s.next},
 		Server:    o.Server,
 		Prompt:    s.group.Prompt,
 		MaxTokens: s.group.MaxTokens,
 		Group:     s.group.First,
-		Priority:  c.c.Policy.priority(c, s),
+		Priority:  c.c.Policy.priority(c),
+		Resume:    s.partial,
 	}
-	c.start(now, n, run{attempt: s.next, server: o.Server, host: host, started: now, seen: now})
+	if c.behind(o.Version) && !s.early {
+		s.early = true
+		c.early++
+	}
+	r := run{attempt: s.next, server: o.Server, host: host, started: now, seen: now, version: o.Version}
+	if s.partial != nil {
+		r.version = s.partial.Oldest()
+	}
+	s.partial = nil
+	c.last[o.Server] = s.group
+	c.start(n, r)
 	return w, true
 }
 
 // start moves a slot to running, or adds a run to one that is.
-func (c *Coordinator) start(_ time.Time, n Slot, r run) {
+func (c *Coordinator) start(n Slot, r run) {
 	s := c.slots[n]
+	r.slot = n
 	s.next = max(s.next, r.attempt+1)
 	s.runs = append(s.runs, r)
-	s.group.servers[r.server]++
+	c.load[r.server]++
 	if s.state == slotPending {
 		s.state = slotRunning
+		c.running[n] = s
 		c.counts.Pending--
 		c.counts.Running++
-		s.group.pending = remove(s.group.pending, n)
+		c.unqueue(n, s)
 	}
 }
 
+// unqueue takes a slot out of the pending ones.
+func (c *Coordinator) unqueue(n Slot, s *slot) {
+	s.group.pending = remove(s.group.pending, n)
+	c.urgent = remove(c.urgent, n)
+	c.queue.fix(s.group)
+}
+
 // Holding tells what a host holds for the step, after this coordinator took it
 // over: streams in progress and finished samples. A slot that is unknown yet is
 // kept until its group is opened again.
@@ -274,7 +352,7 @@
 		if !ok || s.state > slotRunning || s.find(w.Attempt) >= 0 {
 			continue
 		}
-		c.start(now, w.Slot, run{attempt: w.Attempt, server: w.Server, host: host, started: now, seen: now})
+		c.start(w.Slot, run{attempt: w.Attempt, server: w.Server, host: host, started: now, seen: now})
 	}
 	var x []Cancel
 	for _, d := range done {
@@ -295,7 +373,7 @@
 		s.runs[i].seen = now
 		return true
 	}
-	c.start(now, t.Slot, run{attempt: t.Attempt, server: server, host: host, started: now, seen: now})
+	c.start(t.Slot, run{attempt: t.Attempt, server: server, host: host, started: now, seen: now})
 	return true
 }
 
@@ -307,6 +385,7 @@
 	}
 	if i := s.find(t.Attempt); i >= 0 {
 		s.runs[i].tokens = tokens
+		c.noteLate(t.Slot, s)
 	}
 }
 
@@ -318,14 +397,18 @@
 		return nil
 	}
 	if s.state >= slotSealed {
-		if s.sample == nil || s.sample.Attempt != d.Attempt {
+		if s.kept != d.Attempt {
 			c.counts.Thrown += int64(d.Tokens)
 		}
 		return nil
 	}
+	if int64(c.version-d.Oldest()) > c.bound {
+		c.refuseStale(s, d)
+		return nil
+	}
 	var x []Cancel
 	for _, r := range s.runs {
-		s.group.drop(r.server)
+		c.unloadRun(&r)
 		if r.attempt != d.Attempt {
 			c.counts.Thrown += int64(r.tokens)
 			x = append(x, Cancel{Stream: Stream{c.c.Key, d.Slot, r.attempt}, Host: r.host, Server: r.server})
@@ -334,23 +417,38 @@
 	s.runs = nil
 	if s.state == slotPending {
 		c.counts.Pending--
-		s.group.pending = remove(s.group.pending, d.Slot)
+		c.unqueue(d.Slot, s)
 	} else {
 		c.counts.Running--
+		delete(c.running, d.Slot)
 	}
+	delete(c.late, d.Slot)
+	s.partial = nil
 	s.state = slotSealed
-	s.sample = d
+	s.sample, s.kept = d, d.Attempt
 	s.next = max(s.next, d.Attempt+1)
 	s.group.done++
 	s.group.lengths += d.Tokens
+	c.queue.fix(s.group)
 	c.counts.Sealed++
 	c.counts.Tokens += int64(d.Tokens)
 	c.sealed = append(c.sealed, d.Slot)
 	return x
 }
 
-// Failed tells that a stream ended without a sample; its slot is generated again.
-func (c *Coordinator) Failed(t Stream, tokens int) {
+// refuseStale throws a finished sample away that is over its bound already.
+func (c *Coordinator) refuseStale(s *slot, d *Sample) {
+	c.counts.Dropped++
+	c.counts.Thrown += int64(d.Tokens)
+	s.next = max(s.next, d.Attempt+1)
+	if i := s.find(d.Attempt); i >= 0 {
+		c.drop(d.Slot, s, i)
+	}
+}
+
+// Failed tells that a stream ended without a sample; its slot is generated again,
+// from the partial sample on when there is one.
+func (c *Coordinator) Failed(t Stream, tokens int, partial *Sample) {
 	s, ok := c.slots[t.Slot]
 	if !ok {
 		return
@@ -359,9 +457,15 @@
 	if i < 0 {
 		return
 	}
-	c.counts.Lost++
-	c.counts.Thrown += int64(tokens)
+	if s.runs[i].moving.IsZero() {
+		c.counts.Lost++
+	}
 	c.drop(t.Slot, s, i)
+	if s.state == slotPending && partial != nil && partial.Whole() && partial.Tokens < s.group.MaxTokens {
+		s.partial = partial
+		return
+	}
+	c.counts.Thrown += int64(tokens)
 }
 
 // Tick gives up streams that no owner has spoken of for the grace time. It
@@ -373,7 +477,8 @@
 	}
 	c.ticked = now
 	n := 0
-	for k, s := range c.slots {
+	for _, k := range slices.Sorted(maps.Keys(c.running)) {
+		s := c.running[k]
 		for i := len(s.runs) - 1; i >= 0; i-- {
 			if since := later(s.runs[i].seen, c.resumed); now.Sub(since) < c.c.Grace {
 				continue
@@ -395,10 +500,11 @@
 }
 
 func (c *Coordinator) drop(n Slot, s *slot, i int) {
-	s.group.drop(s.runs[i].server)
+	c.unloadRun(&s.runs[i])
 	s.runs = slices.Delete(s.runs, i, i+1)
 	if s.state == slotRunning && len(s.runs) == 0 {
 		c.counts.Running--
+		delete(c.running, n)
 		c.requeue(n, s)
 	}
 }
@@ -408,8 +514,14 @@
 	s.state = slotPending
 	s.sample = nil
 	c.counts.Pending++
+	delete(c.late, n)
+	if s.express {
+		c.urgent = append(c.urgent, n)
+		return
+	}
 	i, _ := slices.BinarySearch(s.group.pending, n)
 	s.group.pending = slices.Insert(s.group.pending, i, n)
+	c.queue.fix(s.group)
 }
 
 // Pull acknowledges the batch that the trainer names and returns the next one.
@@ -418,6 +530,7 @@
 // to state which slots it has.
 func (c *Coordinator) Pull(p *Pull, bound int64) (*Batch, error) {
 	c.SetVersion(p.Version)
+	c.bound = bound
 	if p.Stated {
 		c.resync(p.Have)
 	} else if err := c.acknowledge(p); err != nil {
@@ -513,21 +626,24 @@
 	switch s.state {
 	case slotPending:
 		c.counts.Pending--
-		s.group.pending = remove(s.group.pending, n)
+		c.unqueue(n, s)
 		s.group.done++
 	case slotRunning:
 		c.counts.Running--
+		delete(c.running, n)
 		s.group.done++
 	case slotSealed:
 		c.counts.Sealed--
 	}
 	for _, r := range s.runs {
-		s.group.drop(r.server)
+		c.unloadRun(&r)
 	}
+	delete(c.late, n)
 	s.runs = nil
 	s.sample = nil
 	s.state = slotAcked
 	c.counts.Acked++
+	c.queue.fix(s.group)
 }
 
 // batch takes sealed samples that are within bound; the others are dropped and
@@ -593,9 +709,20 @@
 	return slices.IndexFunc(s.runs, func(r run) bool { return r.attempt == attempt })
 }
 
-func (g *group) drop(server string) {
-	if g.servers[server]--; g.servers[server] <= 0 {
-		delete(g.servers, server)
+// unloadRun counts a stream less on its server, unless it was asked to move and
+// is not counted any longer.
+func (c *Coordinator) unloadRun(r *run) {
+	if r.moving.IsZero() {
+		c.unload(r.server)
+	} else if r.express {
+		c.leaving--
+	}
+}
+
+// unload counts one stream less on a server.
+func (c *Coordinator) unload(server string) {
+	if c.load[server]--; c.load[server] <= 0 {
+		delete(c.load, server)
 	}
 }
 
@@ -616,6 +743,13 @@
 // Opened reports whether the slot belongs to a group of the step.
 func (c *Coordinator) Opened(n Slot) bool { return c.slots[n] != nil }
 
+// Keeps reports whether the slot has a sample that is not acknowledged, so that
+// its owner has to hold it.
+func (c *Coordinator) Keeps(n Slot) bool {
+	s := c.slots[n]
+	return s != nil && (s.state == slotSealed || s.state == slotOffered)
+}
+
 // Acked reports whether the trainer has acknowledged the slot.
 func (c *Coordinator) Acked(n Slot) bool {
 	s := c.slots[n]
--- a/pier/rollout/rollout.go
+++ b/pier/rollout/rollout.go
@@ -169,6 +169,8 @@
 	// Until is how many seconds remain before the server loads new weights;
 	// negative when no load is planned.
 	Until float64 `msgpack:"u"`
+	// Express tells that the server keeps its batch small for stragglers.
+	Express bool `msgpack:"x"`
 }
 
 // Bitmap is a set of slots, as a trainer states which samples it has.
--- a/pier/settings/settings.go
+++ b/pier/settings/settings.go
@@ -129,12 +129,17 @@
 	// Order is how groups are started: arrival, longest-first or spread.
 	// Default: longest-first.
 	Order string `toml:"order"`
-	// Siblings prefers the server that runs samples of the same group.
-	Siblings bool `toml:"siblings"`
+	// NoSiblings does not prefer the server that runs samples of the same group,
+	// with the prompt's prefix in its cache.
+	NoSiblings bool `toml:"no-siblings"`
+	// Rule is how trainers share servers: fair, nearest or oldest. Default: fair.
+	Rule string `toml:"rule"`
 	// StragglerPriority raises the engine priority of the last samples.
 	StragglerPriority bool `toml:"straggler-priority"`
 	// Spares is how many extra attempts a late sample may get.
 	Spares int `toml:"spares"`
+	// Move takes late samples from busy servers to servers that have run empty.
+	Move bool `toml:"move"`
 	// SpareAfter is how long a sample runs before it gets one. Default: 30s.
 	SpareAfter Duration `toml:"spare-after"`
 }
@@ -212,6 +217,7 @@
 	fill(&t.Announce, Duration(time.Second))
 	fill(&t.KeyHorizon, Duration(time.Hour))
 	fill(&s.Policy.Order, "longest-first")
+	fill(&s.Policy.Rule, "fair")
 	fill(&s.Policy.SpareAfter, Duration(30*time.Second))
 }
 
@@ -248,6 +254,11 @@
 	default:
 		return bad("policy.order", "must be arrival, longest-first or spread")
 	}
+	switch s.Policy.Rule {
+	case "fair", "nearest", "oldest":
+	default:
+		return bad("policy.rule", "must be fair, nearest or oldest")
+	}
 	return s.checkTLS()
 }
 
