--- a/pier/admit/admit.go
+++ b/pier/admit/admit.go
@@ -51,6 +51,9 @@
 type Ticket struct {
 	// Ready is closed when the request may go on.
 	Ready chan struct{}
+	// Late is closed when the request can no longer be done before its deadline;
+	// its final answer need not wait for the deadline.
+	Late chan struct{}
 	// Deadline is when the request is of no use any longer.
 	Deadline time.Time
 	done     bool
@@ -74,7 +77,7 @@
 // Enter takes a place or a place in the queue. Errors are *outcome.Error:
 // queue-full, or deadline-exceeded when the queue is too long for the deadline.
 func (g *Gate) Enter(now, deadline time.Time) (*Ticket, error) {
-	t := &Ticket{Ready: make(chan struct{}), Deadline: deadline}
+	t := &Ticket{Ready: make(chan struct{}), Late: make(chan struct{}), Deadline: deadline}
 	if g.running < g.c.Running {
 		g.running++
 		close(t.Ready)
@@ -84,7 +87,7 @@
 		return nil, outcome.Refuse(outcome.ReasonQueueFull, "").After(max(g.took, time.Second))
 	}
 	w := g.wait()
-	if now.Add(w).After(deadline) {
+	if now.Add(w + g.took).After(deadline) {
 		return nil, outcome.Refuse(outcome.ReasonDeadline, "queue is longer than the deadline").After(w)
 	}
 	g.queue = append(g.queue, t)
@@ -116,14 +119,15 @@
 	g.admit(now)
 }
 
-// admit lets waiting requests in; those past their deadline are passed over and
-// find out by their own timer.
+// admit lets waiting requests in. One that could not be done before its deadline
+// any more is passed over and told so, as running it would only hold up others.
 func (g *Gate) admit(now time.Time) {
 	for len(g.queue) > 0 && g.running < g.c.Running {
 		t := g.queue[0]
 		g.queue = g.queue[1:]
-		if now.After(t.Deadline) {
+		if now.Add(g.took).After(t.Deadline) {
 			t.done = true
+			close(t.Late)
 			continue
 		}
 		g.running++
--- a/pier/daemon/calls.go
+++ b/pier/daemon/calls.go
@@ -73,6 +73,8 @@
 	}
 	select {
 	case <-t.Ready:
+	case <-t.Late:
+		return nil, outcome.Refuse(outcome.ReasonDeadline, "in the queue").After(time.Second)
 	case <-x.Done():
 		leave(0)
 		return nil, outcome.Refuse(outcome.ReasonDeadline, "in the queue")
--- a/pier/release/release.go
+++ b/pier/release/release.go
@@ -278,16 +278,16 @@
 
 // tomlPlace returns the line and the cause of a TOML error.
 func tomlPlace(err error) string {
-	var d *toml.DecodeError
-	if errors.As(err, &d) {
-		r, c := d.Position()
-		return fmt.Sprintf("line %d, column %d: %s", r, c, d.Error())
-	}
 	var m *toml.StrictMissingError
 	if errors.As(err, &m) && len(m.Errors) > 0 {
 		r, c := m.Errors[0].Position()
 		return fmt.Sprintf("line %d, column %d: unknown field", r, c)
 	}
+	var d *toml.DecodeError
+	if errors.As(err, &d) {
+		r, c := d.Position()
+		return fmt.Sprintf("line %d, column %d: %s", r, c, d.Error())
+	}
 	return err.Error()
 }
 
--- a/pier/settings/settings.go
+++ b/pier/settings/settings.go
@@ -288,15 +288,15 @@
 
 // place returns the line of a TOML error.
 func place(err error) string {
-	var d *toml.DecodeError
-	if errors.As(err, &d) {
-		r, c := d.Position()
-		return fmt.Sprintf("line %d, column %d", r, c)
-	}
 	var m *toml.StrictMissingError
 	if errors.As(err, &m) && len(m.Errors) > 0 {
 		r, c := m.Errors[0].Position()
 		return fmt.Sprintf("line %d, column %d: unknown setting", r, c)
 	}
+	var d *toml.DecodeError
+	if errors.As(err, &d) {
+		r, c := d.Position()
+		return fmt.Sprintf("line %d, column %d", r, c)
+	}
 	return "file"
 }
