Bound membership's traffic, tell a host's refusal from the way to it, cache owners

Cause: measuring membership at 100 hosts showed heartbeats without end while suspects were around, whole lists sent at each difference, and, in a randomised run, a joiner that kept a dead host for leaving.

Change: news are sent on at the next tick only; whole lists go out once in 3 s and carry the dead; a death that another host doubts is checked at once. An error that another host answered with is marked as such. Owners are remembered and only what a changed member touches is hashed again. A moved partition asks the claimant for the answer. `mulberrybench capacity` measures the slopes; benchmarks for relay and added latency.

--- a/mulberrybench/internal/cmd/cmd.go
+++ b/mulberrybench/internal/cmd/cmd.go
@@ -19,6 +19,7 @@
 type commands struct {
 	Quickstart quickstartCmd `cmd:"" help:"Run the main job once with everything embedded, and print its tables."`
 	Experiment experimentCmd `cmd:"" help:"Measure the decisions: policies before the model of the engines, in virtual time."`
+	Capacity   capacityCmd   `cmd:"" help:"Measure the slopes from which docs/CAPACITY.md is worked out."`
 }
 
 // Main runs the command line and returns the exit code: 0 for success, 1 when
--- /dev/null
+++ b/mulberrybench/internal/scenario/bench_test.go
@@ -0,0 +1,111 @@
+package scenario_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/mulberrybench/internal/cluster"
+	"mulberrypier.example/mulberrybench/internal/model"
+	"mulberrypier.example/mulberrybench/internal/scenario"
+	"mulberrypier.example/pier/trainer"
+)
+
+// metric returns one value of a host's metrics.
+func metric(b testing.TB, a netip.AddrPort, name string) float64 {
+	r, err := http.Get("http://" + a.String() + "/metrics")
+	require.NoError(b, err)
+	defer r.Body.Close()
+	t, err := io.ReadAll(r.Body)
+	require.NoError(b, err)
+	for l := range strings.Lines(string(t)) {
+		if v, ok := strings.CutPrefix(l, name+" "); ok {
+			f, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+			require.NoError(b, err)
+			return f
+		}
+	}
+	return 0
+}
+
+// processes returns a cluster whose hosts are processes of their own.
+func processes(b testing.TB, c cluster.Config) *cluster.Cluster {
+	c.Launch = scenario.Launcher(b.TempDir())
+	k, err := cluster.New(b.Context(), c)
+	require.NoError(b, err)
+	b.Cleanup(k.Close)
+	return k
+}
+
+// BenchmarkRelay measures what one host spends on the engines' streams: chunks a
+// second, processor time of a chunk, and memory of an open stream.
+func BenchmarkRelay(b *testing.B) {
+	for _, n := range []int{64, 256, 1024} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			k := processes(b, cluster.Config{
+				Hosts: 1, Engines: 4, Services: 1, Domains: 1, Capacity: n / 4, Trainers: []string{"thaw"}, Bound: 9,
+				Engine:  model.Config{Speed: 2000, Half: 1e9, Batch: n / 4, CachePrefixes: 64},
+				Lengths: model.Lengths{Median: 1e6, Seed: 1},
+			})
+			a := k.Up()[0].Settings.Listen.Operators
+			before := metric(b, a, "process_resident_memory_bytes")
+			c := trainer.New(trainer.Config{Trainer: "thaw", Hosts: k.Callers()})
+			g := groupsOf(n/4, 4)
+			for i := range g {
+				g[i].MaxTokens = 1 << 20
+			}
+			_, err := c.Open(b.Context(), 1, g)
+			require.NoError(b, err)
+			time.Sleep(2 * time.Second)
+			at, chunks, cpu := time.Now(), metric(b, a, "mulberry_engine_chunks_total"), metric(b, a, "process_cpu_seconds_total")
+			time.Sleep(4 * time.Second)
+			d := time.Since(at).Seconds()
+			got := metric(b, a, "mulberry_engine_chunks_total") - chunks
+			spent := metric(b, a, "process_cpu_seconds_total") - cpu
+			b.ReportMetric(got/d, "chunks/s")
+			b.ReportMetric(spent/got*1e6, "cpu-us/chunk")
+			b.ReportMetric(got/spent, "chunks/cpu-s")
+			text := metric(b, a, "mulberry_engine_tokens_total") * 5
+			b.ReportMetric((metric(b, a, "process_resident_memory_bytes")-before-text)/float64(n), "B/stream")
+			b.ReportMetric(metric(b, a, "mulberry_streams"), "streams")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkAddedLatency measures what a host adds to one call to a plain service,
+// against calling the stand-in directly, in turn in one run.
+func BenchmarkAddedLatency(b *testing.B) {
+	k := processes(b, cluster.Config{Hosts: 1, Engines: 1, Services: 1, Domains: 1, Capacity: 1, Trainers: []string{"thaw"}, Engine: model.Config{Speed: 1, Half: 1, Batch: 1}, Lengths: model.Lengths{Median: 1}})
+	direct := "http://" + k.Services[0].Address().String() + "/lookup/1"
+	through := "http://" + k.Callers()[0].String() + "/v1/services/registry/lookup/1"
+	var l [2][]float64
+	for range 4000 {
+		for i, u := range []string{direct, through} {
+			at := time.Now()
+			r, err := http.Get(u)
+			require.NoError(b, err)
+			_, err = io.Copy(io.Discard, r.Body)
+			require.NoError(b, err)
+			require.NoError(b, r.Body.Close())
+			l[i] = append(l[i], time.Since(at).Seconds()*1e6)
+		}
+	}
+	for i := range l {
+		slices.Sort(l[i])
+	}
+	q := func(i int, p float64) float64 { return l[i][int(p*float64(len(l[i])))] }
+	b.ReportMetric(q(0, 0.5), "direct-p50-us")
+	b.ReportMetric(q(0, 0.99), "direct-p99-us")
+	b.ReportMetric(q(1, 0.5)-q(0, 0.5), "added-p50-us")
+	b.ReportMetric(q(1, 0.99)-q(0, 0.99), "added-p99-us")
+	b.ReportMetric(0, "ns/op")
+}
--- a/mulberrybench/internal/scenario/launch.go
+++ b/mulberrybench/internal/scenario/launch.go
@@ -78,3 +78,9 @@
 	}
 	return outcome.Refuse(outcome.ReasonDeadline, "no health")
 }
+
+// Launcher returns a function that starts hosts as processes, with their settings
+// files in a folder.
+func Launcher(dir string) func(*settings.Settings) (*cluster.Process, error) {
+	return (&state{dir: dir}).launch
+}
--- a/pier/daemon/calls.go
+++ b/pier/daemon/calls.go
@@ -258,9 +258,10 @@
 // moved reports whether an error is of the way to the holder and not its answer.
 func moved(e *outcome.Error) bool {
 	switch e.Reason {
-	case outcome.ReasonUnreachable, outcome.ReasonConnectionLost, outcome.ReasonSilent,
-		outcome.ReasonNotOwner, outcome.ReasonDraining:
+	case outcome.ReasonNotOwner, outcome.ReasonDraining:
 		return true
+	case outcome.ReasonUnreachable, outcome.ReasonConnectionLost, outcome.ReasonSilent:
+		return !e.Remote
 	}
 	return false
 }
--- a/pier/daemon/claims.go
+++ b/pier/daemon/claims.go
@@ -206,6 +206,11 @@
 	y, halt := context.WithDeadline(x, end)
 	err := c.win(y, p, q, e)
 	halt()
+	if outcome.Is(err, outcome.ReasonKeyClaimed) {
+		a, err := c.askClaimant(x, p, q.Key, err)
+		c.finish(p, q.Key, e, a, err)
+		return
+	}
 	if err != nil {
 		c.finish(p, q.Key, e, nil, err)
 		return
@@ -225,6 +230,44 @@
 	c.finish(p, q.Key, e, nil, err)
 }
 
+// askClaimant asks the host whose claim is in force for the answer that it keeps,
+// as the partition has moved since. Without one the outcome is not known.
+func (c *claims) askClaimant(x context.Context, p *partition, key string, why error) (*entryhost.CallAnswer, error) {
+	p.mu.Lock()
+	w, ok := p.l.Get(key)
+	p.mu.Unlock()
+	if !ok || w.Host == c.d.id || !c.d.members.alive(w.Host) {
+		return nil, why
+	}
+	var a entryhost.CallAnswer
+	if err := c.d.call(x, w.Host, entryhost.Answer, &entryhost.AnswerRequest{Key: key, Nonce: w.Nonce}, &a); err != nil {
+		c.d.metrics.retry("claim-answer", err)
+		return nil, why
+	}
+	return &a, nil
+}
+
+// kept returns the answer to a call that this host runs or ran under a claim.
+func (c *claims) kept(x context.Context, q *entryhost.AnswerRequest) (*entryhost.CallAnswer, error) {
+	p := c.partition(q.Key)
+	p.mu.Lock()
+	e := p.runs[q.Key]
+	same := e != nil && e.nonce == q.Nonce
+	p.mu.Unlock()
+	if !same {
+		return nil, outcome.Lost(outcome.ReasonKeyClaimed, "the answer is not kept", nil)
+	}
+	select {
+	case <-e.done:
+	case <-x.Done():
+		return nil, outcome.Lost(outcome.ReasonDeadline, "the call goes on", x.Err())
+	}
+	if e.answer == nil {
+		return nil, outcome.Lost(outcome.ReasonKeyClaimed, "the call had no answer", e.err)
+	}
+	return e.answer, nil
+}
+
 // finish sets the result of a call and bounds the memory for answers.
 func (c *claims) finish(p *partition, key string, e *execution, a *entryhost.CallAnswer, err error) {
 	p.mu.Lock()
--- a/pier/daemon/daemon.go
+++ b/pier/daemon/daemon.go
@@ -251,6 +251,8 @@
 		})
 	case entryhost.Call:
 		return with(r, func(q *entryhost.CallRequest) (any, error) { return d.claims.call(x, q) })
+	case entryhost.Answer:
+		return with(r, func(q *entryhost.AnswerRequest) (any, error) { return d.claims.kept(x, q) })
 	case entryhost.Status:
 		return d.status(), nil
 	}
--- a/pier/daemon/metrics.go
+++ b/pier/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/outcome"
@@ -47,6 +48,7 @@
 
 func newMetrics() *metrics {
 	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	k := maker{r}
 	return &metrics{
 		registry:  r,
--- a/pier/daemon/owners.go
+++ b/pier/daemon/owners.go
@@ -72,8 +72,10 @@
 	fenceDue bool
 	kick     chan struct{}
 	asking   sync.Mutex
-	// refreshing serialises refresh, so that an older list never replaces a newer.
+	// refreshing serialises refresh, so that an older list never replaces a newer;
+	// it guards holders.
 	refreshing sync.Mutex
+	holders    *ring.Assignment
 }
 
 func newOwners(d *Daemon) *owners {
@@ -95,6 +97,7 @@
 		unlisted: make(map[string]bool),
 		versions: make(map[string]rollout.Version),
 		leaving:  make(map[netip.AddrPort]bool),
+		holders:  ring.NewAssignment(),
 		left:     make(map[string]int),
 		since:    make(map[string]time.Time),
 		kick:     make(chan struct{}, 1),
@@ -141,13 +144,16 @@
 	o.refreshing.Lock()
 	defer o.refreshing.Unlock()
 	s := o.d.notes.snapshot()
-	c := o.d.members.candidates()
+	o.holders.SetCandidates(o.d.members.candidates())
+	if _, _, n, _ := s.Len(); o.holders.Len() > 2*n {
+		o.holders.Forget()
+	}
 	var l []owner.Owned
 	s.EachServer(func(v release.Server) {
 		if v.Deployment == "" {
 			return
 		}
-		if id, ok := ring.Holder(ownerKey(v.Name), v.Region, c); !ok || id != o.d.id {
+		if id, ok := o.holders.Holder(ownerKey(v.Name), v.Region); !ok || id != o.d.id {
 			return
 		}
 		p, _ := s.Deployment(v.Deployment)
--- a/pier/entryhost/entryhost.go
+++ b/pier/entryhost/entryhost.go
@@ -50,6 +50,8 @@
 	Chat
 	// Call passes a claimed call to the holder of its key's partition.
 	Call
+	// Answer asks the host that claimed a key for the answer that it keeps.
+	Answer
 	// Status asks a host for its state at a glance.
 	Status
 )
@@ -222,6 +224,12 @@
 	Body        []byte `msgpack:"b"`
 }
 
+// AnswerRequest asks for the answer to a claimed call.
+type AnswerRequest struct {
+	Key   string `msgpack:"k"`
+	Nonce string `msgpack:"n"`
+}
+
 // CallAnswer is a whole answer of a plain service.
 type CallAnswer struct {
 	Status      int    `msgpack:"s"`
--- a/pier/member/member.go
+++ b/pier/member/member.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -150,6 +151,8 @@
 	due time.Time
 	// at is the place on the ring.
 	at uint64
+	// repaired is when the member was sent the whole list last.
+	repaired time.Time
 }
 
 // news is a delta that is still sent on.
@@ -174,6 +177,10 @@
 	// offset is this host's next offset of the release stream.
 	offset int64
 	rng    *rand.Rand
+	// changed is when the list changed last.
+	changed time.Time
+	// doubts holds dead members that another host holds for live.
+	doubts map[string]bool
 	// retry is when a dead member is tried again.
 	retry time.Time
 	cache []ring.Candidate
@@ -186,16 +193,21 @@
 	deltasMax = 64
 	// deadRetry is the time between tries of a random dead member.
 	deadRetry = 2 * time.Second
+	// doubtsMost is how many doubted deaths are looked into at one tick.
+	doubtsMost = 4
+	// repairAfter is how long two lists may differ before one is sent whole.
+	repairAfter = 3 * time.Second
 )
 
 // New returns a table that knows only its own host.
 func New(c Config) *Table {
 	c = c.Default()
 	t := &Table{
-		c:    c,
-		self: c.Self,
-		m:    make(map[string]*entry),
-		rng:  rand.New(rand.NewPCG(c.Seed, ring.Score(c.Self.ID, "member"))),
+		c:      c,
+		self:   c.Self,
+		m:      make(map[string]*entry),
+		doubts: make(map[string]bool),
+		rng:    rand.New(rand.NewPCG(c.Seed, ring.Score(c.Self.ID, "member"))),
 	}
 	t.rebuild(time.Time{})
 	return t
@@ -264,7 +276,8 @@
 	return t.flush(now)
 }
 
-// Receive takes a heartbeat or its answer.
+// Receive takes a heartbeat or its answer. What it brings is sent on at the next
+// tick, so that the number of messages does not grow with the number of news.
 func (t *Table) Receive(now time.Time, h *Heartbeat) Output {
 	var o Output
 	for i := range h.Deltas {
@@ -280,15 +293,25 @@
 	if !h.Answer && ok {
 		a := t.heartbeat(e)
 		a.Answer = true
-		if h.Full || h.Sum != t.sum && len(a.Deltas) == 0 {
-			a.Deltas = t.all()
+		if h.Full || h.Sum != t.sum && t.mayRepair(now, e) {
+			// The dead are in it too: the other host may have missed a death.
+			a.Deltas = t.Members()
 		}
 		o.Sends = append(o.Sends, Send{To: e.Member, Heartbeat: a})
 	}
-	o.Sends = append(o.Sends, t.flush(now).Sends...)
 	return o
 }
 
+// mayRepair reports whether a neighbour with another list is to get the whole
+// one: only when news have had the time to arrive, and not at every heartbeat.
+func (t *Table) mayRepair(now time.Time, e *entry) bool {
+	if now.Sub(t.changed) < repairAfter || now.Sub(e.repaired) < repairAfter {
+		return false
+	}
+	e.repaired = now
+	return true
+}
+
 // heard notes that a member itself was heard. A suspect or dead one is told so by
 // the next heartbeat to it and refutes it with a higher incarnation.
 func (t *Table) heard(now time.Time, e *entry) {
@@ -377,6 +400,16 @@
 // tryDead asks a random dead member now and then, so that parted regions find
 // each other again.
 func (t *Table) tryDead(now time.Time, o *Output) {
+	n := 0
+	for _, id := range slices.Sorted(maps.Keys(t.doubts)) {
+		if n++; n > doubtsMost {
+			break
+		}
+		delete(t.doubts, id)
+		if e := t.m[id]; e != nil && e.State == Dead {
+			o.Sends = append(o.Sends, t.tellDead(e))
+		}
+	}
 	if now.Before(t.retry) {
 		return
 	}
@@ -391,11 +424,16 @@
 		return
 	}
 	slices.Sort(l)
-	e := t.m[l[t.rng.IntN(len(l))]]
-	h := t.heartbeat(e)
-	h.Deltas = append(h.Deltas, e.Member, t.self)
-	h.Full = true
-	o.Sends = append(o.Sends, Send{To: e.Member, Heartbeat: h, Fresh: true})
+	s := t.tellDead(t.m[l[t.rng.IntN(len(l))]])
+	s.Full = true
+	o.Sends = append(o.Sends, s)
+}
+
+// tellDead returns a heartbeat that tells a dead member what is thought of it, so
+// that it refutes if it lives.
+func (t *Table) tellDead(e *entry) Send {
+	h := Heartbeat{From: t.self.ID, Offset: t.offset, Sum: t.sum, Deltas: []Member{e.Member, t.self}}
+	return Send{To: e.Member, Heartbeat: h, Fresh: true}
 }
 
 // merge takes one delta.
@@ -417,6 +455,9 @@
 		return
 	}
 	if !d.newer(&e.Member) {
+		if e.State == Dead && d.State < Dead && d.Incarnation == e.Incarnation {
+			t.doubts[d.ID] = true
+		}
 		return
 	}
 	t.set(now, e, *d, d.State, o)
@@ -481,10 +522,10 @@
 	t.news = slices.DeleteFunc(t.news, func(n *news) bool { return now.Sub(n.at) > newsKept })
 	for _, id := range t.near {
 		e := t.m[id]
-		h := t.heartbeat(e)
-		if len(h.Deltas) == 0 {
+		if !t.hasNews(id) {
 			continue
 		}
+		h := t.heartbeat(e)
 		if e.phase == phaseIdle {
 			e.phase = phaseWaiting
 			e.asked = now
@@ -495,6 +536,14 @@
 	return o
 }
 
+// hasNews reports whether there are news that a neighbour does not have.
+func (t *Table) hasNews(id string) bool {
+	return slices.ContainsFunc(t.news, func(n *news) bool {
+		_, ok := n.sent[id]
+		return !ok
+	})
+}
+
 // heartbeat returns a heartbeat for e with the news that e does not have.
 func (t *Table) heartbeat(e *entry) Heartbeat {
 	h := Heartbeat{From: t.self.ID, Offset: t.offset, Sum: t.sum}
@@ -516,12 +565,6 @@
 	return h
 }
 
-// all returns the whole list, without members that are gone for good.
-func (t *Table) all() []Member {
-	l := t.Members()
-	return slices.DeleteFunc(l, func(m Member) bool { return m.State >= Dead })
-}
-
 // place is a member's place on the ring.
 type place struct {
 	at uint64
@@ -530,6 +573,7 @@
 
 // rebuild derives the ring, the neighbours, the candidates and the sum.
 func (t *Table) rebuild(now time.Time) {
+	t.changed = now
 	l := make([]place, 0, len(t.m)+1)
 	t.cache = make([]ring.Candidate, 0, len(t.m)+1)
 	t.sum = 0
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -73,7 +73,10 @@
 	RetryAfter time.Duration `msgpack:"a" json:"-"`
 	// RequestID is the id of the refused request, set at the edge.
 	RequestID string `msgpack:"-" json:"request-id,omitempty"`
-	cause     error
+	// Remote tells that another entry host answered with this error, so that the
+	// way to it is well.
+	Remote bool `msgpack:"-" json:"-"`
+	cause  error
 }
 
 // Refuse returns an Error for a request that was not sent anywhere.
--- a/pier/peer/client.go
+++ b/pier/peer/client.go
@@ -122,6 +122,7 @@
 		if err := Decode(f.Body, &e); err != nil {
 			return outcome.Lost(outcome.ReasonCrossedAnswer, "error frame", err)
 		}
+		e.Remote = true
 		return &e
 	}
 	if r == nil {
