--- a/mulberrybench/internal/capacity/capacity.go
+++ b/mulberrybench/internal/capacity/capacity.go
@@ -308,22 +308,25 @@
 	}), 680}
 }
 
+// neighbours returns the number of ring distances below n.
+func neighbours(n int) float64 { return math.Ceil(math.Log2(float64(n))) }
+
 // memberSlopes runs membership at all sizes.
 func memberSlopes() []Slope {
 	l := []Slope{
-		{"members", "bytes sent, at rest", "hosts", "B/s", nil, 680},
-		{"members", "messages sent, at rest", "hosts", "1/s", nil, 680},
-		{"members", "bytes sent, a host replaced every 10 s", "hosts", "B/s", nil, 680},
-		{"members", "all know of a death", "hosts", "ms", nil, 680},
-		{"members", "all know of a silent host", "hosts", "ms", nil, 680},
-		{"members", "all know of a leave", "hosts", "ms", nil, 680},
-		{"members", "all know of a join", "hosts", "ms", nil, 680},
+		{"members", "bytes sent, at rest", "neighbours", "B/s", nil, 10},
+		{"members", "messages sent, at rest", "neighbours", "1/s", nil, 10},
+		{"members", "bytes sent, a host replaced every 10 s", "neighbours", "B/s", nil, 10},
+		{"members", "all know of a death", "neighbours", "ms", nil, 10},
+		{"members", "all know of a silent host", "neighbours", "ms", nil, 10},
+		{"members", "all know of a leave", "neighbours", "ms", nil, 10},
+		{"members", "all know of a join", "neighbours", "ms", nil, 10},
 	}
 	for _, n := range memberHosts {
 		w := memberrun.Measure(n, 1)
 		ms := func(d time.Duration) float64 { return d.Seconds() * 1e3 }
 		for i, v := range []float64{w.Bytes, w.Messages, w.Churn, ms(w.Death), ms(w.Silent), ms(w.Leave), ms(w.Join)} {
-			l[i].Points = append(l[i].Points, Point{float64(n), v})
+			l[i].Points = append(l[i].Points, Point{neighbours(n), v})
 		}
 	}
 	return l
--- a/pier/daemon/asks.go
+++ b/pier/daemon/asks.go
@@ -60,24 +60,19 @@
 	return r
 }
 
+// asked is what this host offered to one trainer's coordinator last.
+type asked struct {
+	at time.Time
+	// told is when the streams' progress was told.
+	told time.Time
+	// idle tells that the coordinator had nothing pending.
+	idle bool
+}
+
 // askFor offers room to one trainer's coordinator and starts what it assigns.
 func (o *owners) askFor(x context.Context, t *release.Trainer) {
-	o.mu.Lock()
-	q := entryhost.AskRequest{Host: o.d.id, Trainer: t.Name}
-	q.Offers = o.table.Offers(time.Now(), t.Deployment, t.Name)
-	q.Offers = q.Offers[:min(len(q.Offers), offersMax)]
-	for _, s := range o.streams {
-		if s.Key.Trainer == t.Name {
-			q.Progress = append(q.Progress, s.progress())
-		}
-	}
-	for _, h := range o.held {
-		if h.sample.Key.Trainer == t.Name && !h.sent {
-			q.Progress = append(q.Progress, h.progress())
-		}
-	}
-	o.mu.Unlock()
-	if len(q.Offers) == 0 && len(q.Progress) == 0 {
+	q := o.question(t)
+	if q == nil {
 		return
 	}
 	id, err := o.d.steps.holderOf(t.Name)
@@ -87,19 +82,82 @@
 	x, stop := context.WithTimeout(x, askLimit)
 	defer stop()
 	var a entryhost.AskAnswer
-	if err := o.d.call(x, id, entryhost.Ask, &q, &a); err != nil {
+	if err := o.d.call(x, id, entryhost.Ask, q, &a); err != nil {
 		o.d.metrics.retry("ask", err)
 		return
 	}
 	o.learn(t.Name, a.Version)
 	o.mu.Lock()
 	o.left[t.Name], o.since[t.Name] = a.Left, a.Since
+	o.asked[t.Name].idle = a.Pending == 0
 	o.mu.Unlock()
 	for i := range a.Work {
 		o.begin(&a.Work[i])
 	}
 }
 
+// question returns what to ask a trainer's coordinator now, or nil. With nothing
+// pending there the room is offered again after the idle time, or when the
+// coordinator wakes this host.
+func (o *owners) question(t *release.Trainer) *entryhost.AskRequest {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := o.asked[t.Name]
+	if a == nil {
+		a = &asked{}
+		o.asked[t.Name] = a
+	}
+	q := &entryhost.AskRequest{Host: o.d.id, Trainer: t.Name}
+	if !a.idle || now.Sub(a.at) >= o.d.s.Timing.IdleAsk.D() {
+		q.Offers = o.table.Offers(now, t.Deployment, t.Name)
+		q.Offers = q.Offers[:min(len(q.Offers), offersMax)]
+	}
+	if now.Sub(a.told) >= o.d.s.Timing.Progress.D() {
+		a.told = now
+		q.Progress = o.progress(t.Name)
+	}
+	if len(q.Offers) == 0 && len(q.Progress) == 0 {
+		return nil
+	}
+	if len(q.Offers) > 0 {
+		a.at = now
+	}
+	return q
+}
+
+// progress returns how far the trainer's streams are, and which of its samples
+// are on their way to the coordinator; o.mu is held.
+func (o *owners) progress(trainer string) []entryhost.Progress {
+	type place struct {
+		step   int64
+		server string
+	}
+	m := make(map[place]*entryhost.Progress)
+	add := func(s rollout.Stream, server string, tokens int) {
+		k := place{s.Key.Step, server}
+		if m[k] == nil {
+			m[k] = &entryhost.Progress{Step: k.step, Server: k.server}
+		}
+		m[k].Add(s, tokens)
+	}
+	for _, s := range o.streams {
+		if s.Key.Trainer == trainer {
+			add(s.Stream, s.Server, int(s.tokens.Load()))
+		}
+	}
+	for _, h := range o.held {
+		if h.sample.Key.Trainer == trainer && !h.sent {
+			add(h.sample.Stream, h.sample.Server, h.sample.Tokens)
+		}
+	}
+	l := make([]entryhost.Progress, 0, len(m))
+	for _, p := range m {
+		l = append(l, *p)
+	}
+	return l
+}
+
 // begin admits and starts one stream.
 func (o *owners) begin(w *rollout.Work) {
 	o.mu.Lock()
--- a/pier/daemon/owners.go
+++ b/pier/daemon/owners.go
@@ -39,11 +39,6 @@
 	at   time.Time
 }
 
-// progress tells that the sample is on its way to its coordinator.
-func (h *held) progress() entryhost.Progress {
-	return entryhost.Progress{Stream: h.sample.Stream, Server: h.sample.Server, Tokens: h.sample.Tokens}
-}
-
 // owners is the shell of packages owner and weights: the role that admits all
 // work to the backend servers whose rendezvous hash names this host.
 type owners struct {
@@ -63,6 +58,8 @@
 	// unlisted holds servers whose streams were not listed since they were gained.
 	unlisted map[string]bool
 	versions map[string]rollout.Version
+	// asked holds what was offered to each trainer's coordinator, and when.
+	asked map[string]*asked
 	// left and since are what the coordinators said last of their oldest steps.
 	left  map[string]int
 	since map[string]time.Time
@@ -99,6 +96,7 @@
 		leaving:  make(map[netip.AddrPort]bool),
 		holders:  ring.NewAssignment(),
 		left:     make(map[string]int),
+		asked:    make(map[string]*asked),
 		since:    make(map[string]time.Time),
 		kick:     make(chan struct{}, 1),
 	}
@@ -393,6 +391,11 @@
 		t, _ := o.d.notes.snapshot().Trainer(q.Trainer)
 		o.d.steps.learn(q.Trainer, q.Version, t.StalenessBound)
 	}
+	o.mu.Lock()
+	if a := o.asked[q.Trainer]; a != nil {
+		a.idle = false
+	}
+	o.mu.Unlock()
 	o.poke()
 	return nil
 }
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -508,14 +508,17 @@
 func (s *steps) progress(now time.Time, q *entryhost.AskRequest, n int64, p *step) {
 	for i := range q.Progress {
 		g := &q.Progress[i]
-		if g.Stream.Key.Step != n {
+		if g.Step != n || !g.Whole() {
 			continue
 		}
-		if !p.c.Adopt(now, q.Host, g.Server, g.Stream) && p.c.Opened(g.Stream.Slot) {
-			s.cancelAll([]rollout.Cancel{{Stream: g.Stream, Host: q.Host, Server: g.Server}})
-			continue
+		for j := range g.Slots {
+			t := rollout.Stream{Key: p.c.Key(), Slot: g.Slots[j], Attempt: g.Attempts[j]}
+			if !p.c.Adopt(now, q.Host, g.Server, t) && p.c.Opened(t.Slot) {
+				s.cancelAll([]rollout.Cancel{{Stream: t, Host: q.Host, Server: g.Server}})
+				continue
+			}
+			p.c.Progress(t, g.Tokens[j])
 		}
-		p.c.Progress(g.Stream, g.Tokens)
 	}
 }
 
--- a/pier/daemon/streams.go
+++ b/pier/daemon/streams.go
@@ -47,11 +47,6 @@
 	unwanted atomic.Bool
 }
 
-// progress returns how far the stream is.
-func (s *stream) progress() entryhost.Progress {
-	return entryhost.Progress{Stream: s.Stream, Server: s.Server, Tokens: int(s.tokens.Load())}
-}
-
 // parseStream reads the id that rollout.Stream.ID makes.
 func parseStream(id string) (rollout.Stream, bool) {
 	p := strings.Split(id, "/")
--- a/pier/entryhost/entryhost.go
+++ b/pier/entryhost/entryhost.go
@@ -111,11 +111,26 @@
 	Key rollout.StepKey `msgpack:"k"`
 }
 
-// Progress tells how far a stream is.
+// Progress tells how far the streams of one step on one server are. The slices
+// have the same length, one element a stream.
 type Progress struct {
-	Stream rollout.Stream `msgpack:"s"`
-	Server string         `msgpack:"b"`
-	Tokens int            `msgpack:"t"`
+	Step     int64          `msgpack:"s"`
+	Server   string         `msgpack:"b"`
+	Slots    []rollout.Slot `msgpack:"l"`
+	Attempts []int          `msgpack:"a"`
+	Tokens   []int          `msgpack:"t"`
+}
+
+// Add adds one stream.
+func (p *Progress) Add(s rollout.Stream, tokens int) {
+	p.Slots = append(p.Slots, s.Slot)
+	p.Attempts = append(p.Attempts, s.Attempt)
+	p.Tokens = append(p.Tokens, tokens)
+}
+
+// Whole reports whether the slices have the same length.
+func (p *Progress) Whole() bool {
+	return len(p.Slots) == len(p.Attempts) && len(p.Slots) == len(p.Tokens)
 }
 
 // AskRequest offers room to the coordinator of a trainer.
@@ -123,7 +138,8 @@
 	Host    string          `msgpack:"h"`
 	Trainer string          `msgpack:"t"`
 	Offers  []rollout.Offer `msgpack:"o"`
-	// Progress names the trainer's streams on this host.
+	// Progress names the trainer's streams on this host; it is left out of most
+	// offers.
 	Progress []Progress `msgpack:"p"`
 }
 
--- a/pier/rollout/coordinator_test.go
+++ b/pier/rollout/coordinator_test.go
@@ -315,6 +315,13 @@
 			require.NoError(t, err)
 			require.Len(t, b.Samples, 3)
 		},
+		"another coordinator's batch of the same number acknowledges nothing": func(t *testing.T, c *Coordinator) {
+			_, err := c.Pull(&Pull{Max: 2, Version: 1}, 1)
+			require.NoError(t, err)
+			_, err = c.Pull(&Pull{Epoch: "other", Ack: 1, Max: 2, Version: 1}, 1)
+			require.True(t, outcome.Is(err, outcome.ReasonResync))
+			require.Zero(t, c.Counts().Acked)
+		},
 		"a trainer that lost its record gets the samples again": func(t *testing.T, c *Coordinator) {
 			b, err := c.Pull(&Pull{Max: 9, Version: 1}, 1)
 			require.NoError(t, err)
--- a/pier/settings/settings.go
+++ b/pier/settings/settings.go
@@ -110,6 +110,12 @@
 	Silence Duration `toml:"silence"`
 	// Adoption is how long a stream without an owner waits for one. Default: 4s.
 	Adoption Duration `toml:"adoption"`
+	// IdleAsk is the time between two offers of room to a trainer's coordinator
+	// that had nothing pending. Default: 1s.
+	IdleAsk Duration `toml:"idle-ask"`
+	// Progress is the time between two tellings of how far streams are; it must be
+	// well below Adoption. Default: 1s.
+	Progress Duration `toml:"progress"`
 	// Report is the time between reports of a backend server. Default: 500ms.
 	Report Duration `toml:"report"`
 	// LoadLimit is how long a load of weights may take. Default: 60s.
@@ -211,6 +217,8 @@
 	fill(&t.Suspicion, Duration(500*time.Millisecond))
 	fill(&t.Silence, Duration(3*time.Second))
 	fill(&t.Adoption, Duration(4*time.Second))
+	fill(&t.IdleAsk, Duration(time.Second))
+	fill(&t.Progress, Duration(time.Second))
 	fill(&t.Report, Duration(500*time.Millisecond))
 	fill(&t.LoadLimit, Duration(time.Minute))
 	fill(&t.Drain, Duration(10*time.Minute))
