--- a/pier/claim/claim_test.go
+++ b/pier/claim/claim_test.go
@@ -147,3 +147,18 @@
 		l.Apply(int64(i), at, &Record{Key: fmt.Sprint(i), Nonce: "n"})
 	}
 }
+
+// TestRelease covers that a claim is given back by its own nonce only.
+func TestRelease(t *testing.T) {
+	l := New(conf)
+	at := time.Unix(1e6, 0)
+	l.Apply(0, at, &Record{Key: "a", Nonce: "1"})
+	l.Apply(1, at, &Record{Key: "a", Nonce: "2"})
+	l.Apply(2, at, &Record{Key: "a", Nonce: "2", Release: true})
+	c, ok := l.Get("a")
+	require.True(t, ok)
+	require.Equal(t, "1", c.Nonce)
+	l.Apply(3, at, &Record{Key: "a", Nonce: "1", Release: true})
+	_, ok = l.Get("a")
+	require.False(t, ok)
+}
