--- a/mulberrybench/internal/experiment/run.go
+++ b/mulberrybench/internal/experiment/run.go
@@ -144,7 +144,7 @@
 		c: c, p: p, seed: seed, now: epoch, start: epoch,
 		byName: make(map[string]*server), work: make(map[string]rollout.Work), chat: make(map[string]time.Time),
 		rng: rand.New(rand.NewPCG(seed, 99)), bind: make(map[rollout.Stream]string),
-		table:   owner.New(owner.Config{Reserve: p.Reserve, Express: p.ExpressBatch}),
+		table:   owner.New(owner.Config{Reserve: p.Reserve}),
 		orders:  weights.NewOrders(weights.Config{LoadLimit: time.Minute, Retry: 500 * time.Millisecond}),
 		permits: weights.NewPermits(weights.PermitConfig{AtOnce: p.LoadsAtOnce, Lease: 30 * time.Second, Retry: 200 * time.Millisecond}),
 		res:     Result{Policy: p.Name, Seed: seed},
@@ -168,7 +168,11 @@
 		s := &server{name: fmt.Sprintf("engine-%d", i), e: model.NewEngine(r.now, m)}
 		r.servers = append(r.servers, s)
 		r.byName[s.name] = s
-		l = append(l, owner.Owned{Server: release.Server{Name: s.name, Deployment: "d", Capacity: m.Batch}, Interactive: r.p.Reserve > 0, Express: i < r.p.Express})
+		express := 0
+		if i < r.p.Express {
+			express = r.p.ExpressBatch
+		}
+		l = append(l, owner.Owned{Server: release.Server{Name: s.name, Deployment: "d", Capacity: m.Batch}, Interactive: r.p.Reserve > 0, Express: express})
 	}
 	r.table.Own(l)
 	for i := range r.c.Trainers {
--- a/mulberrybench/internal/scenario/expect.go
+++ b/mulberrybench/internal/scenario/expect.go
@@ -43,6 +43,8 @@
 		if k, n := s.k.Scored.Most(); n > 1 {
 			t.Fatalf("%q was scored %d times", k, n)
 		}
+	case "none-abandoned":
+		until(t, d, s.noneAbandoned)
 	case "streams":
 		until(t, d, func() (bool, string) { return s.streams(l[1]) })
 	case "idle":
@@ -153,6 +155,17 @@
 	return strconv.Itoa(n) == want, fmt.Sprintf("engines began %d streams", n)
 }
 
+// noneAbandoned reports whether every stream that an engine has begun was read to
+// its end and taken off: none was generated in part and then again.
+func (s *state) noneAbandoned() (bool, string) {
+	began, taken := 0, 0
+	for _, e := range s.k.Engines {
+		began += e.Started()
+		taken += e.Taken()
+	}
+	return began == taken, fmt.Sprintf("engines began %d streams, %d were taken off", began, taken)
+}
+
 // counter reports whether some host has counted what a line of its metrics that
 // begins with the text says.
 func (s *state) counter(text string) (bool, string) {
--- a/mulberrybench/internal/standin/engine.go
+++ b/mulberrybench/internal/standin/engine.go
@@ -49,8 +49,10 @@
 	leaving bool
 	stop    chan struct{}
 	once    sync.Once
-	// started counts streams begun, orders those taken, stale those refused.
+	// started counts streams begun, taken finished ones that an owner took off;
+	// orders counts orders taken, stale those refused.
 	started int
+	taken   int
 	orders  int
 	stale   int
 }
@@ -130,6 +132,13 @@
 	return e.started
 }
 
+// Taken returns the number of finished streams that an owner took off.
+func (e *Engine) Taken() int {
+	e.m.Lock()
+	defer e.m.Unlock()
+	return e.taken
+}
+
 // Orders returns how many orders were taken, and refused for their fence.
 func (e *Engine) Orders() (taken, stale int) {
 	e.m.Lock()
@@ -219,6 +228,9 @@
 	id := r.URL.Query().Get("id")
 	e.m.Lock()
 	_, ok := e.meta[id]
+	if s := e.e.Stream(id); ok && s != nil && s.Finished() && r.URL.Query().Has("take") {
+		e.taken++
+	}
 	e.e.Remove(time.Now(), id)
 	delete(e.meta, id)
 	e.m.Unlock()
--- a/pier/daemon/chat.go
+++ b/pier/daemon/chat.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"slices"
+	"sync"
 
+	"mulberrypier.example/pier/config"
 	"mulberrypier.example/pier/engine"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
@@ -59,38 +63,85 @@
 	o.poke()
 }
 
-// chatHosts returns the hosts that own servers of a deployment which takes chat,
-// in an order that differs from request to request.
-func (d *Daemon) chatHosts(deployment, request string) ([]string, error) {
-	s := d.notes.snapshot()
-	p, ok := s.Deployment(deployment)
-	if !ok || !p.Interactive {
-		return nil, outcome.Refuse(outcome.ReasonUnknownName, "deployment/"+deployment)
+// chatPool holds the hosts that own servers of one deployment.
+type chatPool struct {
+	// express lists the hosts that own express servers, others the rest.
+	express, others []string
+}
+
+// chatPools remembers the pools of one configuration and one list of members:
+// both are replaced and never changed, so their identity tells when to look anew.
+type chatPools struct {
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+	members  *ring.Candidate
+	pools    map[string]*chatPool
+}
+
+// pool returns the pool of a deployment.
+func (p *chatPools) pool(s *config.Snapshot, c []ring.Candidate, deployment string) *chatPool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first *ring.Candidate
+	if len(c) > 0 {
+		first = &c[0]
+	}
+	if p.snapshot != s || p.members != first {
+		p.snapshot, p.members, p.pools = s, first, make(map[string]*chatPool)
 	}
-	c := d.members.candidates()
-	var l []string
+	if p.pools[deployment] == nil {
+		p.pools[deployment] = newChatPool(s, c, deployment)
+	}
+	return p.pools[deployment]
+}
+
+func newChatPool(s *config.Snapshot, c []ring.Candidate, deployment string) *chatPool {
+	express := expressOf(s)
+	fast := make(map[string]bool)
 	s.EachOf(release.Key{Kind: release.KindDeployment, Name: deployment}, func(v release.Server) {
 		id, ok := ring.Holder(ownerKey(v.Name), v.Region, c)
-		if ok && !v.Leaving && !slices.Contains(l, id) {
-			l = append(l, id)
+		if ok && !v.Leaving {
+			fast[id] = fast[id] || express[v.Name] > 0
 		}
 	})
-	slices.SortFunc(l, func(a, b string) int {
-		if ring.Score(request, a) > ring.Score(request, b) {
-			return -1
+	p := &chatPool{}
+	for _, id := range slices.Sorted(maps.Keys(fast)) {
+		if fast[id] {
+			p.express = append(p.express, id)
+			continue
 		}
-		return 1
-	})
+		p.others = append(p.others, id)
+	}
+	return p
+}
+
+// chatHosts returns the hosts that own servers of a deployment which takes chat,
+// those with express servers first, otherwise in a random order.
+func (d *Daemon) chatHosts(deployment string) ([]string, error) {
+	s := d.notes.snapshot()
+	p, ok := s.Deployment(deployment)
+	if !ok || !p.Interactive {
+		return nil, outcome.Refuse(outcome.ReasonUnknownName, "deployment/"+deployment)
+	}
+	k := d.chats.pool(s, d.members.candidates(), deployment)
+	l := append(shuffled(k.express), shuffled(k.others)...)
 	if len(l) == 0 {
 		return nil, outcome.Refuse(outcome.ReasonNoServer, "deployment/"+deployment)
 	}
 	return l, nil
 }
 
+// shuffled returns a copy of l in a random order.
+func shuffled(l []string) []string {
+	r := slices.Clone(l)
+	rand.Shuffle(len(r), func(i, j int) { r[i], r[j] = r[j], r[i] })
+	return r
+}
+
 // complete passes a caller's completion to an owner. An owner without room
 // refuses it as not run, and the next one is asked.
 func (d *Daemon) complete(x context.Context, q *entryhost.ChatRequest, part func(*engine.Chunk) error) error {
-	l, err := d.chatHosts(q.Deployment, q.Completion.Stream)
+	l, err := d.chatHosts(q.Deployment)
 	if err != nil {
 		return err
 	}
--- a/pier/daemon/daemon.go
+++ b/pier/daemon/daemon.go
@@ -64,6 +64,7 @@
 	steps   *steps
 	claims  *claims
 	calls   *calls
+	chats   chatPools
 	drain   *drainer
 
 	server    *peer.Server
--- a/pier/daemon/owners.go
+++ b/pier/daemon/owners.go
@@ -146,6 +146,7 @@
 	if _, _, n, _ := s.Len(); o.holders.Len() > 2*n {
 		o.holders.Forget()
 	}
+	express := expressOf(s)
 	var l []owner.Owned
 	s.EachServer(func(v release.Server) {
 		if v.Deployment == "" {
@@ -155,7 +156,7 @@
 			return
 		}
 		p, _ := s.Deployment(v.Deployment)
-		l = append(l, owner.Owned{Server: v, Interactive: p.Interactive})
+		l = append(l, owner.Owned{Server: v, Interactive: p.Interactive, Express: express[v.Name]})
 	})
 	o.mu.Lock()
 	gained := o.table.Own(l)
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -223,6 +223,8 @@
 				Spares:            f.Spares,
 				SpareAfter:        f.SpareAfter.D(),
 				Move:              f.Move,
+				Straggler:         f.Straggler,
+				Tail:              f.Tail,
 				StaleShare:        s.idleWeight(k.Trainer),
 				CancelLate:        true,
 			},
--- a/pier/owner/owner.go
+++ b/pier/owner/owner.go
@@ -33,8 +33,6 @@
 	// Reserve is the part of an interactive deployment's capacity that rollouts
 	// leave free, in [0, 1).
 	Reserve float64
-	// Express is the number of streams that an express server runs at once.
-	Express int
 }
 
 // server is one owned backend server.
@@ -54,8 +52,9 @@
 	seen time.Time
 	// down is set while the server does not answer.
 	down bool
-	// express tells that the server keeps its batch small for stragglers.
-	express bool
+	// express is the number of rollouts that an express server runs at once; 0 for
+	// an ordinary server.
+	express int
 	// loadAt is when a load of weights is planned; zero when none is.
 	loadAt time.Time
 }
@@ -79,8 +78,9 @@
 type Owned struct {
 	release.Server
 	Interactive bool
-	// Express tells that the server keeps its batch small for stragglers.
-	Express bool
+	// Express is the number of rollouts that an express server runs at once; 0 for
+	// an ordinary server.
+	Express int
 }
 
 // Own sets the servers that the host owns. It returns the names of those that
@@ -208,7 +208,7 @@
 		if r <= 0 {
 			continue
 		}
-		o := rollout.Offer{Server: n, Room: r, Running: len(s.running), Version: s.versions[model], Until: -1, Express: s.express}
+		o := rollout.Offer{Server: n, Room: r, Running: len(s.running), Version: s.versions[model], Until: -1, Express: s.express > 0}
 		if !s.loadAt.IsZero() {
 			o.Until = max(0, s.loadAt.Sub(now).Seconds())
 		}
@@ -227,8 +227,8 @@
 	if c == Rollout && s.interactive {
 		r -= int(float64(s.Capacity) * t.c.Reserve)
 	}
-	if c == Rollout && s.express {
-		r = min(r, max(1, t.c.Express))
+	if c == Rollout && s.express > 0 {
+		r = min(r, s.express)
 	}
 	return r - len(s.running) - s.foreign
 }
--- a/pier/owner/owner_test.go
+++ b/pier/owner/owner_test.go
@@ -18,11 +18,11 @@
 // table returns a table that owns two servers of four streams each; the second
 // one is of an interactive deployment.
 func table() *Table {
-	t := New(Config{Reserve: 0.25, Express: 2})
+	t := New(Config{Reserve: 0.25})
 	t.Own([]Owned{
 		{Server: release.Server{Name: "a", Deployment: "d", Capacity: 4}},
 		{Server: release.Server{Name: "b", Deployment: "i", Capacity: 4}, Interactive: true},
-		{Server: release.Server{Name: "c", Deployment: "x", Capacity: 4}, Express: true},
+		{Server: release.Server{Name: "c", Deployment: "x", Capacity: 4}, Express: 2},
 	})
 	for _, n := range t.Names() {
 		t.Report(now, n, &engine.Load{Versions: map[string]int64{"m": 3}})
--- a/pier/peer/peer_test.go
+++ b/pier/peer/peer_test.go
@@ -37,7 +37,7 @@
 			return nil, outcome.Refuse(outcome.ReasonQueueFull, "here")
 		case KindFirst + 2:
 			<-x.Done()
-			return nil, nil
+			return nil, outcome.Lost(outcome.ReasonDeadline, "server", x.Err())
 		case KindFirst + 3:
 			for i := range 5 {
 				if err := r.Part(i); err != nil {
--- a/pier/release/release.go
+++ b/pier/release/release.go
@@ -49,8 +49,10 @@
 	// LoadsAtOnce is how many servers may load weights at the same time; 0 means
 	// as many as the weight store's rate allows.
 	LoadsAtOnce int `toml:"loads-at-once" msgpack:"l" json:"loads-at-once"`
-	// SpareSiblings is how many extra samples of a group may be started late.
-	SpareSiblings int `toml:"spare-siblings" msgpack:"s" json:"spare-siblings"`
+	// ExpressServers is how many servers keep their batch at ExpressBatch, for
+	// stragglers and for callers; rollouts begin on the others.
+	ExpressServers int `toml:"express-servers" msgpack:"e" json:"express-servers,omitempty"`
+	ExpressBatch   int `toml:"express-batch" msgpack:"b" json:"express-batch,omitempty"`
 	// Interactive tells that callers may use the deployment for chat.
 	Interactive bool `toml:"interactive" msgpack:"i" json:"interactive"`
 }
@@ -221,7 +223,7 @@
 		if !(d.IdleWeight >= 0 && d.IdleWeight <= 1) {
 			return bad("deployment/" + d.Name + ": idle-weight must be from 0 to 1")
 		}
-		if d.LoadsAtOnce < 0 || d.SpareSiblings < 0 {
+		if d.LoadsAtOnce < 0 || d.ExpressServers < 0 || d.ExpressBatch < 0 {
 			return bad("deployment/" + d.Name + ": counts must not be negative")
 		}
 	}
--- a/pier/settings/settings.go
+++ b/pier/settings/settings.go
@@ -149,6 +149,11 @@
 	Spares int `toml:"spares"`
 	// Move takes late samples from busy servers to servers that have run empty.
 	Move bool `toml:"move"`
+	// Straggler is how many times as long as its group's mean a sample must be to
+	// be moved to an express server, and Tail the part of a step that may be left
+	// for all its samples to be. Defaults: 4 and 0.02.
+	Straggler float64 `toml:"straggler"`
+	Tail      float64 `toml:"tail"`
 	// SpareAfter is how long a sample runs before it gets one. Default: 30s.
 	SpareAfter Duration `toml:"spare-after"`
 }
@@ -230,6 +235,8 @@
 	fill(&t.KeyHorizon, Duration(time.Hour))
 	fill(&s.Policy.Order, "longest-first")
 	fill(&s.Policy.Rule, "fair")
+	fill(&s.Policy.Straggler, 4)
+	fill(&s.Policy.Tail, 0.02)
 	fill(&s.Policy.SpareAfter, Duration(30*time.Second))
 }
 
