--- a/pier/daemon/members.go
+++ b/pier/daemon/members.go
@@ -30,6 +30,8 @@
 	log *zap.Logger
 	mu  sync.Mutex
 	t   *member.Table
+	// lost is when a member was lost last.
+	lost time.Time
 }
 
 func newMembers(d *Daemon) *members {
@@ -82,6 +84,11 @@
 func (m *members) changed(l []member.Change) {
 	for _, c := range l {
 		m.log.Info("member "+c.State.String(), zap.String("member", c.ID))
+		if c.State >= member.Leaving {
+			m.mu.Lock()
+			m.lost = time.Now()
+			m.mu.Unlock()
+		}
 		if c.State >= member.Dead {
 			m.d.peers.Forget(c.Address)
 		}
@@ -181,6 +188,13 @@
 	return ok && x.State <= member.Suspect
 }
 
+// sinceLoss returns how long ago a member was lost.
+func (m *members) sinceLoss() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.lost)
+}
+
 // all returns all members that are known, dead ones among them.
 func (m *members) all() []member.Member {
 	m.mu.Lock()
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -25,11 +25,15 @@
 	stepIdleLimit = 2 * time.Hour
 	// holdLimit is how long a new coordinator waits for the owners' answers.
 	holdLimit = time.Second
+	// lossWindow is how long after a loss streams may still be adopted, adoptWait
+	// how long a new coordinator waits for it beyond two reports.
+	lossWindow = 10 * time.Second
+	adoptWait  = 500 * time.Millisecond
 	// stepsPerTrainer is the greatest number of open steps of one trainer.
 	stepsPerTrainer = 16
 )
 
-// attemptEpoch is the time from which attempts are numbered, in seconds.
+// attemptEpoch is the time from which attempts are numbered, in milliseconds.
 var attemptEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // step is one step that this host coordinates.
@@ -214,8 +218,9 @@
 			Key:   k,
 			Epoch: epoch,
 			Grace: s.d.s.Timing.Adoption.D(),
-			// Coordinators of one step follow each other by more than a second.
-			FirstAttempt: int(time.Since(attemptEpoch) / time.Second),
+			// A coordinator gives a slot fewer attempts than it lives milliseconds, so
+			// the next one's numbers are above its own.
+			FirstAttempt: int(time.Since(attemptEpoch) / time.Millisecond),
 			Policy: rollout.Policy{
 				Order:             rollout.Order(f.Order),
 				Siblings:          !f.NoSiblings,
@@ -244,6 +249,18 @@
 // begun to coordinate, as it may have been another's before.
 func (s *steps) recover(t *trainerSteps, k rollout.StepKey, p *step) {
 	defer close(p.ready)
+	s.askHolds(t, k, p)
+	if s.d.members.sinceLoss() > lossWindow {
+		return
+	}
+	// Streams of a host that was just lost are adopted within the next reports;
+	// until then they must not be generated again.
+	sleep(s.d.x, adoptWait+2*s.d.s.Timing.Report.D())
+	s.askHolds(t, k, p)
+}
+
+// askHolds asks all hosts what they hold for a step.
+func (s *steps) askHolds(t *trainerSteps, k rollout.StepKey, p *step) {
 	x, stop := context.WithTimeout(s.d.x, holdLimit)
 	defer stop()
 	var wg sync.WaitGroup
--- a/pier/daemon/streams.go
+++ b/pier/daemon/streams.go
@@ -77,6 +77,11 @@
 	o.table.Adopt(server, id)
 	o.log.Info("stream adopted", zap.String("stream", id), zap.String("server", server))
 	o.drive(&rollout.Work{Stream: t, Server: server, Prompt: prompt}, true)
+	// The coordinator is told soon, before it gives the stream up.
+	if a := o.asked[t.Key.Trainer]; a != nil {
+		a.told = time.Time{}
+	}
+	o.poke()
 }
 
 // drive starts the goroutine of an admitted stream; o.mu is held.
--- a/pier/settings/settings.go
+++ b/pier/settings/settings.go
@@ -108,7 +108,7 @@
 	Suspicion Duration `toml:"suspicion"`
 	// Silence is how long an engine's stream may carry nothing. Default: 3s.
 	Silence Duration `toml:"silence"`
-	// Adoption is how long a stream without an owner waits for one. Default: 4s.
+	// Adoption is how long a stream without an owner waits for one. Default: 8s.
 	Adoption Duration `toml:"adoption"`
 	// IdleAsk is the time between two offers of room to a trainer's coordinator
 	// that had nothing pending. Default: 1s.
@@ -224,7 +224,7 @@
 	fill(&t.Heartbeat, Duration(500*time.Millisecond))
 	fill(&t.Suspicion, Duration(500*time.Millisecond))
 	fill(&t.Silence, Duration(3*time.Second))
-	fill(&t.Adoption, Duration(4*time.Second))
+	fill(&t.Adoption, Duration(8*time.Second))
 	fill(&t.IdleAsk, Duration(time.Second))
 	fill(&t.Progress, Duration(time.Second))
 	fill(&t.Report, Duration(500*time.Millisecond))
