One agenda for runs in virtual time; take out what does nothing

Cause: reading the whole change again: the experiments and the member runs each had the same heap of events; claims.refresh and steps.busy did nothing; the member table kept a time that nobody read; the first-chunk histogram only ever observed zero.

Change: package agenda serves both runs; the dead pieces are gone; the histogram observes the time since this host began to drive the stream.

Conclusion: behaviour is as it was, but for the histogram, which was wrong.

--- a/mulberrybench/internal/experiment/run.go
+++ b/mulberrybench/internal/experiment/run.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"mulberrypier.example/mulberrybench/internal/agenda"
 	"mulberrypier.example/mulberrybench/internal/model"
 	"mulberrypier.example/pier/engine"
 	"mulberrypier.example/pier/outcome"
@@ -59,40 +59,6 @@
 	Loading int
 }
 
-// event is something that happens at a time.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []*event
-
-// Len returns the number of events.
-func (q events) Len() int { return len(q) }
-
-// Less reports whether the i-th event comes before the j-th.
-func (q events) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-
-// Swap swaps two events.
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds an event; it is called by package heap only.
-func (q *events) Push(x any) { *q = append(*q, x.(*event)) }
-
-// Pop takes the last event; it is called by package heap only.
-func (q *events) Pop() any {
-	o := *q
-	x := o[len(o)-1]
-	*q = o[:len(o)-1]
-	return x
-}
-
 // server is one engine with its name and what was last reported of it.
 type server struct {
 	name   string
@@ -110,8 +76,7 @@
 	seed  uint64
 	now   time.Time
 	start time.Time
-	queue events
-	seq   int
+	todo  agenda.Agenda
 
 	servers  []*server
 	byName   map[string]*server
@@ -127,7 +92,8 @@
 	rr    int
 	chat  map[string]time.Time
 	chats int
-	bind  map[rollout.Stream]string
+	// bind maps a stream to the attempt that drew its length, over its moves.
+	bind map[rollout.Stream]string
 	// store is when the weight store gives out the next load.
 	store  time.Time
 	asking bool
@@ -202,8 +168,7 @@
 
 // after schedules an event.
 func (r *run) after(d time.Duration, f func()) {
-	r.seq++
-	heap.Push(&r.queue, &event{at: r.now.Add(d), seq: r.seq, do: f})
+	r.todo.Add(r.now.Add(d), f)
 }
 
 // loop runs events and engines until all trainers are done.
@@ -219,8 +184,8 @@
 				r.finished(s, x)
 			}
 		}
-		for len(r.queue) > 0 && !r.queue[0].at.After(r.now) {
-			heap.Pop(&r.queue).(*event).do()
+		for _, f := r.todo.Take(r.now); f != nil; _, f = r.todo.Take(r.now) {
+			f()
 		}
 		for _, x := range r.trainers {
 			x.turn()
@@ -230,11 +195,7 @@
 
 // next returns the time of the next event.
 func (r *run) next() (time.Time, bool) {
-	var t time.Time
-	ok := false
-	if len(r.queue) > 0 {
-		t, ok = r.queue[0].at, true
-	}
+	t, ok := r.todo.Next()
 	for _, s := range r.servers {
 		if n, has := s.e.Next(); has && (!ok || n.Before(t)) {
 			t, ok = n, true
@@ -412,7 +373,7 @@
 	for _, t := range r.trainers {
 		for _, p := range t.steps {
 			for p.Counts().Pending > 0 {
-				s := r.choose(t, p)
+				s := r.choose()
 				if s == nil {
 					return
 				}
@@ -429,7 +390,7 @@
 }
 
 // choose returns the engine that a baseline pushes the next sample to.
-func (r *run) choose(_ *trainerRun, _ *stepRun) *server {
+func (r *run) choose() *server {
 	var best *server
 	switch r.p.Placement {
 	case RoundRobin:
@@ -474,29 +435,18 @@
 	name := id
 	if w.Resume != nil {
 		name = w.Resume.ID()
-		if n, ok := r.byResume(w.Resume); ok {
+		if n, ok := r.bind[w.Resume.Stream]; ok {
 			name = n
 		}
 		x.Given = w.Resume.Tokens
 	}
-	r.nameOf(w, name)
+	r.bind[w.Stream] = name
 	l := r.c.Lengths
 	l.Seed += r.seed
 	x.Length = max(x.Given+1, l.Draw(g, name, r.c.MaxTokens))
 	s.e.Add(r.now, x)
 }
 
-// nameOf and byResume follow a sample over its moves to the attempt that drew its
-// length.
-func (r *run) nameOf(w rollout.Work, name string) {
-	r.bind[w.Stream] = name
-}
-
-func (r *run) byResume(p *rollout.Sample) (string, bool) {
-	n, ok := r.bind[p.Stream]
-	return n, ok
-}
-
 // finished takes a stream that has all its tokens.
 func (r *run) finished(s *server, x *model.Stream) {
 	if t, ok := r.chat[x.ID]; ok {
@@ -603,7 +553,7 @@
 		if outcome.Is(err, outcome.ReasonNoServer) {
 			return
 		}
-		name = r.choose(nil, nil).name
+		name = r.choose().name
 	}
 	x := &model.Stream{ID: id, Model: "", Prefix: "chat", Length: r.c.Chat.Tokens}
 	if r.p.ChatPriority {
--- a/mulberrybench/internal/memberrun/run.go
+++ b/mulberrybench/internal/memberrun/run.go
@@ -4,7 +4,6 @@
 package memberrun
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,6 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"mulberrypier.example/mulberrybench/internal/agenda"
 	"mulberrypier.example/pier/member"
 )
 
@@ -37,39 +37,6 @@
 	Table member.Config
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type queue []*event
-
-// Len returns the number of events.
-func (q queue) Len() int { return len(q) }
-
-// Less reports whether the i-th event comes before the j-th.
-func (q queue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-
-// Swap swaps two events.
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds an event; it is called by package heap only.
-func (q *queue) Push(x any) { *q = append(*q, x.(*event)) }
-
-// Pop takes the last event; it is called by package heap only.
-func (q *queue) Pop() any {
-	o := *q
-	x := o[len(o)-1]
-	*q = o[:len(o)-1]
-	return x
-}
-
 // Host is one host of a run.
 type Host struct {
 	ID     string
@@ -87,8 +54,7 @@
 	c     Config
 	Now   time.Time
 	Hosts []*Host
-	queue queue
-	seq   int
+	todo  agenda.Agenda
 	rng   *rand.Rand
 	by    map[netip.AddrPort]*Host
 	// cut parts regions: cut[a][b] is set while a cannot reach b.
@@ -139,8 +105,7 @@
 func (r *Run) Hint(h, known *Host) { r.carry(h, h.Table.Hint(known.addr)) }
 
 func (r *Run) after(d time.Duration, f func()) {
-	r.seq++
-	heap.Push(&r.queue, &event{r.Now.Add(d), r.seq, f})
+	r.todo.Add(r.Now.Add(d), f)
 }
 
 func (r *Run) tick(h *Host) {
@@ -208,10 +173,9 @@
 
 func (r *Run) until(end time.Time, f func() bool) bool {
 	next := r.Now
-	for len(r.queue) > 0 && !r.queue[0].at.After(end) {
-		e := heap.Pop(&r.queue).(*event)
-		r.Now = e.at
-		e.do()
+	for at, do := r.todo.Take(end); do != nil; at, do = r.todo.Take(end) {
+		r.Now = at
+		do()
 		if !r.Now.Before(next) {
 			next = r.Now.Add(tick / 2)
 			if f() {
--- a/pier/daemon/claims.go
+++ b/pier/daemon/claims.go
@@ -129,10 +129,6 @@
 	delete(p.runs, key)
 }
 
-// refresh has nothing to move when members change: a new holder reads the
-// partition from the log at the first call.
-func (c *claims) refresh() {}
-
 func (c *claims) partition(key string) *partition {
 	n := claim.PartitionOf(key)
 	c.mu.Lock()
--- a/pier/daemon/drain.go
+++ b/pier/daemon/drain.go
@@ -94,9 +94,10 @@
 	sleep(x, leaveNotice)
 }
 
-// busy reports whether anything is in flight on this host.
+// busy reports whether anything is in flight on this host. Steps need not be
+// waited for: their next coordinator finds out from the owners and the trainers.
 func (r *drainer) busy() bool {
-	if r.inflight.Load() > 0 || r.d.claims.busy() || r.d.steps.busy() {
+	if r.inflight.Load() > 0 || r.d.claims.busy() {
 		return true
 	}
 	return r.d.owners.busy()
--- a/pier/daemon/members.go
+++ b/pier/daemon/members.go
@@ -94,7 +94,6 @@
 		}
 	}
 	m.d.owners.refresh()
-	m.d.claims.refresh()
 }
 
 // hint reads the platform's list and the settings for hosts that are not known.
@@ -167,7 +166,6 @@
 func (m *members) leave(s member.State) {
 	m.step(func(t *member.Table) member.Output { return t.Leave(time.Now(), s) })
 	m.d.owners.refresh()
-	m.d.claims.refresh()
 }
 
 func (m *members) self() member.Member {
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -606,8 +606,3 @@
 	}
 	return l
 }
-
-// busy reports whether a pull or an assignment of this host is not handed over.
-// A step itself need not be waited for: its next coordinator finds out from the
-// owners and from the trainer what there is.
-func (s *steps) busy() bool { return false }
--- a/pier/daemon/streams.go
+++ b/pier/daemon/streams.go
@@ -43,6 +43,8 @@
 	text    strings.Builder
 	tokens  atomic.Int64
 	stop    context.CancelFunc
+	// began is when this host began to drive the stream.
+	began time.Time
 	// unwanted is set when the coordinator cancelled the stream.
 	unwanted atomic.Bool
 }
@@ -87,7 +89,7 @@
 // drive starts the goroutine of an admitted stream; o.mu is held.
 func (o *owners) drive(w *rollout.Work, adopted bool) {
 	x, stop := context.WithCancel(o.d.x)
-	s := &stream{Work: *w, state: streamChart.Initial(), adopted: adopted, stop: stop}
+	s := &stream{Work: *w, state: streamChart.Initial(), adopted: adopted, stop: stop, began: time.Now()}
 	o.streams[w.ID()] = s
 	o.d.metrics.streams.Set(float64(len(o.streams)))
 	o.d.wg.Add(1)
@@ -222,7 +224,7 @@
 func (o *owners) chunk(s *stream, c *engine.Chunk) error {
 	if c.End > c.First {
 		if s.sample.Tokens == 0 && s.tokens.Load() == 0 {
-			o.d.metrics.first.Observe(0)
+			o.d.metrics.first.Observe(time.Since(s.began).Seconds())
 		}
 		if err := s.sample.Extend(c.First, c.End, rollout.Version(c.Version)); err != nil {
 			return err
--- a/pier/member/member.go
+++ b/pier/member/member.go
@@ -142,8 +142,6 @@
 	Member
 	// since is when the state was taken.
 	since time.Time
-	// seen is when the member itself was heard last.
-	seen  time.Time
 	phase phase
 	// asked is when the heartbeat or probe that waits was sent.
 	asked time.Time
@@ -285,7 +283,7 @@
 	}
 	e, ok := t.m[h.From]
 	if ok {
-		t.heard(now, e)
+		t.heard(e)
 	}
 	if len(o.Changes) > 0 {
 		t.rebuild(now)
@@ -314,8 +312,7 @@
 
 // heard notes that a member itself was heard. A suspect or dead one is told so by
 // the next heartbeat to it and refutes it with a higher incarnation.
-func (t *Table) heard(now time.Time, e *entry) {
-	e.seen = now
+func (t *Table) heard(e *entry) {
 	e.phase = phaseIdle
 }
 
