--- /dev/null
+++ b/pier/directory/directory.go
@@ -0,0 +1,134 @@
+// Package directory holds the backend servers that are known to take work.
+//
+// Directory folds the registrations of servers in the order of the log. An entry
+// that vanished around an outage of the log is kept for a while, as its server
+// may just have been unable to renew it; any other one counts as leaving at once.
+package directory
+
+import (
+	"net/netip"
+	"sort"
+	"time"
+)
+
+// ReturnGrace is how long after an outage of the log a vanished entry is kept:
+// live servers register again within about two seconds.
+const ReturnGrace = 2 * time.Second
+
+// Server is one incarnation of a backend server.
+type Server struct {
+	ID      string
+	Service string
+	Address netip.AddrPort
+	// Domain is the failure domain that the server runs in.
+	Domain string
+	Slots  int
+	// Leaving servers get no new work.
+	Leaving bool
+	// Versions holds the version of each model that the server last stated.
+	Versions map[string]int64
+	// Orders is the number of orders accepted since the start, as last stated.
+	Orders int64
+	// Born is when the server started, by its own clock.
+	Born time.Time
+}
+
+// Directory is the set of registered servers. It has no I/O and is not safe for
+// concurrent use.
+type Directory struct {
+	servers map[string]*entry
+	// outageEnd is when the log was last found to be back, zero if never away.
+	outageEnd time.Time
+	away      bool
+}
+
+type entry struct {
+	s Server
+	// vanished is when the registration was removed; zero while it stands.
+	vanished time.Time
+}
+
+// New returns an empty directory.
+func New() *Directory { return &Directory{servers: make(map[string]*entry)} }
+
+// Put takes a registration.
+func (d *Directory) Put(s Server) { d.servers[s.ID] = &entry{s: s} }
+
+// Remove takes the removal of a registration.
+func (d *Directory) Remove(id string, now time.Time) {
+	if e := d.servers[id]; e != nil && e.vanished.IsZero() {
+		e.vanished = now
+	}
+}
+
+// Leave marks a server that said by itself that it leaves.
+func (d *Directory) Leave(id string) {
+	if e := d.servers[id]; e != nil {
+		e.s.Leaving = true
+	}
+}
+
+// Observe takes a version that a server stated in an answer.
+func (d *Directory) Observe(id, model string, v int64) bool {
+	e := d.servers[id]
+	if e == nil || e.s.Versions[model] >= v {
+		return false
+	}
+	m := make(map[string]int64, len(e.s.Versions)+1)
+	for k, x := range e.s.Versions {
+		m[k] = x
+	}
+	m[model] = v
+	e.s.Versions = m
+	return true
+}
+
+// Retain removes all servers that are not in keep; used after a gap was mended
+// from the newest records.
+func (d *Directory) Retain(keep map[string]bool, now time.Time) {
+	for id := range d.servers {
+		if !keep[id] {
+			d.Remove(id, now)
+		}
+	}
+}
+
+// LogAway tells that the log could not be read at now.
+func (d *Directory) LogAway() { d.away = true }
+
+// LogBack tells that the log was read at now.
+func (d *Directory) LogBack(now time.Time) {
+	if d.away {
+		d.away, d.outageEnd = false, now
+	}
+}
+
+// Snapshot returns the servers in the order of their ids, and forgets those that
+// vanished for good. A server that vanished while the log was away or within
+// ReturnGrace of its return is kept until then.
+func (d *Directory) Snapshot(now time.Time) []Server {
+	r := make([]Server, 0, len(d.servers))
+	for id, e := range d.servers {
+		if !e.vanished.IsZero() && !d.spared(now) {
+			delete(d.servers, id)
+			continue
+		}
+		r = append(r, e.s)
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].ID < r[j].ID })
+	return r
+}
+
+func (d *Directory) spared(now time.Time) bool {
+	return d.away || (!d.outageEnd.IsZero() && now.Sub(d.outageEnd) < ReturnGrace)
+}
+
+// Pending reports whether an entry waits for the end of the grace.
+func (d *Directory) Pending() bool {
+	for _, e := range d.servers {
+		if !e.vanished.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pier/gateway/cache.go
@@ -0,0 +1,44 @@
+package gateway
+
+import "sync"
+
+// cacheKey names a record of the journal.
+type cacheKey struct {
+	part   int
+	offset int64
+}
+
+// cache keeps the newest records within a bound of bytes.
+type cache struct {
+	mu    sync.Mutex
+	most  int
+	bytes int
+	held  map[cacheKey][]byte
+	order []cacheKey
+}
+
+func newCache(most int) *cache { return &cache{most: most, held: make(map[cacheKey][]byte)} }
+
+func (c *cache) put(k cacheKey, b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.held[k]; ok || len(b) > c.most {
+		return
+	}
+	c.held[k] = b
+	c.order = append(c.order, k)
+	c.bytes += len(b)
+	for c.bytes > c.most {
+		o := c.order[0]
+		c.order = c.order[1:]
+		c.bytes -= len(c.held[o])
+		delete(c.held, o)
+	}
+}
+
+func (c *cache) get(k cacheKey) ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, ok := c.held[k]
+	return b, ok
+}
--- /dev/null
+++ b/pier/gateway/drain.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/chart"
+)
+
+const (
+	// announceTime is how long the balancer may take to see a failing health check:
+	// it asks once a second and needs two misses.
+	announceTime = 2300 * time.Millisecond
+	// drainPoll is the time between two looks at what is still under way.
+	drainPoll = 50 * time.Millisecond
+	// drainReserve is the part of the grace that is kept for ending.
+	drainReserve = 900 * time.Millisecond
+)
+
+var drainChart = chart.Load("drain")
+
+// drainer is the planned stop of a host. It first fails the health check while it
+// still serves, then waits for what is under way: steps run on here, and those
+// that are not whole in time are taken over by other hosts.
+type drainer struct {
+	g  *Gateway
+	mu sync.Mutex
+	// state follows the drain chart; guarded by mu.
+	state chart.State
+	begin chan struct{}
+}
+
+func newDrainer(g *Gateway) *drainer {
+	return &drainer{g: g, state: drainChart.Initial(), begin: make(chan struct{})}
+}
+
+func (r *drainer) current() chart.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+func (r *drainer) fire(e chart.Event) {
+	r.mu.Lock()
+	drainChart.Fire(&r.state, e)
+	s := r.state
+	r.mu.Unlock()
+	r.g.log.Info("drain: state changed", zap.String("state", string(s)), zap.Int("steps", r.g.steps.count()))
+}
+
+// healthy reports whether the balancer may send new connections.
+func (r *drainer) healthy() bool { return r.current() == drainChart.Initial() }
+
+// begun returns a channel that is closed when the stop begins.
+func (r *drainer) begun() <-chan struct{} { return r.begin }
+
+// stopping reports whether no new step is taken.
+func (r *drainer) stopping() bool {
+	s := r.current()
+	return s == "draining" || s == "left"
+}
+
+// leaving reports whether this host takes no duties any more.
+func (r *drainer) leaving() bool { return !r.healthy() }
+
+// Drain carries out the planned stop and returns when the process may end.
+func (g *Gateway) Drain() {
+	r := g.drain
+	end := time.Now().Add(g.s.Timing.Grace.D() - drainReserve)
+	x, stop := context.WithDeadline(g.x, end)
+	defer stop()
+	r.fire("stop")
+	close(r.begin)
+	g.watch.leave()
+	pause(x, announceTime)
+	r.fire("announced")
+	for _, s := range g.servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	for x.Err() == nil && (g.steps.count() > 0 || g.journal.posting()) {
+		pause(x, drainPoll)
+	}
+	if x.Err() != nil {
+		r.fire("limit")
+	} else {
+		r.fire("idle")
+	}
+	g.shutDown()
+}
+
+// shutDown ends the listeners after the requests that are under way.
+func (g *Gateway) shutDown() {
+	x, stop := context.WithTimeout(context.Background(), drainReserve/2)
+	defer stop()
+	var w sync.WaitGroup
+	for _, s := range g.servers {
+		w.Go(func() {
+			if err := s.Shutdown(x); err != nil && err != http.ErrServerClosed {
+				g.log.Warn("drain: requests were cut", zap.Error(err))
+			}
+		})
+	}
+	w.Wait()
+}
--- /dev/null
+++ b/pier/gateway/drive.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/stepjournal"
+	"mulberrypier.example/pier/stepplan"
+)
+
+const (
+	// driveTick is the time between two looks at a step with samples that wait.
+	driveTick = 50 * time.Millisecond
+	// driveStale is how old the view of a step may be for new samples to start: a
+	// host that was cut off does not know of the step's end.
+	driveStale = 10 * time.Second
+	// giveUpMargin keeps samples a little longer than the route says, as clocks
+	// differ.
+	giveUpMargin = 3 * time.Second
+)
+
+// drive runs the samples of one step on this host.
+type drive struct {
+	g     *Gateway
+	route *routetable.Route
+	step  *stepjournal.Step
+	view  *view
+	x     context.Context
+	stop  context.CancelFunc
+	// over receives the samples whose run ended, for good or to be run again.
+	over chan *sample
+	// waiting holds the samples to start, in their order; running those started.
+	waiting []*sample
+	running map[int]*sample
+	// ended tells by item that nothing is left to do here.
+	ended []bool
+	left  int
+}
+
+func newDrive(g *Gateway, r *routetable.Route, s *stepjournal.Step, v *view) *drive {
+	d := &drive{
+		g: g, route: r, step: s, view: v, over: make(chan *sample, len(s.Items)),
+		running: make(map[int]*sample), ended: make([]bool, len(s.Items)), left: len(s.Items),
+	}
+	d.x, d.stop = context.WithCancel(g.x)
+	l := make([]stepplan.Sample, len(s.Items))
+	for i, t := range s.Items {
+		l[i] = stepplan.Sample{Item: i, Group: t.Group, Hint: t.Hint}
+	}
+	for _, p := range stepplan.Order(l) {
+		d.waiting = append(d.waiting, &sample{d: d, at: p.Item, item: &s.Items[p.Item]})
+	}
+	return d
+}
+
+// run returns when the step has all its results, was ended, or was taken over.
+func (d *drive) run() {
+	defer d.stop()
+	defer d.halt()
+	for d.x.Err() == nil {
+		changed, ok := d.look()
+		if !ok || d.left == 0 {
+			break
+		}
+		room := d.g.fleet.room()
+		d.start()
+		d.wait(changed, room)
+	}
+	d.g.log.Info("step: left", zap.String("id", d.step.ID), zap.Int("open", d.left))
+}
+
+// look takes what the journal says of the step; false means that it is not this
+// host's to run any more.
+func (d *drive) look() (<-chan struct{}, bool) {
+	d.view.use()
+	e, changed, known := d.view.entry(d.step.ID)
+	if !known {
+		return changed, true
+	}
+	if e.Ended || e.Driver.Host != d.g.self.Host {
+		return changed, false
+	}
+	for i, done := range d.view.finished(d.step.ID, len(d.ended)) {
+		if done {
+			d.finish(i)
+		}
+	}
+	if d.route.GiveUp > 0 && time.Since(e.Submitted) > d.route.GiveUp+giveUpMargin {
+		d.giveUp()
+	}
+	return changed, true
+}
+
+// finish ends what is done here for an item.
+func (d *drive) finish(i int) {
+	if d.ended[i] {
+		return
+	}
+	d.ended[i] = true
+	d.left--
+	if s := d.running[i]; s != nil {
+		s.stop()
+		delete(d.running, i)
+	}
+}
+
+// giveUp ends all samples that have no result.
+func (d *drive) giveUp() {
+	for i := range d.ended {
+		if !d.ended[i] {
+			d.post(&stepjournal.Result{Step: d.step.ID, Item: i, ID: d.step.Items[i].ID, State: stepjournal.Dead})
+			d.finish(i)
+		}
+	}
+}
+
+// start begins as many samples as the engines have room for.
+func (d *drive) start() {
+	if d.view.staleAt(time.Now().Add(-driveStale)) {
+		return
+	}
+	t := d.g.Table()
+	if t == nil {
+		return
+	}
+	keep := d.waiting[:0]
+	full := false
+	for _, s := range d.waiting {
+		if d.ended[s.at] {
+			continue
+		}
+		if full || !d.begin(t, s) {
+			full = true
+			keep = append(keep, s)
+		}
+	}
+	d.waiting = keep
+}
+
+// begin starts a sample if an engine has room for it.
+func (d *drive) begin(t *routetable.Table, s *sample) bool {
+	r := t.Match(d.step.Host, s.item.Path)
+	if r == nil {
+		return false
+	}
+	service := r.Pick(0)
+	slots := 1
+	if v := t.Services[service]; v != nil {
+		slots = max(v.Slots, 1)
+	}
+	u, ok := d.g.fleet.engine(service, d.step.Model, d.need(s), slots)
+	if !ok {
+		return false
+	}
+	if s.began.IsZero() {
+		s.began = time.Now()
+	}
+	x, stop := context.WithCancel(d.x)
+	s.stop = stop
+	d.running[s.at] = s
+	d.g.wg.Go(func() {
+		defer stop()
+		s.run(x, u)
+		d.over <- s
+	})
+	return true
+}
+
+// need returns the oldest version that may generate a sample from here on.
+func (d *drive) need(s *sample) int64 {
+	if d.route.SingleVersion && len(s.versions) > 0 {
+		return max(d.step.MinVersion, s.versions[len(s.versions)-1])
+	}
+	return d.step.MinVersion
+}
+
+// wait returns when something may have changed.
+func (d *drive) wait(changed, room <-chan struct{}) {
+	if len(d.waiting) == 0 {
+		room = nil
+	}
+	t := time.NewTimer(driveTick)
+	defer t.Stop()
+	tick := t.C
+	if len(d.waiting) == 0 {
+		tick = nil
+	}
+	select {
+	case <-d.x.Done():
+	case <-changed:
+	case <-room:
+	case <-tick:
+	case s := <-d.over:
+		d.ran(s)
+	}
+}
+
+// ran takes a sample whose run ended: it has a result, or runs again.
+func (d *drive) ran(s *sample) {
+	delete(d.running, s.at)
+	if d.ended[s.at] {
+		return
+	}
+	if s.result == nil {
+		d.waiting = append([]*sample{s}, d.waiting...)
+		return
+	}
+	d.post(s.result)
+	d.g.metrics.sample.Observe(time.Since(s.began).Seconds())
+	d.finish(s.at)
+}
+
+// post puts a result into the journal.
+func (d *drive) post(r *stepjournal.Result) {
+	b, err := stepjournal.Finished(r)
+	if err != nil {
+		d.g.log.Error("step: result cannot be kept", zap.String("id", r.ID), zap.Error(outcome.From(err)))
+		return
+	}
+	d.g.metrics.samples.WithLabelValues(string(r.State)).Inc()
+	d.view.post(b)
+}
+
+// halt stops all samples.
+func (d *drive) halt() {
+	for _, s := range d.running {
+		s.stop()
+	}
+}
--- /dev/null
+++ b/pier/gateway/events.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+
+	"mulberrypier.example/pier/outcome"
+)
+
+// lineMost bounds a line of a stream, in bytes.
+const lineMost = 64 << 10
+
+// event is one whole event of a stream.
+type event struct {
+	id   int64
+	data string
+	// version is set when the event states one.
+	version int64
+}
+
+// events reads a stream of server-sent events. An event counts once its empty
+// line is read; what comes after the last one is dropped.
+type events struct {
+	r            *bufio.Reader
+	versionField string
+}
+
+func newEvents(r io.Reader, versionField string) *events {
+	return &events{r: bufio.NewReaderSize(r, 1<<10), versionField: versionField}
+}
+
+// next returns the next event, io.EOF after a stream that ended whole, or an
+// *outcome.Error.
+func (e *events) next() (*event, error) {
+	n := &event{id: -1}
+	var data []string
+	begun := false
+	for {
+		l, err := e.line()
+		if errors.Is(err, io.EOF) && !begun && l == "" {
+			return nil, io.EOF
+		}
+		if err != nil {
+			return nil, outcome.Lost(outcome.ReasonShortAnswer, "stream", err)
+		}
+		if l == "" {
+			if !begun {
+				continue
+			}
+			if n.id < 0 {
+				return nil, outcome.Lost(outcome.ReasonTokenGap, "event without id", nil)
+			}
+			n.data = strings.Join(data, "\n")
+			return n, nil
+		}
+		begun = true
+		if err := e.field(n, &data, l); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (e *events) line() (string, error) {
+	var b []byte
+	for {
+		p, more, err := e.r.ReadLine()
+		if err != nil {
+			return string(b), err
+		}
+		if len(b)+len(p) > lineMost {
+			return "", outcome.Lost(outcome.ReasonAnswerTooLarge, "stream", nil)
+		}
+		b = append(b, p...)
+		if !more {
+			return string(b), nil
+		}
+	}
+}
+
+func (e *events) field(n *event, data *[]string, l string) error {
+	k, v, _ := strings.Cut(l, ":")
+	v = strings.TrimPrefix(v, " ")
+	switch k {
+	case "id":
+		i, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return outcome.Lost(outcome.ReasonTokenGap, "event id", err)
+		}
+		n.id = i
+	case "data":
+		*data = append(*data, v)
+	case e.versionField:
+		i, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || i <= 0 {
+			return outcome.Lost(outcome.ReasonUnversioned, "event version", err)
+		}
+		n.version = i
+	}
+	return nil
+}
--- /dev/null
+++ b/pier/gateway/fleet.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/orderlease"
+	"mulberrypier.example/pier/stepplan"
+)
+
+const (
+	// reportAge is how long a load stated in an answer is taken into account.
+	reportAge = 400 * time.Millisecond
+	// avoidFirst is how long a server is avoided after it failed; the time doubles
+	// with each further failure up to avoidMost.
+	avoidFirst = 300 * time.Millisecond
+	avoidMost  = 3 * time.Second
+	// loadTime is how long an engine takes to load a version.
+	loadTime = 950 * time.Millisecond
+)
+
+// fleet is what this host knows of the backend servers.
+type fleet struct {
+	g  *Gateway
+	mu sync.Mutex
+	// dir, list and state are guarded by mu; list is replaced, never changed.
+	dir   *directory.Directory
+	list  map[string][]directory.Server
+	state map[string]*serverState
+	// changed is closed and replaced when a server may have room again.
+	changed chan struct{}
+}
+
+// serverState is what this host knows of a server beside its registration.
+type serverState struct {
+	// running is the number of requests that this host has at the server.
+	running int
+	// load is what the server last stated, at loadAt; own is running at that time.
+	load   backend.Load
+	loadAt time.Time
+	own    int
+	// avoid is until when the server gets work only if no other can; fails counts
+	// the failures in a row.
+	avoid time.Time
+	fails int
+	// ordered holds the versions that the server was ordered to load.
+	ordered map[string]orderedVersion
+}
+
+type orderedVersion struct {
+	version int64
+	ready   time.Time
+}
+
+func newFleet(g *Gateway) *fleet {
+	return &fleet{
+		g: g, dir: directory.New(), list: make(map[string][]directory.Server),
+		state: make(map[string]*serverState), changed: make(chan struct{}),
+	}
+}
+
+func (f *fleet) run() {
+	w := follower{g: f.g, topic: f.g.c.Sources.Servers, put: f.put, whole: f.whole, pass: f.pass}
+	w.run()
+}
+
+func (f *fleet) put(key string, value []byte, offset int64) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(value) == 0 {
+		f.dir.Remove(key, now)
+		f.g.log.Info("servers: registration removed", zap.String("server", key), zap.Int64("offset", offset))
+		return
+	}
+	s, err := f.g.c.Sources.ReadServer(key, value)
+	if err != nil {
+		f.g.metrics.unreadable.WithLabelValues(f.g.c.Sources.Servers).Inc()
+		f.g.log.Warn("servers: record cannot be read", zap.String("server", key), zap.Int64("offset", offset), zap.Error(err))
+		return
+	}
+	f.dir.Put(s)
+}
+
+func (f *fleet) whole(keys map[string]bool) {
+	f.mu.Lock()
+	f.dir.Retain(keys, time.Now())
+	f.mu.Unlock()
+}
+
+func (f *fleet) pass(err error) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.dir.LogAway()
+	} else {
+		f.dir.LogBack(now)
+	}
+	f.rebuild(now)
+}
+
+// rebuild makes the lists of servers by service. The caller holds mu.
+func (f *fleet) rebuild(now time.Time) {
+	l := make(map[string][]directory.Server)
+	known := make(map[string]bool)
+	for _, s := range f.dir.Snapshot(now) {
+		known[s.ID] = true
+		l[s.Service] = append(l[s.Service], s)
+		if f.state[s.ID] == nil {
+			f.state[s.ID] = &serverState{ordered: make(map[string]orderedVersion)}
+		}
+	}
+	for id, t := range f.state {
+		if !known[id] && t.running == 0 {
+			delete(f.state, id)
+		}
+	}
+	f.list = l
+	f.signal()
+}
+
+// signal wakes those that wait for room. The caller holds mu.
+func (f *fleet) signal() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// room returns a channel that is closed when a server may have room.
+func (f *fleet) room() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// servers returns the servers of a service.
+func (f *fleet) servers(service string) []directory.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list[service]
+}
+
+// lease is the use of a server by one request of this host.
+type lease struct {
+	f *fleet
+	s directory.Server
+}
+
+// engine picks the engine for a sample and reserves a place there. served is
+// called with the lock held.
+func (f *fleet) engine(service, model string, min int64, slots int) (*lease, bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.list[service]
+	c := make([]stepplan.Engine, 0, len(l))
+	at := make([]int, 0, len(l))
+	for i, s := range l {
+		t := f.state[s.ID]
+		if s.Leaving || now.Before(t.avoid) {
+			continue
+		}
+		n := s.Slots
+		if n == 0 {
+			n = slots
+		}
+		at = append(at, i)
+		c = append(c, stepplan.Engine{
+			ID: s.ID, Version: t.version(s, model, now), Slots: n,
+			Running: t.used(now), Near: s.Domain == f.g.s.Domain,
+		})
+	}
+	i := stepplan.Pick(c, min)
+	if i < 0 {
+		return nil, false
+	}
+	s := l[at[i]]
+	f.state[s.ID].running++
+	return &lease{f: f, s: s}, true
+}
+
+// version returns the version of a model that the server is believed to hold.
+func (t *serverState) version(s directory.Server, model string, now time.Time) int64 {
+	v := s.Versions[model]
+	if o, ok := t.ordered[model]; ok && !now.Before(o.ready) {
+		v = max(v, o.version)
+	}
+	return v
+}
+
+// used returns how many requests are at the server, as far as is known: those of
+// this host, and those of others when the server last told.
+func (t *serverState) used(now time.Time) int {
+	n := t.running
+	if now.Sub(t.loadAt) < reportAge {
+		n += max(t.load.Running+t.load.Waiting-t.own, 0)
+	}
+	return n
+}
+
+// plain picks a server for a plain request, beside those in tried.
+func (f *fleet) plain(service string, tried map[string]bool) (*lease, bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best, bestCost := -1, 0.0
+	l := f.list[service]
+	for i, s := range l {
+		t := f.state[s.ID]
+		if s.Leaving || tried[s.ID] {
+			continue
+		}
+		c := float64(t.used(now)) / float64(max(s.Slots, 1))
+		if now.Before(t.avoid) {
+			c += avoidCost
+		}
+		if s.Domain != f.g.s.Domain {
+			c += farCost
+		}
+		if best < 0 || c < bestCost {
+			best, bestCost = i, c
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	f.state[l[best].ID].running++
+	return &lease{f: f, s: l[best]}, true
+}
+
+const (
+	// avoidCost puts a server that failed just now behind all others.
+	avoidCost = 100
+	// farCost is the load that another failure domain's round trip is worth.
+	farCost = 0.1
+)
+
+// observe takes what a server says of itself in an answer.
+func (u *lease) observe(a *backend.Response) {
+	l, ok := a.Load()
+	if !ok {
+		return
+	}
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	t := u.f.state[u.s.ID]
+	t.load, t.loadAt, t.own = l, time.Now(), t.running
+}
+
+// version takes the version that a server states for a model.
+func (u *lease) version(model string, v int64) {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	t := u.f.state[u.s.ID]
+	if o := t.ordered[model]; o.version > v {
+		delete(t.ordered, model)
+	}
+	if u.f.dir.Observe(u.s.ID, model, v) {
+		u.f.rebuild(time.Now())
+	}
+}
+
+// failed puts the server behind others for a while.
+func (u *lease) failed(reason string) {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	t := u.f.state[u.s.ID]
+	d := min(avoidFirst<<min(t.fails, 8), avoidMost)
+	t.fails++
+	t.avoid = time.Now().Add(d)
+	u.f.g.log.Info("servers: avoided", zap.String("server", u.s.ID), zap.String("reason", reason), zap.Duration("for", d))
+}
+
+// full keeps work from a server that refused some for lack of room.
+func (u *lease) full(d time.Duration) {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	u.f.state[u.s.ID].avoid = time.Now().Add(d)
+}
+
+// served takes a success.
+func (u *lease) served() {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	u.f.state[u.s.ID].fails = 0
+}
+
+// done gives the place back.
+func (u *lease) done() {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	u.f.state[u.s.ID].running--
+	u.f.signal()
+}
+
+// ordered takes an order that was given to a server, by this host or another.
+func (f *fleet) ordered(o orderlease.Load, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.state[o.Server]; t != nil {
+		t.ordered[o.Model] = orderedVersion{version: o.Version, ready: now.Add(loadTime)}
+	}
+}
+
+// notLoaded takes back an order that was not carried out.
+func (f *fleet) notLoaded(server, model string, v int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.state[server]; t != nil && t.ordered[model].version == v {
+		delete(t.ordered, model)
+	}
+}
+
+// hasVersion takes the version that a server was found to have.
+func (f *fleet) hasVersion(server, model string, v int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dir.Observe(server, model, v) {
+		f.rebuild(time.Now())
+	}
+}
+
+// server returns a registered server.
+func (f *fleet) server(id string) (directory.Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.list {
+		for _, s := range l {
+			if s.ID == id {
+				return s, true
+			}
+		}
+	}
+	return directory.Server{}, false
+}
--- /dev/null
+++ b/pier/gateway/follow.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/routetable"
+)
+
+const (
+	// followWait is how long a read waits for a record. It is short, so that an
+	// outage of the log or a silent connection shows soon.
+	followWait = time.Second
+	// followSlack is how long a read may take beyond its wait.
+	followSlack = 800 * time.Millisecond
+	// followPace is the shortest time between two reads of a keyed topic, so that
+	// records that come one by one are read together.
+	followPace = 150 * time.Millisecond
+	// followBytes bounds the answer to a read.
+	followBytes = 256 << 10
+	// retryPause is the time after which a failed call to the log is tried again.
+	retryPause = 150 * time.Millisecond
+)
+
+// follower reads a keyed topic: first the newest record of each key, then every
+// further one. After a gap it begins again.
+type follower struct {
+	g     *Gateway
+	topic string
+	// put takes a record; an empty value drops the key.
+	put func(key string, value []byte, offset int64)
+	// whole is called after the newest records were put, with their keys.
+	whole func(keys map[string]bool)
+	// pass is called after each read with its error, nil for a success.
+	pass func(err error)
+	// next is the offset to read from, -1 when the newest records are wanted.
+	next int64
+	// offsets holds the newest offset seen of each key, so that no key goes back.
+	offsets map[string]int64
+}
+
+func (f *follower) run() {
+	f.next = -1
+	f.offsets = make(map[string]int64)
+	for f.g.x.Err() == nil {
+		t := time.Now()
+		err := f.step()
+		f.pass(err)
+		if err == nil {
+			f.g.answered()
+			pause(f.g.x, followPace-time.Since(t))
+			continue
+		}
+		if outcome.Is(err, partlog.ReasonExpired) {
+			f.next = -1
+			continue
+		}
+		if f.g.x.Err() == nil {
+			f.g.metrics.logErrors.WithLabelValues(f.topic).Inc()
+			f.g.log.Warn("log: read failed", zap.String("topic", f.topic), zap.Error(err))
+		}
+		pause(f.g.x, retryPause)
+	}
+}
+
+func (f *follower) step() error {
+	x, stop := context.WithTimeout(f.g.x, followWait+followSlack)
+	defer stop()
+	if f.next < 0 {
+		return f.restart(x)
+	}
+	p, err := f.g.c.Log.Read(x, partlog.ReadRequest{
+		Partition: partlog.Partition{Topic: f.topic}, From: f.next, MaxBytes: followBytes, Wait: followWait,
+	})
+	if err != nil {
+		return err
+	}
+	for i, b := range p.Records {
+		f.record(p.From+int64(i), b)
+	}
+	f.next = p.From + int64(len(p.Records))
+	return nil
+}
+
+func (f *follower) record(offset int64, b []byte) {
+	k, v, ok := partlog.SplitKeyed(b)
+	if !ok {
+		f.g.metrics.unreadable.WithLabelValues(f.topic).Inc()
+		f.g.log.Warn("log: record cannot be read", zap.String("topic", f.topic), zap.Int64("offset", offset))
+		return
+	}
+	if o, seen := f.offsets[k]; seen && o >= offset {
+		return
+	}
+	f.offsets[k] = offset
+	f.put(k, v, offset)
+}
+
+// restart reads the newest records, and forgets keys that are gone.
+func (f *follower) restart(x context.Context) error {
+	n, err := f.g.c.Log.Newest(x, f.topic)
+	if err != nil {
+		return err
+	}
+	keys := make(map[string]bool)
+	for _, r := range n.Records {
+		keys[r.Key] = true
+		if o, seen := f.offsets[r.Key]; seen && o >= r.Offset {
+			continue
+		}
+		f.offsets[r.Key] = r.Offset
+		f.put(r.Key, r.Value, r.Offset)
+	}
+	f.whole(keys)
+	f.next = n.End
+	return nil
+}
+
+// tables holds the configuration and the newest versions of the models.
+type tables struct {
+	g        *Gateway
+	table    atomic.Pointer[routetable.Table]
+	versions atomic.Pointer[map[string]named]
+}
+
+// named is a version that a trainer named.
+type named struct {
+	version int64
+	// seen is when this host learnt of it.
+	seen time.Time
+}
+
+func newTables(g *Gateway) *tables {
+	t := &tables{g: g}
+	t.versions.Store(&map[string]named{})
+	return t
+}
+
+func (t *tables) current() *routetable.Table { return t.table.Load() }
+
+// newest returns the newest version of each model.
+func (t *tables) newest() map[string]named { return *t.versions.Load() }
+
+func (t *tables) run() {
+	f := follower{
+		g: t.g, topic: t.g.c.Sources.Operators, put: t.put,
+		whole: func(map[string]bool) {}, pass: func(error) {},
+	}
+	f.run()
+}
+
+// put takes a record; a configuration or version that is not newer is ignored,
+// and one that cannot be read leaves the last good one in force.
+func (t *tables) put(key string, value []byte, offset int64) {
+	if len(value) == 0 {
+		return
+	}
+	c, ok, err := t.g.c.Sources.ReadChange(key, value)
+	if err != nil {
+		t.g.metrics.unreadable.WithLabelValues(t.g.c.Sources.Operators).Inc()
+		t.g.log.Warn("config: record cannot be read", zap.String("key", key), zap.Int64("offset", offset), zap.Error(err))
+		return
+	}
+	if !ok {
+		return
+	}
+	if c.Table != nil {
+		t.putTable(c.Table)
+		return
+	}
+	t.putVersion(c.Model, c.Version)
+}
+
+func (t *tables) putTable(n *routetable.Table) {
+	if o := t.table.Load(); o != nil && o.Version >= n.Version {
+		return
+	}
+	t.table.Store(n)
+	t.g.log.Info("config: in force", zap.Int64("version", n.Version))
+}
+
+func (t *tables) putVersion(model string, v int64) {
+	o := t.newest()
+	if o[model].version >= v {
+		return
+	}
+	m := make(map[string]named, len(o)+1)
+	for k, n := range o {
+		m[k] = n
+	}
+	m[model] = named{version: v, seen: time.Now()}
+	t.versions.Store(&m)
+	t.g.log.Info("weights: version named", zap.String("model", model), zap.Int64("version", v))
+	t.g.orders.wake()
+}
--- /dev/null
+++ b/pier/gateway/journal.go
@@ -0,0 +1,334 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+const (
+	// viewIdle is how long a partition is followed after its last use.
+	viewIdle = 10 * time.Second
+	// appendLimit is how long an append to the journal may take.
+	appendLimit = 1500 * time.Millisecond
+	// appendBytes bounds the results of one append.
+	appendBytes = 512 << 10
+	// cacheBytes bounds the results that are kept for trainers to read.
+	cacheBytes = 768 << 10
+	// appendPauseMost bounds the pause between tries to append.
+	appendPauseMost = 600 * time.Millisecond
+)
+
+// journal is this host's view of the steps' partitions.
+type journal struct {
+	g  *Gateway
+	mu sync.Mutex
+	// views holds the partitions that were of use so far.
+	views map[int]*view
+	cache *cache
+}
+
+func newJournal(g *Gateway) *journal {
+	return &journal{g: g, views: make(map[int]*view), cache: newCache(cacheBytes)}
+}
+
+// of returns the view of a step's partition and begins to follow it.
+func (j *journal) of(step string) *view {
+	return j.part(stepjournal.PartOf(step, j.g.s.Log.Partitions))
+}
+
+func (j *journal) part(n int) *view {
+	j.mu.Lock()
+	v := j.views[n]
+	if v == nil {
+		v = &view{j: j, n: n, fold: stepjournal.NewFold(), changed: make(chan struct{})}
+		j.views[n] = v
+	}
+	j.mu.Unlock()
+	v.use()
+	return v
+}
+
+// view follows one partition while it is of use.
+type view struct {
+	j *journal
+	n int
+
+	mu   sync.Mutex
+	fold *stepjournal.Fold
+	// changed is closed and replaced with each new record.
+	changed chan struct{}
+	// fresh is when the newest read that reached the end was sent.
+	fresh   time.Time
+	used    time.Time
+	running bool
+	// queue holds records to append; flushing tells that an append is under way.
+	queue    [][]byte
+	flushing bool
+}
+
+func (v *view) partition() partlog.Partition {
+	return partlog.Partition{Topic: stepjournal.Topic, Part: v.n}
+}
+
+// use keeps the view following for a while.
+func (v *view) use() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.used = time.Now()
+	if !v.running && v.j.g.x.Err() == nil {
+		v.running = true
+		v.j.g.wg.Go(v.run)
+	}
+}
+
+// idle ends the following when the view was not used; it reports whether it did.
+func (v *view) idle() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if time.Since(v.used) > viewIdle {
+		v.running = false
+	}
+	return !v.running
+}
+
+func (v *view) run() {
+	for v.j.g.x.Err() == nil && !v.idle() {
+		if err := v.read(v.j.g.x, followWait); err != nil {
+			pause(v.j.g.x, retryPause)
+		}
+	}
+}
+
+// read takes the next records, waiting for the first.
+func (v *view) read(x context.Context, wait time.Duration) error {
+	x, stop := context.WithTimeout(x, wait+followSlack)
+	defer stop()
+	v.mu.Lock()
+	from := v.fold.Next
+	v.mu.Unlock()
+	sent := time.Now()
+	p, err := v.j.g.c.Log.Read(x, partlog.ReadRequest{Partition: v.partition(), From: from, MaxBytes: followBytes, Wait: wait})
+	if outcome.Is(err, partlog.ReasonExpired) {
+		v.skip(p.First)
+		return nil
+	}
+	if err != nil {
+		if v.j.g.x.Err() == nil {
+			v.j.g.metrics.logErrors.WithLabelValues(stepjournal.Topic).Inc()
+			v.j.g.log.Warn("journal: read failed", zap.Int("part", v.n), zap.Int64("from", from), zap.Error(err))
+		}
+		return err
+	}
+	v.j.g.answered()
+	v.take(p, sent)
+	return nil
+}
+
+func (v *view) skip(first int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.j.g.log.Warn("journal: records expired", zap.Int("part", v.n), zap.Int64("from", v.fold.Next), zap.Int64("first", first))
+	v.fold.Skip(first)
+}
+
+// take folds the records of a page that are not folded yet.
+func (v *view) take(p partlog.Page, sent time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i, b := range p.Records {
+		at := p.From + int64(i)
+		if at != v.fold.Next {
+			continue
+		}
+		if err := v.fold.Apply(b); err != nil {
+			v.j.g.metrics.unreadable.WithLabelValues(stepjournal.Topic).Inc()
+			v.j.g.log.Warn("journal: record cannot be read", zap.Int("part", v.n), zap.Int64("offset", at), zap.Error(err))
+			continue
+		}
+		v.j.cache.put(cacheKey{v.n, at}, b)
+	}
+	if v.fold.Next >= p.End {
+		v.fresh = sent
+	}
+	if len(p.Records) > 0 {
+		close(v.changed)
+		v.changed = make(chan struct{})
+		v.fold.Forget(time.Now().Add(-v.j.g.s.Log.Retention.D()))
+	}
+}
+
+// sync returns once the view has every record that was there at the call.
+func (v *view) sync(x context.Context) error {
+	asked := time.Now()
+	for {
+		if err := v.read(x, 0); err != nil {
+			return err
+		}
+		if !v.staleAt(asked) {
+			return nil
+		}
+		if x.Err() != nil {
+			return outcome.Refuse(outcome.ReasonDeadline, "journal")
+		}
+	}
+}
+
+// staleAt reports whether the view may lack records that were there at t.
+func (v *view) staleAt(t time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fresh.Before(t)
+}
+
+// entry returns a copy of a step's entry, and the channel that is closed with the
+// next record; ok is false for a step that is not known.
+func (v *view) entry(step string) (e stepjournal.Entry, changed <-chan struct{}, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.fold.Step(step)
+	if p == nil {
+		return stepjournal.Entry{}, v.changed, false
+	}
+	return *p, v.changed, true
+}
+
+// finished returns which items of a step have results.
+func (v *view) finished(step string, n int) []bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := make([]bool, n)
+	e := v.fold.Step(step)
+	for i := range r {
+		r[i] = e != nil && e.Done(i)
+	}
+	return r
+}
+
+// open returns the entries of the steps that want results.
+func (v *view) open() []stepjournal.Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var r []stepjournal.Entry
+	for _, e := range v.fold.Steps() {
+		if e.Open() {
+			r = append(r, *e)
+		}
+	}
+	return r
+}
+
+// append adds records in one call. Its error tells whether they may be there.
+func (v *view) append(x context.Context, r [][]byte) (partlog.Appended, error) {
+	x, stop := context.WithTimeout(x, appendLimit)
+	defer stop()
+	a, err := v.j.g.c.Log.Append(x, partlog.AppendRequest{Partition: v.partition(), Records: r, At: partlog.NoCondition})
+	if err != nil {
+		v.j.g.metrics.logErrors.WithLabelValues(stepjournal.Topic).Inc()
+		return a, err
+	}
+	v.j.g.answered()
+	return a, nil
+}
+
+// post appends a record until it is acknowledged, together with others that come
+// meanwhile. Records may be appended twice: the fold takes the first.
+func (v *view) post(b []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.queue = append(v.queue, b)
+	v.used = time.Now()
+	if !v.flushing {
+		v.flushing = true
+		v.j.g.wg.Go(v.flush)
+	}
+}
+
+func (v *view) flush() {
+	wait := retryPause
+	for {
+		b := v.batch()
+		if len(b) == 0 {
+			return
+		}
+		_, err := v.append(v.j.g.x, b)
+		if err == nil {
+			v.mu.Lock()
+			v.queue = v.queue[len(b):]
+			v.mu.Unlock()
+			wait = retryPause
+			continue
+		}
+		if v.j.g.x.Err() != nil {
+			return
+		}
+		v.j.g.log.Warn("journal: append failed", zap.Int("part", v.n), zap.Int("records", len(b)), zap.Error(err))
+		pause(v.j.g.x, wait)
+		wait = min(2*wait, appendPauseMost)
+	}
+}
+
+// batch returns the records to append next; none ends the flushing.
+func (v *view) batch() [][]byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n, size := 0, 0
+	for n < len(v.queue) && (n == 0 || size+len(v.queue[n]) <= appendBytes) {
+		size += len(v.queue[n])
+		n++
+	}
+	if n == 0 {
+		v.flushing, v.queue = false, nil
+	}
+	return v.queue[:n:n]
+}
+
+// posting reports whether records wait to be acknowledged.
+func (j *journal) posting() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, v := range j.views {
+		v.mu.Lock()
+		n := len(v.queue)
+		v.mu.Unlock()
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// records returns the records from an offset on, out of the cache if they are
+// there; at least the first.
+func (v *view) records(x context.Context, from int64, n int) ([][]byte, error) {
+	var r [][]byte
+	for i := range n {
+		b, ok := v.j.cache.get(cacheKey{v.n, from + int64(i)})
+		if !ok {
+			break
+		}
+		r = append(r, b)
+	}
+	if len(r) > 0 {
+		return r, nil
+	}
+	x, stop := context.WithTimeout(x, followSlack)
+	defer stop()
+	p, err := v.j.g.c.Log.Read(x, partlog.ReadRequest{Partition: v.partition(), From: from, MaxBytes: followBytes})
+	if err != nil {
+		return nil, err
+	}
+	if len(p.Records) == 0 {
+		return nil, outcome.Refuse(outcome.ReasonLogDown, "journal record is missing")
+	}
+	for i, b := range p.Records {
+		v.j.cache.put(cacheKey{v.n, from + int64(i)}, b)
+	}
+	return p.Records[:min(n, len(p.Records))], nil
+}
--- /dev/null
+++ b/pier/gateway/metrics.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are the counters and histograms of a host.
+type metrics struct {
+	registry   *prometheus.Registry
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	samples    *prometheus.CounterVec
+	steps      *prometheus.CounterVec
+	orders     *prometheus.CounterVec
+	logErrors  *prometheus.CounterVec
+	unreadable *prometheus.CounterVec
+	bugs       *prometheus.CounterVec
+	opened     prometheus.Counter
+	plain      prometheus.Histogram
+	sample     prometheus.Histogram
+	accept     prometheus.Histogram
+}
+
+func newMetrics() *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "mulberrypier_" + name, Help: help}, labels)
+		m.registry.MustRegister(c)
+		return c
+	}
+	times := func(name, help string) prometheus.Histogram {
+		h := prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "mulberrypier_" + name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		})
+		m.registry.MustRegister(h)
+		return h
+	}
+	m.refusals = counter("refusals_total", "Requests refused, by reason.", "reason")
+	m.retries = counter("retries_total", "Attempts that were followed by another, by reason.", "reason")
+	m.samples = counter("samples_total", "Samples that ended, by state.", "state")
+	m.steps = counter("steps_total", "What happened to steps on this host.", "event")
+	m.orders = counter("orders_total", "Orders to engines, by outcome.", "outcome")
+	m.logErrors = counter("log_errors_total", "Failed calls to the log, by topic.", "topic")
+	m.unreadable = counter("unreadable_records_total", "Records that were skipped, by topic.", "topic")
+	m.bugs = counter("broken_invariants_total", "Invariants found broken.", "invariant")
+	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
+	})
+	m.registry.MustRegister(m.opened)
+	m.plain = times("plain_seconds", "Time of plain requests, from their arrival to their answer.")
+	m.sample = times("sample_seconds", "Time of samples, from their first start to their result.")
+	m.accept = times("accept_seconds", "Time from the arrival of a step to its acceptance.")
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/pier/gateway/orders.go
@@ -0,0 +1,319 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/loadplan"
+	"mulberrypier.example/pier/orderlease"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partlog"
+)
+
+const (
+	// renewInterval is the time between two renewals of the order lease.
+	renewInterval = 900 * time.Millisecond
+	// orderLimit is how long an engine may take to answer an order.
+	orderLimit = 400 * time.Millisecond
+	// reportPause is the time between two questions whether a load is done.
+	reportPause = 150 * time.Millisecond
+	// loadMost is how long a load may take before it counts as failed.
+	loadMost = 4 * time.Second
+	// ordersPace is the shortest time between two reads of the orders' topic.
+	ordersPace = 40 * time.Millisecond
+	// shunned is how long a server that did not take an order is left alone.
+	shunned = 1500 * time.Millisecond
+)
+
+// orders holds the order lease when it is this host's, and orders engines to load
+// the versions that trainers name. Every host reads which loads were ordered.
+type orders struct {
+	g     *Gateway
+	lease *orderlease.Lease
+	woken chan struct{}
+	// underWay holds the loads that are not known to be done.
+	underWay map[string]*loading
+	// shun holds until when a server gets no order.
+	shun map[string]time.Time
+	over chan *loading
+	sent time.Duration
+}
+
+// loading is a load under way.
+type loading struct {
+	load  loadplan.Load
+	began time.Time
+	err   error
+}
+
+func newOrders(g *Gateway) *orders {
+	return &orders{
+		g: g, woken: make(chan struct{}, 1), underWay: make(map[string]*loading),
+		shun: make(map[string]time.Time), over: make(chan *loading, 64),
+		lease: orderlease.New(orderlease.Config{Host: g.self.Host, TTL: g.s.Timing.OrderLease.D()}),
+	}
+}
+
+// wake makes the holder look for loads at once.
+func (o *orders) wake() {
+	select {
+	case o.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (o *orders) run() {
+	for o.g.x.Err() == nil {
+		if o.lease.Holds(boottime.Now()) {
+			o.hold()
+			continue
+		}
+		o.underWay = make(map[string]*loading)
+		t := time.Now()
+		if err := o.read(followWait / 2); err != nil {
+			pause(o.g.x, retryPause)
+			continue
+		}
+		if o.g.watch.candidate.Load() && !o.g.drain.leaving() && o.lease.MayAppend(boottime.Now()) {
+			o.append(nil)
+		}
+		pause(o.g.x, ordersPace-time.Since(t))
+	}
+}
+
+// read takes the next records of the orders' topic.
+func (o *orders) read(wait time.Duration) error {
+	x, stop := context.WithTimeout(o.g.x, wait+followSlack)
+	defer stop()
+	p, err := o.g.c.Log.Read(x, partlog.ReadRequest{
+		Partition: partlog.Partition{Topic: orderlease.Topic}, From: o.lease.Next(), MaxBytes: followBytes, Wait: wait,
+	})
+	now := boottime.Now()
+	if outcome.Is(err, partlog.ReasonExpired) {
+		o.lease.SkipTo(p.First, now)
+		return nil
+	}
+	if err != nil {
+		if o.g.x.Err() == nil {
+			o.g.metrics.logErrors.WithLabelValues(orderlease.Topic).Inc()
+		}
+		return err
+	}
+	o.g.answered()
+	for i, b := range p.Records {
+		r, err := orderlease.Decode(b)
+		if err != nil {
+			o.g.metrics.unreadable.WithLabelValues(orderlease.Topic).Inc()
+			o.g.log.Warn("orders: record cannot be read", zap.Int64("offset", p.From+int64(i)), zap.Error(err))
+			r = &orderlease.Record{Holder: "unknown"}
+		}
+		if r.Holder != o.lease.Holder() {
+			o.g.log.Info("orders: lease seen", zap.String("holder", r.Holder), zap.Int64("offset", p.From+int64(i)))
+		}
+		o.lease.Read(p.From+int64(i), r, now)
+		if r.Load != nil {
+			o.g.fleet.ordered(*r.Load, time.Now())
+		}
+	}
+	return nil
+}
+
+// append renews or takes the lease, with an order to announce or without one.
+func (o *orders) append(l *orderlease.Load) bool {
+	r := orderlease.Record{Holder: o.g.self.Host, Load: l}
+	sent := boottime.Now()
+	if o.lease.Holds(sent) {
+		r.Fence = o.lease.Fence()
+	}
+	b, err := r.Encode()
+	if err != nil {
+		o.g.log.Error("orders: record cannot be made", zap.Error(err))
+		return false
+	}
+	x, stop := context.WithTimeout(o.g.x, followSlack)
+	defer stop()
+	a, err := o.g.c.Log.Append(x, partlog.AppendRequest{
+		Partition: partlog.Partition{Topic: orderlease.Topic}, Records: [][]byte{b}, At: o.lease.Next(),
+	})
+	if err != nil {
+		o.g.log.Info("orders: lease not renewed", zap.Error(err))
+		if o.g.x.Err() == nil {
+			_ = o.read(0)
+		}
+		return false
+	}
+	o.g.answered()
+	held := o.lease.Holds(sent)
+	o.lease.Appended(a.First, sent)
+	o.sent = sent
+	if !held {
+		o.g.log.Info("orders: lease taken", zap.Int64("fence", o.lease.Fence()))
+	}
+	return true
+}
+
+// hold does the holder's work once: renew, order, and wait a little.
+func (o *orders) hold() {
+	if boottime.Now()-o.sent > renewInterval && !o.append(nil) {
+		pause(o.g.x, retryPause)
+		return
+	}
+	for _, l := range o.plan() {
+		o.order(l)
+	}
+	t := time.NewTimer(renewInterval / 4)
+	defer t.Stop()
+	select {
+	case <-o.g.x.Done():
+	case <-o.woken:
+	case <-t.C:
+	case l := <-o.over:
+		o.loaded(l)
+	}
+}
+
+// plan returns the loads to order now.
+func (o *orders) plan() []loadplan.Load {
+	t := o.g.Table()
+	if t == nil || o.g.drain.leaving() {
+		return nil
+	}
+	now := time.Now()
+	var r []loadplan.Load
+	for name, s := range t.Services {
+		if !s.Engine() {
+			continue
+		}
+		goals := o.goals(s.Models)
+		servers, under := o.engines(name, now)
+		c := loadplan.Config{AtOnce: atOnce(o.g.s.Policy.LoadsAtOnce, len(servers)), Share: o.g.s.Policy.LoadShare}
+		r = append(r, loadplan.Plan(c, servers, goals, under)...)
+	}
+	return r
+}
+
+func atOnce(share float64, servers int) int {
+	return max(int(math.Round(share*float64(servers))), 1)
+}
+
+// goals returns the newest versions of the models, the one named first in front.
+func (o *orders) goals(models []string) []loadplan.Goal {
+	v := o.g.tables.newest()
+	var r []loadplan.Goal
+	for _, m := range models {
+		r = append(r, loadplan.Goal{Model: m, Version: v[m].version})
+	}
+	sort.SliceStable(r, func(i, j int) bool { return v[r[i].Model].seen.Before(v[r[j].Model].seen) })
+	return r
+}
+
+// engines returns a service's servers for the planner, and the loads under way.
+func (o *orders) engines(service string, now time.Time) ([]loadplan.Server, []loadplan.Load) {
+	var l []loadplan.Server
+	var under []loadplan.Load
+	o.g.fleet.mu.Lock()
+	defer o.g.fleet.mu.Unlock()
+	for _, s := range o.g.fleet.list[service] {
+		if s.Leaving {
+			continue
+		}
+		v := make(map[string]int64)
+		for m := range s.Versions {
+			v[m] = o.g.fleet.state[s.ID].version(s, m, now)
+		}
+		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Busy: now.Before(o.shun[s.ID])})
+		if u := o.underWay[s.ID]; u != nil {
+			under = append(under, u.load)
+		}
+	}
+	return l, under
+}
+
+// order announces a load and gives the order.
+func (o *orders) order(l loadplan.Load) {
+	s, ok := o.g.fleet.server(l.Server)
+	if !ok {
+		return
+	}
+	if !o.append(&orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}) {
+		return
+	}
+	n := &loading{load: l, began: time.Now()}
+	o.underWay[l.Server] = n
+	fence := o.lease.Fence()
+	o.g.wg.Go(func() {
+		n.err = o.carryOut(s, l, fence)
+		o.over <- n
+	})
+}
+
+// carryOut gives the order and waits until the load is done.
+func (o *orders) carryOut(s directory.Server, l loadplan.Load, fence int64) error {
+	x, stop := context.WithTimeout(o.g.x, loadMost)
+	defer stop()
+	r, err := o.report(x, s)
+	if err != nil {
+		return err
+	}
+	if r.Versions[l.Model] >= l.Version {
+		return nil
+	}
+	if !o.lease.Holds(boottime.Now()) {
+		return outcome.Refuse(outcome.ReasonStaleFence, s.ID)
+	}
+	y, halt := context.WithTimeout(x, orderLimit)
+	err = o.g.engines.Order(y, Order{
+		Server: s, Model: l.Model, Version: l.Version, Holder: o.g.s.Name, Fence: fence, Expected: r.Orders,
+	})
+	halt()
+	if err != nil && outcome.From(err).Outcome == outcome.NotRun {
+		return err
+	}
+	o.g.log.Info("orders: load ordered", zap.String("server", s.ID), zap.String("model", l.Model), zap.Int64("version", l.Version),
+		zap.Int64("fence", fence), zap.Int64("expected", r.Orders), zap.Error(err))
+	pause(x, loadTime-reportPause)
+	return o.await(x, s, l)
+}
+
+// await asks the server until it has the version.
+func (o *orders) await(x context.Context, s directory.Server, l loadplan.Load) error {
+	for {
+		r, err := o.report(x, s)
+		if err == nil && r.Versions[l.Model] >= l.Version {
+			return nil
+		}
+		if !pause(x, reportPause) {
+			return outcome.Lost(outcome.ReasonSilent, s.ID, err)
+		}
+	}
+}
+
+func (o *orders) report(x context.Context, s directory.Server) (Report, error) {
+	x, stop := context.WithTimeout(x, orderLimit)
+	defer stop()
+	return o.g.engines.Report(x, s)
+}
+
+// loaded takes the end of a load.
+func (o *orders) loaded(l *loading) {
+	delete(o.underWay, l.load.Server)
+	if l.err == nil {
+		o.g.metrics.orders.WithLabelValues("loaded").Inc()
+		o.g.fleet.hasVersion(l.load.Server, l.load.Model, l.load.Version)
+		o.g.log.Info("orders: load done", zap.String("server", l.load.Server), zap.String("model", l.load.Model),
+			zap.Int64("version", l.load.Version), zap.Duration("took", time.Since(l.began)))
+		return
+	}
+	e := outcome.From(l.err)
+	o.g.metrics.orders.WithLabelValues(string(e.Reason)).Inc()
+	o.shun[l.load.Server] = time.Now().Add(shunned)
+	o.g.fleet.notLoaded(l.load.Server, l.load.Model, l.load.Version)
+	o.g.log.Info("orders: load failed", zap.String("server", l.load.Server), zap.String("model", l.load.Model),
+		zap.Int64("version", l.load.Version), zap.String("reason", string(e.Reason)), zap.String("at", e.Detail))
+}
--- /dev/null
+++ b/pier/gateway/sample.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/bug"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+const (
+	// firstEventLimit is how long an engine may take to its first event.
+	firstEventLimit = 2500 * time.Millisecond
+	// eventLimit is how long an engine may pause between two events; a load of
+	// weights pauses it for about a second.
+	eventLimit = 1500 * time.Millisecond
+	// refusedPause keeps samples from an engine that has no room.
+	refusedPause = 60 * time.Millisecond
+	// againPause is the time before a sample whose run failed starts again.
+	againPause = 20 * time.Millisecond
+	// scorePause is the time before a scorer's call is tried again.
+	scorePause = 50 * time.Millisecond
+	// scoreLimit is the deadline of one scorer's call on a route without a timeout.
+	scoreLimit = 3 * time.Second
+)
+
+// sample is one item of a step on its way to its result. It goes on at another
+// server from its last whole event when a run breaks off.
+type sample struct {
+	d    *drive
+	at   int
+	item *stepjournal.Item
+	// began is when the first run started.
+	began time.Time
+	stop  context.CancelFunc
+
+	// text holds the data of the whole events so far, lastID the id of the last.
+	text   []string
+	lastID int64
+	// versions holds the versions that generated an event, in their order.
+	versions []int64
+	// whole is set when the generation ended as it should.
+	whole bool
+	// failures counts the runs that the engine itself failed.
+	failures int
+	// result is set when the sample is done.
+	result *stepjournal.Result
+}
+
+// run lets an engine generate the rest of the text, and has the text scored. It
+// leaves result nil when the sample has to run again.
+func (s *sample) run(x context.Context, u *lease) {
+	if !s.whole {
+		err := s.generate(x, u)
+		u.done()
+		if x.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.failed(x, u, err)
+			return
+		}
+		u.served()
+	} else {
+		u.done()
+	}
+	s.score(x)
+}
+
+// failed takes the failure of a run.
+func (s *sample) failed(x context.Context, u *lease, err error) {
+	e := outcome.From(err)
+	s.d.g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
+	s.d.g.log.Info("sample: run failed", zap.String("id", s.item.ID), zap.String("server", u.s.ID),
+		zap.String("reason", string(e.Reason)), zap.Int64("events", s.lastID), zap.Int("failures", s.failures))
+	switch e.Reason {
+	case outcome.ReasonQueueFull:
+		u.full(refusedPause)
+	case outcome.ReasonStaleVersion, outcome.ReasonBadRequest:
+	case outcome.ReasonServerError:
+		u.failed(string(e.Reason))
+	default:
+		u.failed(string(e.Reason))
+	}
+	if e.Reason == outcome.ReasonBadRequest || s.failures >= max(s.d.route.Attempts, 1) {
+		s.dead()
+		return
+	}
+	pause(x, againPause)
+}
+
+func (s *sample) dead() {
+	s.result = &stepjournal.Result{Step: s.d.step.ID, Item: s.at, ID: s.item.ID, State: stepjournal.Dead}
+}
+
+// generate runs the sample on an engine until its text is whole.
+func (s *sample) generate(x context.Context, u *lease) error {
+	x, stop := context.WithCancel(x)
+	defer stop()
+	silence := time.AfterFunc(firstEventLimit, stop)
+	defer silence.Stop()
+	r, err := s.d.g.pool.Do(x, s.request(u))
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	u.observe(r)
+	if err := s.status(r, u); err != nil {
+		return err
+	}
+	v, ok := r.Version()
+	if !ok {
+		return outcome.Lost(outcome.ReasonUnversioned, u.s.ID, nil)
+	}
+	u.version(s.d.step.Model, v)
+	return s.read(r, v, func() { silence.Reset(eventLimit) })
+}
+
+// read takes the events of a run whose first ones version v generates.
+func (s *sample) read(r *backend.Response, v int64, alive func()) error {
+	e := newEvents(r, s.d.g.c.Dialect.EventVersion)
+	for {
+		n, err := e.next()
+		if errors.Is(err, io.EOF) {
+			s.whole = s.lastID > 0
+			if !s.whole {
+				return outcome.Lost(outcome.ReasonShortAnswer, s.item.ID, nil)
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		alive()
+		if n.version > 0 {
+			v = n.version
+		}
+		if err := s.extend(n, v); err != nil {
+			return err
+		}
+	}
+}
+
+// extend adds an event that version v generated.
+func (s *sample) extend(n *event, v int64) error {
+	if v < s.d.step.MinVersion {
+		return outcome.Lost(outcome.ReasonStaleVersion, s.item.ID, nil)
+	}
+	if n.id != s.lastID+1 {
+		return outcome.Lost(outcome.ReasonTokenGap, s.item.ID, nil)
+	}
+	if l := len(s.versions); l == 0 || s.versions[l-1] != v {
+		if l > 0 && s.d.route.SingleVersion {
+			s.reset()
+			return outcome.Lost(outcome.ReasonStaleVersion, s.item.ID, nil)
+		}
+		s.versions = append(s.versions, v)
+	}
+	s.lastID = n.id
+	s.text = append(s.text, n.data)
+	return nil
+}
+
+// reset begins the sample anew.
+func (s *sample) reset() { s.text, s.versions, s.lastID = nil, nil, 0 }
+
+func (s *sample) request(u *lease) backend.Request {
+	d := s.d.g.c.Dialect
+	h := make(http.Header, len(s.item.Header)+3)
+	for k, v := range s.item.Header {
+		h[k] = []string{v}
+	}
+	h[d.Incarnation] = []string{u.s.ID}
+	if s.lastID > 0 {
+		h[d.ResumeAfter] = []string{strconv.FormatInt(s.lastID, 10)}
+	}
+	return backend.Request{
+		Server: u.s.ID, Address: u.s.Address, Method: http.MethodPost, Target: s.item.Path,
+		Host: s.d.step.Host, ID: s.item.ID, Header: h, Body: s.item.Body,
+	}
+}
+
+// status turns the status of an answer into the failure that it tells of.
+func (s *sample) status(r *backend.Response, u *lease) error {
+	switch {
+	case r.Status == http.StatusOK:
+		return nil
+	case r.NotRun():
+		return outcome.Refuse(outcome.ReasonQueueFull, u.s.ID)
+	case r.Status == http.StatusUnprocessableEntity:
+		return outcome.Lost(outcome.ReasonBadRequest, u.s.ID, nil)
+	case r.Status == http.StatusInternalServerError:
+		s.failures++
+	}
+	return outcome.Lost(outcome.ReasonServerError, u.s.ID+" "+strconv.Itoa(r.Status), nil)
+}
+
+// score has the whole text scored and sets the result.
+func (s *sample) score(x context.Context) {
+	r := &stepjournal.Result{
+		Step: s.d.step.ID, Item: s.at, ID: s.item.ID, State: stepjournal.Completed,
+		Text: strings.Join(s.text, "\n"), Versions: distinct(s.versions),
+	}
+	for _, v := range r.Versions {
+		bug.Assert(v >= s.d.step.MinVersion, bug.StalenessBound, "item %s: version %d", r.ID, v)
+	}
+	if s.item.Scorer == nil {
+		s.result = r
+		return
+	}
+	score, ok := s.scored(x)
+	if x.Err() != nil {
+		return
+	}
+	if !ok {
+		s.dead()
+		return
+	}
+	r.Score = score
+	s.result = r
+}
+
+// scored calls the scorer until it answers; false means that it failed as often
+// as its route allows.
+func (s *sample) scored(x context.Context) (string, bool) {
+	failures := 0
+	for x.Err() == nil {
+		score, failed, most := s.callScorer(x)
+		if score != "" {
+			return score, true
+		}
+		if failed {
+			failures++
+		}
+		if failures >= most {
+			return "", false
+		}
+		pause(x, scorePause)
+	}
+	return "", false
+}
+
+// callScorer makes one call. failed tells that the scorer itself failed; most is
+// how often it may.
+func (s *sample) callScorer(x context.Context) (score string, failed bool, most int) {
+	q := s.item.Scorer
+	t := s.d.g.Table()
+	if t == nil {
+		return "", false, 1
+	}
+	r := t.Match(q.Host, q.Path)
+	if r == nil {
+		return "", false, 1
+	}
+	limit := r.Timeout
+	if limit <= 0 {
+		limit = scoreLimit
+	}
+	a, err := s.d.g.Do(x, Call{
+		Route: r, Method: http.MethodPost, Target: q.Path, Host: q.Host, ID: q.ID, Body: q.Body,
+		Header: http.Header{}, Deadline: time.Now().Add(limit),
+	})
+	if err != nil {
+		return "", outcome.Is(err, outcome.ReasonServerError), max(r.Attempts, 1)
+	}
+	defer a.Close()
+	if a.Status/100 != 2 {
+		return "", a.Status == http.StatusInternalServerError, max(r.Attempts, 1)
+	}
+	return a.Header.Get(s.d.g.c.Dialect.Signature), false, max(r.Attempts, 1)
+}
+
+// distinct returns the versions without repeats, in their order.
+func distinct(l []int64) []int64 {
+	var r []int64
+	for _, v := range l {
+		seen := false
+		for _, o := range r {
+			seen = seen || o == v
+		}
+		if !seen {
+			r = append(r, v)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/pier/gateway/settings.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/settings"
+)
+
+// Settings are the settings of an entry host whose deployment keeps its state in
+// a partitioned log. The doc comments of the fields are the reference.
+type Settings struct {
+	// Name is the host's name, unique among the entry hosts.
+	Name string `toml:"name"`
+	// Domain is the failure domain that the host runs in.
+	Domain string `toml:"failure-domain"`
+	// Listen holds the addresses that the host listens on.
+	Listen Listen `toml:"listen"`
+	// Log is the partitioned log.
+	Log Log `toml:"log"`
+	// Timing holds times that the deployment states.
+	Timing Timing `toml:"timing"`
+	// Policy holds the decisions on loads and samples.
+	Policy Policy `toml:"policy"`
+	// LogLevel is debug, info, warn or error. Default: info.
+	LogLevel string `toml:"log-level"`
+}
+
+// Listen holds the addresses that a host listens on.
+type Listen struct {
+	// Callers is for callers and trainers, behind the platform's balancer.
+	Callers netip.AddrPort `toml:"callers"`
+	// Health answers the balancer's health check.
+	Health netip.AddrPort `toml:"health"`
+	// Peers is for the other entry hosts.
+	Peers netip.AddrPort `toml:"peers"`
+	// Metrics serves counters and histograms.
+	Metrics netip.AddrPort `toml:"metrics"`
+}
+
+// Log describes the partitioned log.
+type Log struct {
+	// Address is where the log answers.
+	Address netip.AddrPort `toml:"address"`
+	// Partitions is the number of partitions of a topic.
+	Partitions int `toml:"partitions"`
+	// RecordBytes bounds one record, CallBytes the records of one append.
+	RecordBytes int `toml:"record-bytes"`
+	CallBytes   int `toml:"call-bytes"`
+	// Retention is how long records are kept.
+	Retention settings.Duration `toml:"retention"`
+	// MemberTTL is the shortest time that a member of a group may be silent.
+	MemberTTL settings.Duration `toml:"member-ttl"`
+}
+
+// Timing holds times that the deployment states.
+type Timing struct {
+	// Grace is how long a planned stop may take.
+	Grace settings.Duration `toml:"grace"`
+	// OrderLease is how long one host's orders keep others from ordering.
+	OrderLease settings.Duration `toml:"order-lease"`
+}
+
+// Policy holds the decisions on loads and samples.
+type Policy struct {
+	// LoadsAtOnce is the part of the engines that may load weights at one time;
+	// more at once slow each other down.
+	LoadsAtOnce float64 `toml:"loads-at-once"`
+	// LoadShare is the number of engines that load each version, as a multiple of
+	// the even share of the engines among the models.
+	LoadShare float64 `toml:"load-share"`
+}
+
+// ReadSettings reads and checks the settings in a file. Keys that are not known
+// are an error, as they are mistyped ones. Errors are *outcome.Error.
+func ReadSettings(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, outcome.RefuseFor(outcome.ReasonBadRequest, "settings: "+err.Error(), err)
+	}
+	s := Settings{LogLevel: "info"}
+	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&s); err != nil {
+		return nil, outcome.RefuseFor(outcome.ReasonBadRequest, "settings: "+err.Error(), err)
+	}
+	return &s, s.Check()
+}
+
+// Check returns an *outcome.Error naming the first setting that is out of range.
+func (s *Settings) Check() error {
+	bad := func(key string) error { return outcome.Refuse(outcome.ReasonBadRequest, "settings: "+key) }
+	positive := func(d settings.Duration) bool { return d.D() > 0 && d.D() < 24*time.Hour }
+	switch {
+	case s.Name == "":
+		return bad("name")
+	case !s.Listen.Callers.IsValid():
+		return bad("listen.callers")
+	case !s.Listen.Health.IsValid():
+		return bad("listen.health")
+	case !s.Listen.Peers.IsValid():
+		return bad("listen.peers")
+	case !s.Log.Address.IsValid():
+		return bad("log.address")
+	case s.Log.Partitions < 1:
+		return bad("log.partitions")
+	case s.Log.RecordBytes < 4<<10:
+		return bad("log.record-bytes")
+	case s.Log.CallBytes < s.Log.RecordBytes:
+		return bad("log.call-bytes")
+	case !positive(s.Log.Retention):
+		return bad("log.retention")
+	case !positive(s.Log.MemberTTL):
+		return bad("log.member-ttl")
+	case !positive(s.Timing.Grace):
+		return bad("timing.grace")
+	case !positive(s.Timing.OrderLease):
+		return bad("timing.order-lease")
+	case s.Policy.LoadsAtOnce <= 0 || s.Policy.LoadsAtOnce > 1:
+		return bad("policy.loads-at-once")
+	case s.Policy.LoadShare <= 0:
+		return bad("policy.load-share")
+	}
+	return nil
+}
--- /dev/null
+++ b/pier/gateway/steps.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+const (
+	// acceptTries and acceptPause bound the tries to append a step while the log
+	// refuses; the caller can do as well at another host.
+	acceptTries = 3
+	acceptPause = 100 * time.Millisecond
+	// listBytes bounds the texts of one answer to a trainer.
+	listBytes = 192 << 10
+	// listStale is how old a view may be that tells a trainer that there is nothing
+	// new yet.
+	listStale = followWait + 2*retryPause
+)
+
+// steps takes the steps of trainers and lists their results.
+type steps struct {
+	g  *Gateway
+	mu sync.Mutex
+	// drives holds the steps that this host runs.
+	drives map[string]*drive
+}
+
+func newSteps(g *Gateway) *steps { return &steps{g: g, drives: make(map[string]*drive)} }
+
+// Accept takes a step. A nil error means that it is kept from now on. An error is
+// an *outcome.Error; not-run means that no part of the step runs.
+func (g *Gateway) Accept(x context.Context, r *routetable.Route, s *stepjournal.Step) error {
+	began := time.Now()
+	err := g.steps.accept(x, r, s)
+	if err == nil {
+		g.metrics.accept.Observe(time.Since(began).Seconds())
+		return nil
+	}
+	e := outcome.From(err)
+	g.metrics.refusals.WithLabelValues(string(e.Reason)).Inc()
+	g.log.Info("step: not accepted", zap.String("id", s.ID), zap.String("reason", string(e.Reason)),
+		zap.String("outcome", string(e.Outcome)), zap.String("at", e.Detail))
+	return e
+}
+
+func (p *steps) accept(x context.Context, r *routetable.Route, s *stepjournal.Step) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if p.g.drain.stopping() {
+		return outcome.Refuse(outcome.ReasonDraining, "").After(busyPause)
+	}
+	v := p.g.journal.of(s.ID)
+	if _, _, known := v.entry(s.ID); known {
+		return nil
+	}
+	s.Submitted = time.Now()
+	b, err := stepjournal.Accepted(s, p.g.self, p.g.s.Log.RecordBytes)
+	if err != nil {
+		return err
+	}
+	if size(b) > p.g.s.Log.CallBytes {
+		return outcome.Refuse(outcome.ReasonTooLarge, s.ID)
+	}
+	for n := 1; ; n++ {
+		a, err := v.append(x, b)
+		if err == nil {
+			p.g.log.Info("step: accepted", zap.String("id", s.ID), zap.String("model", s.Model), zap.Int64("step", s.Number),
+				zap.Int64("min-version", s.MinVersion), zap.Int("items", len(s.Items)), zap.Int64("offset", a.First))
+			p.g.metrics.steps.WithLabelValues("accepted").Inc()
+			p.drive(r, s, v)
+			return nil
+		}
+		e := outcome.From(err)
+		if e.Outcome != outcome.NotRun || n == acceptTries || !pause(x, acceptPause) {
+			return e.After(awayPause)
+		}
+	}
+}
+
+func size(b [][]byte) int {
+	n := 0
+	for _, r := range b {
+		n += len(r) + 4
+	}
+	return n
+}
+
+// List is a run of a step's results.
+type List struct {
+	Total int
+	// Results have the positions from the one asked for on.
+	Results []*stepjournal.Result
+}
+
+// Results returns the results of a step from a position on. With none there it
+// waits up to wait. An error is an *outcome.Error; unknown-step means that there
+// is no such step.
+func (g *Gateway) Results(x context.Context, id string, after int, wait time.Duration) (*List, error) {
+	v := g.journal.of(id)
+	if err := v.find(x, id); err != nil {
+		return nil, err
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		e, changed, ok := v.entry(id)
+		if !ok {
+			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(awayPause)
+		}
+		if after < len(e.Results) {
+			return v.list(x, &e, after)
+		}
+		if len(e.Results) == e.Total {
+			return &List{Total: e.Total}, nil
+		}
+		select {
+		case <-changed:
+			continue
+		case <-t.C:
+		case <-x.Done():
+		case <-g.drain.begun():
+		}
+		if v.staleAt(time.Now().Add(-listStale)) {
+			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(awayPause)
+		}
+		return &List{Total: e.Total}, nil
+	}
+}
+
+// find makes sure that the view knows a step, or that there is none.
+func (v *view) find(x context.Context, id string) error {
+	if _, _, ok := v.entry(id); ok {
+		return nil
+	}
+	if err := v.sync(x); err != nil {
+		return outcome.Refuse(outcome.ReasonLogDown, id).After(awayPause)
+	}
+	if _, _, ok := v.entry(id); !ok {
+		return outcome.Refuse(outcome.ReasonUnknownStep, id)
+	}
+	return nil
+}
+
+// list reads results from a position on, up to listBytes.
+func (v *view) list(x context.Context, e *stepjournal.Entry, after int) (*List, error) {
+	l := &List{Total: e.Total}
+	n := 0
+	for _, at := range e.Results[after:] {
+		b, err := v.records(x, at, 1)
+		if err != nil {
+			if len(l.Results) > 0 {
+				break
+			}
+			return nil, outcome.Refuse(outcome.ReasonLogDown, e.ID).After(awayPause)
+		}
+		r, err := stepjournal.DecodeResult(b[0])
+		if err != nil {
+			return nil, outcome.Lost(outcome.ReasonLogDown, e.ID, err)
+		}
+		if n += len(r.Text); n > listBytes && len(l.Results) > 0 {
+			break
+		}
+		l.Results = append(l.Results, r)
+	}
+	return l, nil
+}
+
+// Body returns the body of one of a step's items.
+func (g *Gateway) Body(x context.Context, id, item string) ([]byte, error) {
+	v := g.journal.of(id)
+	s, err := v.load(x, id)
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range s.Items {
+		if i.ID == item {
+			return i.Body, nil
+		}
+	}
+	return nil, outcome.Refuse(outcome.ReasonUnknownName, item)
+}
+
+// load reads a step back from the log.
+func (v *view) load(x context.Context, id string) (*stepjournal.Step, error) {
+	if err := v.find(x, id); err != nil {
+		return nil, err
+	}
+	e, _, _ := v.entry(id)
+	var b [][]byte
+	for at := e.From; at < e.To; {
+		r, err := v.records(x, at, int(e.To-at))
+		if err != nil {
+			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(awayPause)
+		}
+		b = append(b, r...)
+		at += int64(len(r))
+	}
+	s, err := stepjournal.DecodeStep(b)
+	if err != nil {
+		return nil, outcome.Lost(outcome.ReasonLogDown, id, err)
+	}
+	return s, nil
+}
+
+// End ends a step for good. A nil error means that the end is kept.
+func (g *Gateway) End(x context.Context, id string) error {
+	v := g.journal.of(id)
+	if err := v.find(x, id); err != nil {
+		return err
+	}
+	if e, _, _ := v.entry(id); e.Ended {
+		return nil
+	}
+	b, err := stepjournal.Ended(id, time.Now())
+	if err != nil {
+		return err
+	}
+	if _, err := v.append(x, [][]byte{b}); err != nil {
+		return outcome.From(err).After(awayPause)
+	}
+	g.log.Info("step: ended", zap.String("id", id))
+	g.steps.stop(id)
+	return nil
+}
+
+// drive begins to run a step on this host, unless it does already.
+func (p *steps) drive(r *routetable.Route, s *stepjournal.Step, v *view) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.drives[s.ID] != nil {
+		return
+	}
+	d := newDrive(p.g, r, s, v)
+	p.drives[s.ID] = d
+	p.g.wg.Go(func() {
+		d.run()
+		p.mu.Lock()
+		delete(p.drives, s.ID)
+		p.mu.Unlock()
+	})
+}
+
+// stop ends a step on this host.
+func (p *steps) stop(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d := p.drives[id]; d != nil {
+		d.stop()
+	}
+}
+
+// drives reports whether this host runs a step.
+func (p *steps) driving(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.drives[id] != nil
+}
+
+// count returns the number of steps that this host runs.
+func (p *steps) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.drives)
+}
--- /dev/null
+++ b/pier/gateway/watch.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+const (
+	// watchGroup is the consumer group of all entry hosts.
+	watchGroup = "entry-hosts"
+	// watchInterval is the time between two looks at the steps of other hosts.
+	watchInterval = 300 * time.Millisecond
+	// watchMisses is how many looks in a row must find that a step has no driver.
+	watchMisses = 2
+	// askLimit is how long another host may take to answer.
+	askLimit = 500 * time.Millisecond
+	// memberTTL is how long a host stays in the group without a call; joinInterval
+	// leaves room for a lost call.
+	memberTTL    = 2 * time.Second
+	joinInterval = 600 * time.Millisecond
+)
+
+// kindDriving is the message that asks a host which steps it runs.
+const kindDriving = peer.KindFirst
+
+// drivingQuery asks a host which of some steps it runs.
+type drivingQuery struct {
+	Steps []string `msgpack:"s"`
+}
+
+// drivingAnswer tells for each step of the query whether the host runs it.
+type drivingAnswer struct {
+	Host    string `msgpack:"h"`
+	Driving []bool `msgpack:"d"`
+}
+
+// answerPeer serves the other hosts.
+func (g *Gateway) answerPeer(_ context.Context, q *peer.Request) (any, error) {
+	if q.Kind != kindDriving {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
+	}
+	var m drivingQuery
+	if err := peer.Decode(q.Body, &m); err != nil {
+		return nil, err
+	}
+	a := drivingAnswer{Host: g.self.Host}
+	for _, s := range m.Steps {
+		a.Driving = append(a.Driving, g.steps.driving(s))
+	}
+	return &a, nil
+}
+
+// watch looks after the steps of the partitions that the log deals to this host:
+// a step whose driver is gone, or does not know of it, is taken over.
+type watch struct {
+	g *Gateway
+	// candidate is set while this host holds the first partition, which makes it
+	// the one to take the order lease.
+	candidate atomic.Bool
+	held      []int
+	// misses counts by step the looks in a row that found no driver.
+	misses map[string]int
+}
+
+func newWatch(g *Gateway) *watch { return &watch{g: g, misses: make(map[string]int)} }
+
+func (w *watch) run() {
+	var generation int64
+	joined := time.Time{}
+	for w.g.x.Err() == nil {
+		if time.Since(joined) >= joinInterval && !w.g.drain.leaving() {
+			joined = time.Now()
+			generation = w.join(generation)
+		}
+		w.look()
+		pause(w.g.x, watchInterval)
+	}
+}
+
+func (w *watch) join(generation int64) int64 {
+	x, stop := context.WithTimeout(w.g.x, joinInterval)
+	defer stop()
+	m, err := w.g.c.Log.Join(x, partlog.JoinRequest{
+		Group: watchGroup, Member: w.g.self.Host, Topics: []string{stepjournal.Topic},
+		TTL: max(memberTTL, w.g.s.Log.MemberTTL.D()), Generation: generation,
+	})
+	if err != nil {
+		w.g.metrics.logErrors.WithLabelValues(watchGroup).Inc()
+		return generation
+	}
+	w.g.answered()
+	w.held = w.held[:0]
+	first := false
+	for _, p := range m.Parts {
+		w.held = append(w.held, p.Part)
+		first = first || p.Part == 0
+	}
+	w.candidate.Store(first)
+	if m.Generation != generation {
+		w.g.log.Info("watch: partitions dealt", zap.Int64("generation", m.Generation), zap.Ints("parts", w.held))
+	}
+	return m.Generation
+}
+
+// leave gives the partitions back at once.
+func (w *watch) leave() {
+	x, stop := context.WithTimeout(context.Background(), joinInterval)
+	defer stop()
+	if err := w.g.c.Log.Leave(x, watchGroup, w.g.self.Host); err != nil {
+		w.g.log.Warn("watch: leaving the group failed", zap.Error(err))
+	}
+}
+
+// look asks the drivers of the open steps of all held partitions.
+func (w *watch) look() {
+	if w.g.drain.leaving() {
+		return
+	}
+	type place struct {
+		v *view
+		e stepjournal.Entry
+	}
+	asked := make(map[netip.AddrPort][]place)
+	for _, n := range w.held {
+		v := w.g.journal.part(n)
+		for _, e := range v.open() {
+			if e.Driver.Host == w.g.self.Host {
+				w.resume(v, e)
+				continue
+			}
+			asked[e.Driver.Peers] = append(asked[e.Driver.Peers], place{v, e})
+		}
+	}
+	seen := make(map[string]int)
+	for a, l := range asked {
+		q := drivingQuery{}
+		for _, p := range l {
+			q.Steps = append(q.Steps, p.e.ID)
+		}
+		r := w.ask(a, q)
+		for i, p := range l {
+			if r.Host == p.e.Driver.Host && i < len(r.Driving) && r.Driving[i] {
+				continue
+			}
+			seen[p.e.ID] = w.misses[p.e.ID] + 1
+			if seen[p.e.ID] >= watchMisses {
+				w.take(p.v, p.e)
+				seen[p.e.ID] = 0
+			}
+		}
+	}
+	w.misses = seen
+}
+
+// ask returns a host's answer, an empty one if there is none.
+func (w *watch) ask(a netip.AddrPort, q drivingQuery) drivingAnswer {
+	x, stop := context.WithTimeout(w.g.x, askLimit)
+	defer stop()
+	var r drivingAnswer
+	if err := w.g.peers.Call(x, a, kindDriving, &q, &r); err != nil {
+		w.g.peers.Forget(a)
+		w.g.log.Info("watch: host does not answer", zap.Stringer("address", a), zap.Error(err))
+		return drivingAnswer{}
+	}
+	return r
+}
+
+// take follows a step's driver. The record that comes first in the log wins.
+func (w *watch) take(v *view, e stepjournal.Entry) {
+	b, err := stepjournal.TakenOver(e.ID, e.Driver.Host, w.g.self)
+	if err != nil {
+		w.g.log.Error("watch: record cannot be made", zap.String("id", e.ID), zap.Error(err))
+		return
+	}
+	if _, err := v.append(w.g.x, [][]byte{b}); err != nil {
+		w.g.log.Warn("watch: takeover failed", zap.String("id", e.ID), zap.Error(err))
+		return
+	}
+	w.g.metrics.steps.WithLabelValues("taken-over").Inc()
+	w.g.log.Info("step: taken over", zap.String("id", e.ID), zap.String("from", e.Driver.Host), zap.Int("results", len(e.Results)), zap.Int("items", e.Total))
+	if err := v.sync(w.g.x); err != nil {
+		return
+	}
+	if n, _, ok := v.entry(e.ID); ok && n.Driver.Host == w.g.self.Host {
+		w.resume(v, n)
+	}
+}
+
+// resume runs a step that is this host's by the journal.
+func (w *watch) resume(v *view, e stepjournal.Entry) {
+	if w.g.steps.driving(e.ID) {
+		return
+	}
+	s, err := v.load(w.g.x, e.ID)
+	if err != nil {
+		w.g.log.Warn("watch: step cannot be read", zap.String("id", e.ID), zap.Error(err))
+		return
+	}
+	t := w.g.Table()
+	if t == nil {
+		return
+	}
+	r := t.Match(s.Host, s.Path)
+	if r == nil {
+		return
+	}
+	w.g.steps.drive(r, s, v)
+}
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -59,6 +59,7 @@
 	ReasonClaimsFull      Reason = "claims-full"
 	ReasonAnswerTooLarge  Reason = "answer-too-large"
 	ReasonTooManyRequests Reason = "too-many-requests"
+	ReasonStaleVersion    Reason = "stale-version"
 )
 
 // Error is a request that ended without its answer.
