Show no empty list from a stale view; tests of the new packages

Now an empty list needs a read that was sent for it; with the log away the host says that it is not sure.

--- /dev/null
+++ b/pier/backend/pool_test.go
@@ -0,0 +1,199 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/outcome"
+)
+
+var dialect = Dialect{RequestID: "Request-Id", NotRun: "Not-Run", Load: "Load", WeightVersion: "Weights"}
+
+// script serves connections: answer is called for each request and writes bytes.
+func script(t *testing.T, answer func(c net.Conn, n int, id, body string)) (netip.AddrPort, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go serveScript(c, answer)
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String()), &conns
+}
+
+func serveScript(c net.Conn, answer func(c net.Conn, n int, id, body string)) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		b, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		answer(c, n, q.Header.Get("Request-Id"), string(b))
+	}
+}
+
+func whole(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func ask(p *Pool, a netip.AddrPort, id string) (string, error) {
+	r, err := p.Do(context.Background(), Request{Server: "s", Address: a, Method: "POST", Target: "/x?y=%20", Host: "h", ID: id, Body: []byte("b" + id)})
+	if err != nil {
+		return "", err
+	}
+	defer r.Close()
+	b, err := io.ReadAll(r)
+	return string(b), err
+}
+
+func TestSoundConnectionsAreUsedAgain(t *testing.T) {
+	a, conns := script(t, func(c net.Conn, _ int, id, body string) { whole(c, id, body) })
+	p := NewPool(Config{Dialect: dialect})
+	for i := range 5 {
+		b, err := ask(p, a, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint("b", i), b)
+	}
+	require.EqualValues(t, 1, conns.Load())
+}
+
+func TestDoubtfulConnectionsAreNotUsedAgain(t *testing.T) {
+	tests := map[string]func(c net.Conn, id, body string){
+		"bytes after the answer": func(c net.Conn, id, body string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%sHTTP/1.1 200 OK\r\n", id, len(body), body)
+		},
+		"a late second answer": func(c net.Conn, id, body string) {
+			whole(c, id, body)
+			time.Sleep(20 * time.Millisecond)
+			whole(c, id, body)
+		},
+		"close": func(c net.Conn, id, body string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+		},
+		"no time left": func(c net.Conn, id, body string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nKeep-Alive: timeout=0\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+		},
+		"the server closes": func(c net.Conn, id, body string) {
+			whole(c, id, body)
+			_ = c.Close()
+		},
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, conns := script(t, func(c net.Conn, _ int, id, body string) { answer(c, id, body) })
+			p := NewPool(Config{Dialect: dialect})
+			for i := range 3 {
+				b, err := ask(p, a, fmt.Sprint(i))
+				require.NoError(t, err)
+				require.Equal(t, fmt.Sprint("b", i), b)
+				time.Sleep(40 * time.Millisecond)
+			}
+			require.EqualValues(t, 3, conns.Load())
+		})
+	}
+}
+
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	tests := map[string]struct {
+		answer func(c net.Conn, id, body string)
+		reason outcome.Reason
+	}{
+		"another request's answer": {func(c net.Conn, _, body string) { whole(c, "other", body) }, outcome.ReasonCrossedAnswer},
+		"no id": {func(c net.Conn, _, _ string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}, outcome.ReasonCrossedAnswer},
+		"no answer":   {func(c net.Conn, _, _ string) { _ = c.Close() }, outcome.ReasonConnectionLost},
+		"no protocol": {func(c net.Conn, _, _ string) { _, _ = io.WriteString(c, "what?\r\n\r\n"); _ = c.Close() }, outcome.ReasonConnectionLost},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, _ := script(t, func(n net.Conn, _ int, id, body string) { c.answer(n, id, body) })
+			_, err := ask(NewPool(Config{Dialect: dialect}), a, "1")
+			require.True(t, outcome.Is(err, c.reason), "%v", err)
+			require.Equal(t, outcome.Unknown, outcome.From(err).Outcome)
+		})
+	}
+}
+
+func TestShortBodyIsNoWholeAnswer(t *testing.T) {
+	a, _ := script(t, func(c net.Conn, _ int, id, _ string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 10\r\n\r\nabc", id)
+		_ = c.Close()
+	})
+	_, err := ask(NewPool(Config{Dialect: dialect}), a, "1")
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestNothingListensIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := netip.MustParseAddrPort(l.Addr().String())
+	require.NoError(t, l.Close())
+	_, err = ask(NewPool(Config{Dialect: dialect}), a, "1")
+	require.Equal(t, outcome.NotRun, outcome.From(err).Outcome)
+}
+
+func TestSilenceEndsTheWait(t *testing.T) {
+	a, _ := script(t, func(net.Conn, int, string, string) {})
+	p := NewPool(Config{Dialect: dialect})
+	_, err := p.Do(context.Background(), Request{Server: "s", Address: a, Method: "GET", Target: "/", Host: "h", Silence: 30 * time.Millisecond})
+	require.True(t, outcome.Is(err, outcome.ReasonSilent), "%v", err)
+}
+
+func TestEarlyAnswerLeavesNoBodyBehind(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				q, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil {
+					whole(c, q.Header.Get("Request-Id"), "no")
+				}
+			}()
+		}
+	}()
+	p := NewPool(Config{Dialect: dialect})
+	for i := range 2 {
+		r, err := p.Do(context.Background(), Request{
+			Server: "s", Address: netip.MustParseAddrPort(l.Addr().String()), Method: "POST", Target: "/", Host: "h",
+			ID: fmt.Sprint(i), Body: []byte(strings.Repeat("x", 32<<20)),
+		})
+		require.NoError(t, err)
+		_, err = io.ReadAll(r)
+		require.NoError(t, err)
+		r.Close()
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
--- /dev/null
+++ b/pier/gateway/fixture_test.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/memlog"
+	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/settings"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+var testDialect = backend.Dialect{
+	RequestID: "Request-Id", Deadline: "Deadline", Incarnation: "Incarnation", NotRun: "Not-Run", Signature: "Signature",
+	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", Priority: "Priority", LengthHint: "Hint", ResumeAfter: "Last-Event-Id",
+}
+
+const testParts = 4
+
+// host returns a gateway over a log, without listeners.
+func host(t *testing.T, name string, l partlog.Log) *Gateway {
+	t.Helper()
+	a := netip.MustParseAddrPort("127.0.0.1:1")
+	s := &Settings{
+		Name: name, Domain: "d1", Listen: Listen{Callers: a, Health: a, Peers: a},
+		Log: Log{
+			Address: a, Partitions: testParts, RecordBytes: 256 << 10, CallBytes: 2 << 20,
+			Retention: settings.Duration(time.Hour), MemberTTL: settings.Duration(time.Second),
+		},
+		Timing: Timing{Grace: settings.Duration(8 * time.Second), OrderLease: settings.Duration(3 * time.Second)},
+		Policy: Policy{LoadsAtOnce: 0.2, LoadShare: 1},
+	}
+	require.NoError(t, s.Check())
+	g := New(Config{
+		Settings: s, Zap: zap.NewNop(), Log: l, Dialect: testDialect,
+		Engines: func(*backend.Pool) Engines { return Engines{} },
+	})
+	t.Cleanup(g.Close)
+	return g
+}
+
+// table puts routes for steps ("/gen/") and plain calls ("/plain/") in force.
+func (g *Gateway) table(change func(gen, plain *routetable.Route)) {
+	gen := &routetable.Route{
+		Name: "gen", Host: "h", Prefix: "/gen/", Kind: routetable.KindRollout, Attempts: 3,
+		Services: []routetable.Weighted{{Service: "engines", Weight: 1}}, GiveUp: time.Minute,
+	}
+	plain := &routetable.Route{
+		Name: "plain", Host: "h", Prefix: "/plain/", Kind: routetable.KindIdempotent, Attempts: 2, Timeout: 2 * time.Second,
+		Objective: 100 * time.Millisecond, Services: []routetable.Weighted{{Service: "desk", Weight: 1}},
+	}
+	if change != nil {
+		change(gen, plain)
+	}
+	services := []*routetable.Service{{Name: "engines", Models: []string{"m"}, Slots: 4}, {Name: "desk"}}
+	g.tables.table.Store(routetable.New(1, []*routetable.Route{gen, plain}, services, routetable.Limits{BodyBytes: 1 << 20}))
+}
+
+// register makes a server known to the host.
+func (g *Gateway) register(s ...directory.Server) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	for _, x := range s {
+		g.fleet.dir.Put(x)
+	}
+	g.fleet.rebuild(time.Now())
+}
+
+// server is a stand-in of a backend server.
+type server struct {
+	directory.Server
+	mu sync.Mutex
+	// ran holds the ids of the requests that began to run, with their resume points.
+	ran []string
+}
+
+func (s *server) runs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.ran...)
+}
+
+// serve starts a server whose answers handle makes; the id is echoed.
+func serve(t *testing.T, id, service string, handle func(s *server, w http.ResponseWriter, r *http.Request)) *server {
+	t.Helper()
+	s := &server{Server: directory.Server{ID: id, Service: service, Domain: "d1", Slots: 4, Versions: map[string]int64{"m": 1}}}
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.ran = append(s.ran, r.Header.Get(testDialect.RequestID)+"@"+r.Header.Get(testDialect.ResumeAfter))
+		s.mu.Unlock()
+		w.Header().Set(testDialect.RequestID, r.Header.Get(testDialect.RequestID))
+		handle(s, w, r)
+	}))
+	t.Cleanup(h.CloseClientConnections)
+	s.Address = netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))
+	return s
+}
+
+// generate streams events from the resume point on up to n under a version; cut
+// ends the connection within the event after cut, 0 for never.
+func generate(w http.ResponseWriter, r *http.Request, version int64, n, cut int) {
+	from, _ := strconv.Atoi(r.Header.Get(testDialect.ResumeAfter))
+	w.Header().Set(testDialect.WeightVersion, strconv.FormatInt(version, 10))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	c := http.NewResponseController(w)
+	for i := from + 1; i <= n; i++ {
+		if cut > 0 && i > cut {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", i)
+			_ = c.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: t%d\n\n", i, i)
+		_ = c.Flush()
+	}
+}
+
+// step returns a step of n items.
+func step(id string, n int) *stepjournal.Step {
+	s := &stepjournal.Step{ID: id, Model: "m", MinVersion: 1, Groups: n, Host: "h", Path: "/gen/x"}
+	for i := range n {
+		s.Items = append(s.Items, stepjournal.Item{ID: fmt.Sprint(id, "-", i), Path: "/gen/1", Body: []byte("p"), Group: "g"})
+	}
+	return s
+}
+
+// results reads a step's results until there are n.
+func results(t *testing.T, g *Gateway, id string, n int) []*stepjournal.Result {
+	t.Helper()
+	x, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+	var r []*stepjournal.Result
+	for len(r) < n {
+		l, err := g.Results(x, id, len(r), time.Second)
+		require.NoError(t, err)
+		r = append(r, l.Results...)
+		require.NoError(t, x.Err(), "results %d of %d", len(r), n)
+	}
+	return r
+}
+
+// silentListener accepts connections and never answers.
+func silentListener(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = bufio.NewReader(c).ReadByte() }()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newLog() *memlog.Log { return memlog.New(testParts) }
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -19,9 +19,6 @@
 	acceptPause = 100 * time.Millisecond
 	// listBytes bounds the texts of one answer to a trainer.
 	listBytes = 192 << 10
-	// listStale is how old a view may be that tells a trainer that there is nothing
-	// new yet.
-	listStale = followWait + 2*retryPause
 )
 
 // steps takes the steps of trainers and lists their results.
@@ -110,7 +107,7 @@
 	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
-	for {
+	for waiting := true; ; {
 		e, changed, ok := v.entry(id)
 		if !ok {
 			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(awayPause)
@@ -118,7 +115,7 @@
 		if after < len(e.Results) {
 			return v.list(x, &e, after)
 		}
-		if len(e.Results) == e.Total {
+		if len(e.Results) == e.Total || !waiting {
 			return &List{Total: e.Total}, nil
 		}
 		select {
@@ -128,10 +125,11 @@
 		case <-x.Done():
 		case <-g.drain.begun():
 		}
-		if v.staleAt(time.Now().Add(-listStale)) {
+		// Another host may have shown more: an empty list needs a view of just now.
+		if err := v.sync(x); err != nil {
 			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(awayPause)
 		}
-		return &List{Total: e.Total}, nil
+		waiting = false
 	}
 }
 
--- /dev/null
+++ b/pier/gateway/steps_test.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+func route(g *Gateway) *routetable.Route { return g.Table().Match("h", "/gen/x") }
+
+func TestStepRunsToItsEnd(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	e := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 3, 0) })
+	g.register(e.Server)
+	require.NoError(t, g.Accept(context.Background(), route(g), step("s", 9)))
+	r := results(t, g, "s", 9)
+	for _, x := range r {
+		require.Equal(t, stepjournal.Completed, x.State)
+		require.Equal(t, "t1\nt2\nt3", x.Text)
+		require.Equal(t, []int64{1}, x.Versions)
+	}
+	require.Len(t, e.runs(), 9)
+}
+
+// An engine breaks off within an event: the sample goes on at another server
+// after the last whole event, and names both versions.
+func TestSampleResumesAfterLastWholeEvent(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	a := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 5, 2) })
+	b := serve(t, "e2", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 2, 5, 0) })
+	a.Slots, b.Slots = 1, 1
+	b.Versions = map[string]int64{"m": 0}
+	g.register(a.Server, b.Server)
+	require.NoError(t, g.Accept(context.Background(), route(g), step("s", 1)))
+	require.Eventually(t, func() bool { return len(a.runs()) > 0 }, 5*time.Second, time.Millisecond)
+	b.Versions = map[string]int64{"m": 2}
+	g.register(b.Server)
+	r := results(t, g, "s", 1)
+	require.Equal(t, "t1\nt2\nt3\nt4\nt5", r[0].Text)
+	require.Equal(t, []int64{1, 2}, r[0].Versions)
+	require.Equal(t, []string{"s-0@2"}, b.runs())
+}
+
+// A server whose weights are older than the step allows must not make a result,
+// whatever its registration says.
+func TestOlderVersionThanAllowedMakesNoResult(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	a := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 2, 0) })
+	a.Versions = map[string]int64{"m": 3}
+	g.register(a.Server)
+	s := step("s", 1)
+	s.MinVersion = 3
+	require.NoError(t, g.Accept(context.Background(), route(g), s))
+	require.Eventually(t, func() bool { return len(a.runs()) > 0 }, 5*time.Second, time.Millisecond)
+	l, err := g.Results(context.Background(), "s", 0, 200*time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, l.Results)
+}
+
+func TestFailingItemIsGivenUpAfterItsAttempts(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	a := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	g.register(a.Server)
+	require.NoError(t, g.Accept(context.Background(), route(g), step("s", 1)))
+	r := results(t, g, "s", 1)
+	require.Equal(t, stepjournal.Dead, r[0].State)
+	require.Len(t, a.runs(), 3)
+}
+
+// The answer to the acceptance's append is lost: the caller may not be told that
+// the step does not run, and the step submitted again is the same one.
+func TestLostAnswerToAcceptanceIsNoRefusal(t *testing.T) {
+	l := newLog()
+	g, h := host(t, "a", l.Seam()), host(t, "b", l.Seam())
+	g.table(nil)
+	h.table(nil)
+	l.LoseAnswers(1)
+	err := g.Accept(context.Background(), route(g), step("s", 1))
+	require.Equal(t, outcome.Unknown, outcome.From(err).Outcome)
+	require.NoError(t, h.Accept(context.Background(), route(h), step("s", 1)))
+	v := h.journal.of("s")
+	require.NoError(t, v.sync(context.Background()))
+	e, _, ok := v.entry("s")
+	require.True(t, ok)
+	require.Equal(t, g.self.Host, e.Driver.Host)
+}
+
+// A host whose long read hangs must not tell a trainer that there is nothing at a
+// position which another host has shown.
+func TestStaleViewShowsNoEmptyList(t *testing.T) {
+	l := newLog()
+	a := host(t, "a", l.Seam())
+	a.table(nil)
+	e := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 1, 0) })
+	seam := l.Seam()
+	var hang atomic.Bool
+	read := seam.Read
+	seam.Read = func(x context.Context, q partlog.ReadRequest) (partlog.Page, error) {
+		if hang.Load() && q.Wait > 0 {
+			<-x.Done()
+			return partlog.Page{}, outcome.Lost(outcome.ReasonDeadline, "read", x.Err())
+		}
+		return read(x, q)
+	}
+	b := host(t, "b", seam)
+	require.NoError(t, a.Accept(context.Background(), route(a), step("s", 2)))
+	n, err := b.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Empty(t, n.Results)
+	hang.Store(true)
+	a.register(e.Server)
+	results(t, a, "s", 2)
+	n, err = b.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, n.Results, 2)
+}
+
+// With the log away a host is not sure, and says so.
+func TestUnknownStepWithLogAwayIsNoDenial(t *testing.T) {
+	l := newLog()
+	g := host(t, "a", l.Seam())
+	_, err := g.Results(context.Background(), "s", 0, 0)
+	require.True(t, outcome.Is(err, outcome.ReasonUnknownStep))
+	l.SetDown(true)
+	_, err = g.Results(context.Background(), "s", 0, 0)
+	require.True(t, outcome.Is(err, outcome.ReasonLogDown))
+}
+
+// Once a step's end is acknowledged none of its samples starts, on any host.
+func TestEndStopsSamplesOnTheDriver(t *testing.T) {
+	l := newLog()
+	a, b := host(t, "a", l.Seam()), host(t, "b", l.Seam())
+	a.table(nil)
+	e := serve(t, "e1", "engines", func(_ *server, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	e.Slots = 1
+	a.register(e.Server)
+	require.NoError(t, a.Accept(context.Background(), route(a), step("s", 3)))
+	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, b.End(context.Background(), "s"))
+	require.Eventually(t, func() bool { return !a.steps.driving("s") }, 5*time.Second, time.Millisecond)
+	require.Len(t, e.runs(), 1)
+	require.NoError(t, b.End(context.Background(), "s"), "an end may be repeated")
+}
+
+// A host that lost power leaves its step to another one, which lists every result
+// that was shown before at the same position.
+func TestTakeoverKeepsPositions(t *testing.T) {
+	l := newLog()
+	a, b := host(t, "a", l.Seam()), host(t, "b", l.Seam())
+	a.table(nil)
+	b.table(nil)
+	quick := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(testDialect.RequestID) == "s-0" {
+			generate(w, r, 1, 1, 0)
+			return
+		}
+		<-r.Context().Done()
+	})
+	a.register(quick.Server)
+	require.NoError(t, a.Accept(context.Background(), route(a), step("s", 3)))
+	first := results(t, a, "s", 1)
+	a.Close()
+	e := serve(t, "e2", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 1, 0) })
+	b.register(e.Server)
+	b.watch.held = []int{stepjournal.PartOf("s", testParts)}
+	require.Eventually(t, func() bool { b.watch.look(); return b.steps.driving("s") }, 10*time.Second, 50*time.Millisecond)
+	all := results(t, b, "s", 3)
+	require.Equal(t, first[0].ID, all[0].ID)
+	require.Len(t, e.runs(), 2)
+}
+
+// A result whose append is not acknowledged is appended again and listed once.
+func TestResultWithLostAppendIsListedOnce(t *testing.T) {
+	l := newLog()
+	g := host(t, "a", l.Seam())
+	g.table(nil)
+	e := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 1, 0) })
+	require.NoError(t, g.Accept(context.Background(), route(g), step("s", 2)))
+	l.LoseAnswers(3)
+	g.register(e.Server)
+	r := results(t, g, "s", 2)
+	require.NotEqual(t, r[0].ID, r[1].ID)
+	require.Eventually(t, func() bool { return !g.journal.posting() }, 5*time.Second, 10*time.Millisecond)
+	n, err := g.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, n.Results, 2)
+}
--- /dev/null
+++ b/pier/stepjournal/fold_test.go
@@ -0,0 +1,119 @@
+package stepjournal
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func drawStep(t *rapid.T, id string) *Step {
+	s := &Step{ID: id, Model: "m", Submitted: time.Unix(100, 0)}
+	for i := range rapid.IntRange(1, 6).Draw(t, "items") {
+		b := bytes.Repeat([]byte{byte(i)}, rapid.IntRange(0, 4000).Draw(t, "body"))
+		s.Items = append(s.Items, Item{ID: fmt.Sprint(id, i), Path: "/p", Body: b})
+	}
+	return s
+}
+
+// Hosts append steps, results, ends and takeovers in any order, twice, late; the
+// positions that one reader has shown must be a prefix of every later list, and
+// two readers with different pages must agree.
+func TestFoldKeepsPositions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log [][]byte
+		steps := []*Step{drawStep(t, "a"), drawStep(t, "b")}
+		f := NewFold()
+		shown := make(map[string][]int64)
+		for range rapid.IntRange(1, 60).Draw(t, "appends") {
+			s := rapid.SampledFrom(steps).Draw(t, "step")
+			d := Driver{Host: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "host"), Peers: netip.MustParseAddrPort("127.0.0.1:1")}
+			i := rapid.IntRange(0, len(s.Items)-1).Draw(t, "item")
+			var r [][]byte
+			var one []byte
+			var err error
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				r, err = Accepted(s, d, 4096)
+			case 1:
+				one, err = TakenOver(s.ID, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "prior"), d)
+			case 2:
+				one, err = Ended(s.ID, time.Unix(200, 0))
+			case 3:
+				one = rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "junk")
+			default:
+				one, err = Finished(&Result{Step: s.ID, Item: i, ID: s.Items[i].ID, State: Completed, Text: fmt.Sprint(len(log))})
+			}
+			require.NoError(t, err)
+			if r == nil {
+				r = [][]byte{one}
+			}
+			log = append(log, r...)
+			for _, b := range r {
+				_ = f.Apply(b)
+			}
+			for id, e := range f.Steps() {
+				require.LessOrEqual(t, len(shown[id]), len(e.Results))
+				for i, at := range shown[id] {
+					require.Equal(t, at, e.Results[i])
+				}
+				shown[id] = append([]int64(nil), e.Results...)
+			}
+		}
+		g := NewFold()
+		for _, b := range log {
+			_ = g.Apply(b)
+		}
+		require.Equal(t, f.steps, g.steps)
+		for _, e := range g.Steps() {
+			checkEntry(t, log, e)
+		}
+	})
+}
+
+// checkEntry checks that each item stands once in a step's list.
+func checkEntry(t *rapid.T, log [][]byte, e *Entry) {
+	seen := make(map[int]bool)
+	for _, at := range e.Results {
+		r, err := DecodeResult(log[at])
+		require.NoError(t, err)
+		require.False(t, seen[r.Item])
+		seen[r.Item] = true
+	}
+	s, err := DecodeStep(log[e.From:e.To])
+	require.NoError(t, err)
+	require.Equal(t, e.ID, s.ID)
+	require.Len(t, s.Items, e.Total)
+}
+
+func TestTakeoverWantsTheDriverItFollows(t *testing.T) {
+	f := NewFold()
+	apply := func(b []byte, err error) {
+		require.NoError(t, err)
+		require.NoError(t, f.Apply(b))
+	}
+	s := &Step{ID: "s", Model: "m", Items: []Item{{ID: "i", Path: "/p"}}}
+	r, err := Accepted(s, Driver{Host: "a"}, 4096)
+	require.NoError(t, err)
+	apply(r[0], nil)
+	apply(TakenOver("s", "a", Driver{Host: "b"}))
+	apply(TakenOver("s", "a", Driver{Host: "c"}))
+	require.Equal(t, "b", f.Step("s").Driver.Host)
+	require.Equal(t, 1, f.Step("s").Takeovers)
+}
+
+func FuzzApply(f *testing.F) {
+	b, _ := Finished(&Result{Step: "s"})
+	f.Add(b)
+	f.Add([]byte{0xc1})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		x := NewFold()
+		_ = x.Apply(b)
+		_, _ = DecodeResult(b)
+		_, _ = DecodeStep([][]byte{b})
+	})
+}
--- /dev/null
+++ b/pier/stepplan/stepplan_test.go
@@ -0,0 +1,34 @@
+package stepplan
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLongestStartFirst(t *testing.T) {
+	l := Order([]Sample{{Item: 0, Hint: 1}, {Item: 1, Hint: 9}, {Item: 2, Hint: 1}, {Item: 3}})
+	var at []int
+	for _, s := range l {
+		at = append(at, s.Item)
+	}
+	require.Equal(t, []int{1, 0, 2, 3}, at)
+}
+
+func TestPick(t *testing.T) {
+	tests := map[string]struct {
+		l    []Engine
+		want int
+	}{
+		"none":                      {nil, -1},
+		"too old":                   {[]Engine{{Version: 1, Slots: 8}}, -1},
+		"full":                      {[]Engine{{Version: 2, Slots: 8, Running: 8}}, -1},
+		"fewest running":            {[]Engine{{Version: 2, Slots: 8, Running: 3}, {Version: 2, Slots: 8, Running: 2}}, 1},
+		"newer where alike":         {[]Engine{{Version: 2, Slots: 8}, {Version: 3, Slots: 8}}, 1},
+		"nearer where alike":        {[]Engine{{ID: "a", Version: 2, Slots: 8}, {ID: "b", Version: 2, Slots: 8, Near: true}}, 1},
+		"an idle slow one is worse": {[]Engine{{Version: 2, Slots: 8, Slowness: 3}, {Version: 2, Slots: 8, Running: 7}}, 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Pick(c.l, 2)) })
+	}
+}
