--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -86,12 +86,22 @@
 	}
 	if x.Err() != nil {
 		r.fire("limit")
+		g.handOver()
 	} else {
 		r.fire("idle")
 	}
 	g.shutDown()
 }
 
+// handOver leaves the steps that are not whole to other hosts.
+func (g *Gateway) handOver() {
+	g.steps.release()
+	x, stop := context.WithTimeout(g.x, drainReserve/2)
+	defer stop()
+	for g.journal.posting() && pause(x, drainPoll/2) {
+	}
+}
+
 // shutDown ends the listeners after the requests that are under way.
 func (g *Gateway) shutDown() {
 	x, stop := context.WithTimeout(context.Background(), drainReserve/2)
--- a/pier/gateway/drive.go
+++ b/pier/gateway/drive.go
@@ -15,6 +15,11 @@
 const (
 	// driveTick is the time between two looks at a step with samples that wait.
 	driveTick = 50 * time.Millisecond
+	// moveTick is the time between two looks for samples on slow servers, and the
+	// shortest time that a sample stays where it is.
+	moveTick = 400 * time.Millisecond
+	// movesMost is how often a sample may go on elsewhere.
+	movesMost = 3
 	// driveStale is how old the view of a step may be for new samples to start: a
 	// host that was cut off does not know of the step's end.
 	driveStale = 10 * time.Second
@@ -39,6 +44,8 @@
 	// ended tells by item that nothing is left to do here.
 	ended []bool
 	left  int
+	// moved is when samples were last moved.
+	moved time.Time
 }
 
 func newDrive(g *Gateway, r *routetable.Route, s *stepjournal.Step, v *view) *drive {
@@ -52,7 +59,7 @@
 		l[i] = stepplan.Sample{Item: i, Group: t.Group, Hint: t.Hint}
 	}
 	for _, p := range stepplan.Order(l) {
-		d.waiting = append(d.waiting, &sample{d: d, at: p.Item, item: &s.Items[p.Item]})
+		d.waiting = append(d.waiting, &sample{d: d, at: p.Item, item: &s.Items[p.Item], asked: time.Now()})
 	}
 	return d
 }
@@ -61,6 +68,7 @@
 func (d *drive) run() {
 	defer d.stop()
 	defer d.halt()
+	d.restore()
 	for d.x.Err() == nil {
 		changed, ok := d.look()
 		if !ok || d.left == 0 {
@@ -68,11 +76,64 @@
 		}
 		room := d.g.fleet.room()
 		d.start()
+		d.move()
 		d.wait(changed, room)
 	}
 	d.g.log.Info("step: left", zap.String("id", d.step.ID), zap.Int("open", d.left))
 }
 
+// restore takes the progress that a driver before this one saved.
+func (d *drive) restore() {
+	saved := d.view.saved(d.step.ID)
+	for _, s := range d.waiting {
+		at, ok := saved[s.at]
+		if !ok {
+			continue
+		}
+		b, err := d.view.records(d.x, at, 1)
+		if err != nil {
+			d.g.log.Warn("sample: progress cannot be read", zap.String("id", s.item.ID), zap.Error(err))
+			continue
+		}
+		p, err := stepjournal.DecodeProgress(b[0])
+		if err != nil {
+			d.g.log.Warn("sample: progress cannot be read", zap.String("id", s.item.ID), zap.Error(err))
+			continue
+		}
+		s.restore(p)
+		d.g.log.Info("sample: goes on from its progress", zap.String("id", s.item.ID), zap.Int64("events", p.LastEvent))
+	}
+}
+
+// move ends the runs of samples on servers that turned slow while a faster one
+// has room, so that they go on there.
+func (d *drive) move() {
+	if len(d.waiting) > 0 || time.Since(d.moved) < moveTick {
+		return
+	}
+	d.moved = time.Now()
+	t := d.g.Table()
+	if t == nil {
+		return
+	}
+	for _, s := range d.running {
+		if s.moves >= movesMost || time.Since(s.placed) < moveTick || s.finishing.Load() {
+			continue
+		}
+		service, slots, ok := d.engines(t, s)
+		if ok && d.g.fleet.better(service, d.step.Model, s.server, d.need(s), slots) {
+			s.moves++
+			d.g.metrics.retries.WithLabelValues(reasonMoved).Inc()
+			d.g.log.Info("sample: moves from a slow server", zap.String("id", s.item.ID), zap.String("server", s.server))
+			s.stop()
+			return
+		}
+	}
+}
+
+// reasonMoved labels the samples that were moved to a faster server.
+const reasonMoved = "moved"
+
 // look takes what the journal says of the step; false means that it is not this
 // host's to run any more.
 func (d *drive) look() (<-chan struct{}, bool) {
@@ -143,19 +204,15 @@
 
 // begin starts a sample if an engine has room for it.
 func (d *drive) begin(t *routetable.Table, s *sample) bool {
-	r := t.Match(d.step.Host, s.item.Path)
-	if r == nil {
+	service, slots, ok := d.engines(t, s)
+	if !ok {
 		return false
 	}
-	service := r.Pick(0)
-	slots := 1
-	if v := t.Services[service]; v != nil {
-		slots = max(v.Slots, 1)
-	}
 	u, ok := d.g.fleet.engine(service, d.step.Model, d.need(s), slots)
 	if !ok {
 		return false
 	}
+	s.server, s.placed = u.s.ID, time.Now()
 	if s.began.IsZero() {
 		s.began = time.Now()
 	}
@@ -170,30 +227,39 @@
 	return true
 }
 
-// need returns the oldest version that may generate a sample from here on.
-func (d *drive) need(s *sample) int64 {
-	if d.route.SingleVersion && len(s.versions) > 0 {
-		return max(d.step.MinVersion, s.versions[len(s.versions)-1])
+// engines returns the service that generates a sample, and the slots of its
+// servers where a registration states none.
+func (d *drive) engines(t *routetable.Table, s *sample) (service string, slots int, ok bool) {
+	r := t.Match(d.step.Host, s.item.Path)
+	if r == nil {
+		return "", 0, false
 	}
-	return d.step.MinVersion
+	service, slots = r.Pick(0), 1
+	if v := t.Services[service]; v != nil {
+		slots = max(v.Slots, 1)
+	}
+	return service, slots, true
 }
 
+// need returns the oldest version that may generate a sample from here on.
+func (d *drive) need(s *sample) int64 { return max(d.step.MinVersion, s.pinned.Load()) }
+
 // wait returns when something may have changed.
 func (d *drive) wait(changed, room <-chan struct{}) {
 	if len(d.waiting) == 0 {
 		room = nil
 	}
-	t := time.NewTimer(driveTick)
-	defer t.Stop()
-	tick := t.C
+	tick := driveTick
 	if len(d.waiting) == 0 {
-		tick = nil
+		tick = moveTick
 	}
+	t := time.NewTimer(tick)
+	defer t.Stop()
 	select {
 	case <-d.x.Done():
 	case <-changed:
 	case <-room:
-	case <-tick:
+	case <-t.C:
 	case s := <-d.over:
 		d.ran(s)
 	}
@@ -209,6 +275,7 @@
 		d.waiting = append([]*sample{s}, d.waiting...)
 		return
 	}
+	s.log()
 	d.post(s.result)
 	d.g.metrics.sample.Observe(time.Since(s.began).Seconds())
 	d.finish(s.at)
@@ -225,6 +292,16 @@
 	d.view.post(b)
 }
 
+// release leaves the step to any other host, at the end of a planned stop.
+func (d *drive) release() {
+	b, err := stepjournal.TakenOver(d.step.ID, d.g.self.Host, stepjournal.Driver{})
+	if err != nil {
+		d.g.log.Error("step: cannot be released", zap.String("id", d.step.ID), zap.Error(err))
+		return
+	}
+	d.view.post(b)
+}
+
 // halt stops all samples.
 func (d *drive) halt() {
 	for _, s := range d.running {
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -21,6 +21,10 @@
 	avoidMost  = 3 * time.Second
 	// loadTime is how long an engine takes to load a version.
 	loadTime = 950 * time.Millisecond
+	// paceAge is how long a measured pace of a server is relied on.
+	paceAge = 3 * time.Second
+	// paceWeight is the weight of a new measurement.
+	paceWeight = 0.5
 )
 
 // fleet is what this host knows of the backend servers.
@@ -49,6 +53,9 @@
 	fails int
 	// ordered holds the versions that the server was ordered to load.
 	ordered map[string]orderedVersion
+	// pace is the time between two events of a generation, measured at paced.
+	pace  time.Duration
+	paced time.Time
 }
 
 type orderedVersion struct {
@@ -64,7 +71,7 @@
 }
 
 func (f *fleet) run() {
-	w := follower{g: f.g, topic: f.g.c.Sources.Servers, put: f.put, whole: f.whole, pass: f.pass}
+	w := follower{g: f.g, topic: f.g.c.Sources.Servers, put: f.put, whole: f.whole, pass: f.pass, pace: serversPace}
 	w.run()
 }
 
@@ -150,15 +157,35 @@
 	s directory.Server
 }
 
-// engine picks the engine for a sample and reserves a place there. served is
-// called with the lock held.
+// engine picks the engine for a sample and reserves a place there.
 func (f *fleet) engine(service, model string, min int64, slots int) (*lease, bool) {
-	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c, at := f.engines(service, model, slots, time.Now())
+	i := stepplan.Pick(c, min)
+	if i < 0 {
+		return nil, false
+	}
+	s := f.list[service][at[i]]
+	f.state[s.ID].running++
+	return &lease{f: f, s: s}, true
+}
+
+// better reports whether a sample that runs on a server should go on at another.
+func (f *fleet) better(service, model, server string, min int64, slots int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, _ := f.engines(service, model, slots, time.Now())
+	return stepplan.Better(c, server, min)
+}
+
+// engines returns the engines that take samples, and their places in the list of
+// the service. The caller holds mu.
+func (f *fleet) engines(service, model string, slots int, now time.Time) ([]stepplan.Engine, []int) {
 	l := f.list[service]
 	c := make([]stepplan.Engine, 0, len(l))
 	at := make([]int, 0, len(l))
+	fastest := f.fastest(l, now)
 	for i, s := range l {
 		t := f.state[s.ID]
 		if s.Leaving || now.Before(t.avoid) {
@@ -171,16 +198,49 @@
 		at = append(at, i)
 		c = append(c, stepplan.Engine{
 			ID: s.ID, Version: t.version(s, model, now), Slots: n,
-			Running: t.used(now), Near: s.Domain == f.g.s.Domain,
+			Running: t.used(now), Near: s.Domain == f.g.s.Domain, Slowness: t.slowness(fastest, now),
 		})
 	}
-	i := stepplan.Pick(c, min)
-	if i < 0 {
-		return nil, false
+	return c, at
+}
+
+// fastest returns the pace of the fastest server, 0 if none was measured. The
+// caller holds mu.
+func (f *fleet) fastest(l []directory.Server, now time.Time) time.Duration {
+	var r time.Duration
+	for _, s := range l {
+		t := f.state[s.ID]
+		if t.pace > 0 && now.Sub(t.paced) < paceAge && (r == 0 || t.pace < r) {
+			r = t.pace
+		}
 	}
-	s := l[at[i]]
-	f.state[s.ID].running++
-	return &lease{f: f, s: s}, true
+	return r
+}
+
+// slowness returns the server's pace as a multiple of the fastest one's, 1 if it
+// is not known.
+func (t *serverState) slowness(fastest time.Duration, now time.Time) float64 {
+	if fastest == 0 || t.pace == 0 || now.Sub(t.paced) >= paceAge {
+		return 1
+	}
+	return float64(t.pace) / float64(fastest)
+}
+
+// paced takes the time between two events that a generation showed.
+func (u *lease) paced(d time.Duration) {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	t := u.f.state[u.s.ID]
+	if t == nil {
+		return
+	}
+	now := time.Now()
+	if t.pace == 0 || now.Sub(t.paced) >= paceAge {
+		t.pace = d
+	} else {
+		t.pace += time.Duration(paceWeight * float64(d-t.pace))
+	}
+	t.paced = now
 }
 
 // version returns the version of a model that the server is believed to hold.
@@ -247,16 +307,16 @@
 	}
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
-	t := u.f.state[u.s.ID]
-	t.load, t.loadAt, t.own = l, time.Now(), t.running
+	if t := u.f.state[u.s.ID]; t != nil {
+		t.load, t.loadAt, t.own = l, time.Now(), t.running
+	}
 }
 
 // version takes the version that a server states for a model.
 func (u *lease) version(model string, v int64) {
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
-	t := u.f.state[u.s.ID]
-	if o := t.ordered[model]; o.version > v {
+	if t := u.f.state[u.s.ID]; t != nil && t.ordered[model].version > v {
 		delete(t.ordered, model)
 	}
 	if u.f.dir.Observe(u.s.ID, model, v) {
@@ -269,6 +329,9 @@
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
 	t := u.f.state[u.s.ID]
+	if t == nil {
+		return
+	}
 	d := min(avoidFirst<<min(t.fails, 8), avoidMost)
 	t.fails++
 	t.avoid = time.Now().Add(d)
@@ -279,14 +342,18 @@
 func (u *lease) full(d time.Duration) {
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
-	u.f.state[u.s.ID].avoid = time.Now().Add(d)
+	if t := u.f.state[u.s.ID]; t != nil {
+		t.avoid = time.Now().Add(d)
+	}
 }
 
 // served takes a success.
 func (u *lease) served() {
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
-	u.f.state[u.s.ID].fails = 0
+	if t := u.f.state[u.s.ID]; t != nil {
+		t.fails = 0
+	}
 }
 
 // done gives the place back.
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -18,9 +18,11 @@
 	followWait = time.Second
 	// followSlack is how long a read may take beyond its wait.
 	followSlack = 800 * time.Millisecond
-	// followPace is the shortest time between two reads of a keyed topic, so that
-	// records that come one by one are read together.
-	followPace = 150 * time.Millisecond
+	// serversPace and operatorsPace are the shortest times between two reads of a
+	// keyed topic, so that records that come one by one are read together. Servers
+	// write all the time; versions of weights should be known at once.
+	serversPace   = 150 * time.Millisecond
+	operatorsPace = 20 * time.Millisecond
 	// followBytes bounds the answer to a read.
 	followBytes = 256 << 10
 	// retryPause is the time after which a failed call to the log is tried again.
@@ -38,6 +40,8 @@
 	whole func(keys map[string]bool)
 	// pass is called after each read with its error, nil for a success.
 	pass func(err error)
+	// pace is the shortest time between two reads.
+	pace time.Duration
 	// next is the offset to read from, -1 when the newest records are wanted.
 	next int64
 	// offsets holds the newest offset seen of each key, so that no key goes back.
@@ -53,7 +57,7 @@
 		f.pass(err)
 		if err == nil {
 			f.g.answered()
-			pause(f.g.x, followPace-time.Since(t))
+			pause(f.g.x, f.pace-time.Since(t))
 			continue
 		}
 		if outcome.Is(err, partlog.ReasonExpired) {
@@ -149,7 +153,7 @@
 func (t *tables) run() {
 	f := follower{
 		g: t.g, topic: t.g.c.Sources.Operators, put: t.put,
-		whole: func(map[string]bool) {}, pass: func(error) {},
+		whole: func(map[string]bool) {}, pass: func(error) {}, pace: operatorsPace,
 	}
 	f.run()
 }
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -20,9 +20,9 @@
 	// bufferMost is the longest answer that is read whole before it is passed on, so
 	// that one which breaks off can still be asked of another server.
 	bufferMost = 256 << 10
-	// slowFactor is how many times its route's objective an idempotent request may
-	// take at one server before another is tried.
-	slowFactor = 2.5
+	// hedgeFactor is the part of its route's objective that an idempotent request
+	// may take at one server before a second one is asked as well.
+	hedgeFactor = 0.6
 	// busyPause is when a caller may come back to servers that had no room.
 	busyPause = 200 * time.Millisecond
 	// awayPause is when a caller may come back to a host that cannot reach the log
@@ -89,89 +89,175 @@
 	return a, nil
 }
 
-// attempts tries one server after the other.
+// try is one request to one server.
+type try struct {
+	u      *lease
+	answer *Answer
+	err    error
+	stop   context.CancelFunc
+}
+
+// attempts tries one server after the other. An idempotent request that is slow
+// at one server is sent to a second one as well, and the first answer counts.
 func (g *Gateway) attempts(x context.Context, c Call) (*Answer, error) {
-	service := c.Route.Pick(xxhash.Sum64String(c.ID))
-	tried := make(map[string]bool)
-	var failed *outcome.Error
-	last := outcome.Refuse(outcome.ReasonNoServer, service).After(awayPause)
-	for sent := 0; sent < c.Route.Attempts && x.Err() == nil; {
-		u, ok := g.fleet.plain(service, tried)
-		if !ok {
-			break
-		}
-		tried[u.s.ID] = true
-		a, err := g.attempt(x, c, u, sent+1 < c.Route.Attempts)
-		if err == nil {
-			return a, nil
-		}
-		last = outcome.From(err)
-		if last.Outcome != outcome.NotRun {
-			sent++
-			failed = last
-			if c.Route.Kind != routetable.KindIdempotent {
-				break
+	s := spread{g: g, c: c, service: c.Route.Pick(xxhash.Sum64String(c.ID)), tried: make(map[string]bool)}
+	s.over = make(chan *try, c.Route.Attempts+1)
+	s.last = outcome.Refuse(outcome.ReasonNoServer, s.service).After(awayPause)
+	s.hedge = time.NewTimer(time.Hour)
+	defer s.hedge.Stop()
+	s.send(x)
+	for s.open > 0 {
+		select {
+		case t := <-s.over:
+			s.open--
+			if t.err == nil {
+				s.drop(t)
+				return t.answer, nil
+			}
+			if s.again(t) {
+				s.send(x)
 			}
+		case <-s.hedge.C:
+			g.metrics.retries.WithLabelValues(reasonSlow).Inc()
+			s.send(x)
+		}
+	}
+	switch {
+	case s.failed == nil:
+		return nil, s.last
+	case x.Err() != nil:
+		return nil, outcome.Lost(outcome.ReasonDeadline, s.service, x.Err())
+	}
+	return nil, s.failed
+}
+
+// reasonSlow labels the requests that were sent to a second server.
+const reasonSlow = "slow"
+
+// spread is a plain request on its way to one server or several.
+type spread struct {
+	g       *Gateway
+	c       Call
+	service string
+	tried   map[string]bool
+	tries   []*try
+	// open counts the tries without an end; sent those that may have run.
+	open, sent int
+	over       chan *try
+	hedge      *time.Timer
+	// failed is the newest failure of a try that may have run, last any.
+	failed, last *outcome.Error
+}
+
+func (s *spread) idempotent() bool { return s.c.Route.Kind == routetable.KindIdempotent }
+
+// send starts a try at a server that had none yet, if the route allows it.
+func (s *spread) send(x context.Context) {
+	if x.Err() != nil || s.sent >= s.c.Route.Attempts {
+		return
+	}
+	u, ok := s.g.fleet.plain(s.service, s.tried)
+	if !ok {
+		return
+	}
+	s.tried[u.s.ID] = true
+	s.sent++
+	s.open++
+	y, stop := context.WithCancel(x)
+	t := &try{u: u, stop: stop}
+	s.tries = append(s.tries, t)
+	more := s.sent < s.c.Route.Attempts
+	go func() {
+		t.answer, t.err = s.g.attempt(y, s.c, u, more)
+		s.over <- t
+	}()
+	if s.idempotent() && more && s.c.Route.Objective > 0 {
+		s.hedge.Reset(time.Duration(hedgeFactor * float64(s.c.Route.Objective)))
+	}
+}
+
+// again takes a failed try and reports whether another may follow.
+func (s *spread) again(t *try) bool {
+	t.stop()
+	s.last = outcome.From(t.err)
+	s.g.metrics.retries.WithLabelValues(string(s.last.Reason)).Inc()
+	s.g.log.Debug("request: attempt failed", zap.String("id", s.c.ID), zap.String("server", t.u.s.ID), zap.String("reason", string(s.last.Reason)))
+	if s.last.Outcome == outcome.NotRun {
+		s.sent--
+		return true
+	}
+	s.failed = s.last
+	return s.idempotent()
+}
+
+// drop ends all tries but the one whose answer counts.
+func (s *spread) drop(won *try) {
+	for _, t := range s.tries {
+		if t != won {
+			t.stop()
 		}
-		g.metrics.retries.WithLabelValues(string(last.Reason)).Inc()
-		g.log.Debug("request: attempt failed", zap.String("id", c.ID), zap.String("server", u.s.ID), zap.String("reason", string(last.Reason)))
 	}
-	if failed == nil {
-		return nil, last
+	done := won.answer.close
+	won.answer.close = func() {
+		done()
+		won.stop()
 	}
-	if x.Err() != nil {
-		return nil, outcome.Lost(outcome.ReasonDeadline, service, x.Err())
+	n := s.open
+	if n == 0 {
+		return
 	}
-	return nil, failed
+	go func() {
+		for range n {
+			if t := <-s.over; t.err == nil {
+				t.answer.Close()
+			}
+		}
+	}()
 }
 
 // attempt sends the request to one server. With more set, another server may be
 // tried after it.
 func (g *Gateway) attempt(x context.Context, c Call, u *lease, more bool) (*Answer, error) {
-	stop := func() {}
 	idempotent := c.Route.Kind == routetable.KindIdempotent
-	if idempotent && more && c.Route.Objective > 0 {
-		x, stop = context.WithTimeout(x, time.Duration(slowFactor*float64(c.Route.Objective)))
-	}
-	end := func() { stop(); u.done() }
 	r, err := g.pool.Do(x, g.request(c, u))
 	if err != nil {
 		g.blame(u, x, err)
-		end()
+		u.done()
 		return nil, err
 	}
 	u.observe(r)
-	if r.NotRun() {
+	end := func() { r.Close(); u.done() }
+	switch {
+	case r.NotRun():
 		u.full(busyPause)
-		_, _ = io.Copy(io.Discard, io.LimitReader(r, bufferMost))
-		r.Close()
+		discard(r)
 		end()
 		return nil, outcome.Refuse(outcome.ReasonQueueFull, u.s.ID).After(busyPause)
-	}
-	if r.Status >= http.StatusInternalServerError && idempotent && more {
-		u.failed("status " + strconv.Itoa(r.Status))
-		_, _ = io.Copy(io.Discard, io.LimitReader(r, bufferMost))
-		r.Close()
+	case r.Status >= http.StatusInternalServerError && idempotent && more:
+		discard(r)
 		end()
 		return nil, outcome.Lost(outcome.ReasonServerError, u.s.ID, nil)
-	}
-	if !idempotent && promise(r.Status) {
-		r.Close()
+	case !idempotent && promise(r.Status):
 		end()
 		return nil, outcome.Lost(outcome.ReasonServerError, u.s.ID, nil)
 	}
 	a, err := answer(c, r)
 	if err != nil {
 		g.blame(u, x, err)
-		r.Close()
 		end()
 		return nil, outcome.Lost(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
 	u.served()
-	a.close = func() { r.Close(); end() }
+	a.close = end
 	return a, nil
 }
 
+// discard reads a short body to its end, so that its connection can be kept.
+func discard(r *backend.Response) {
+	// A failure shows when the connection is closed instead of kept.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, bufferMost))
+}
+
 // promise reports whether a status tells a caller that its request has not run.
 func promise(status int) bool {
 	switch status {
--- /dev/null
+++ b/pier/gateway/forward_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
+)
+
+func call(g *Gateway) Call {
+	return Call{
+		Route: g.Table().Match("h", "/plain/x"), Method: http.MethodPost, Target: "/plain/x", Host: "h", ID: "r",
+		Body: []byte("b"), Deadline: time.Now().Add(time.Second),
+	}
+}
+
+func echo(_ *server, w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	_, _ = w.Write(b)
+}
+
+func hang(_ *server, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func notRun(_ *server, w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testDialect.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func fail(_ *server, w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func tear(_ *server, w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "10")
+	_, _ = io.WriteString(w, "b")
+	panic(http.ErrAbortHandler)
+}
+
+// One server fails in each way there is, the other one is sound: what may be
+// repeated gets its answer, what may not is told truly whether it has run.
+func TestForward(t *testing.T) {
+	tests := map[string]struct {
+		first   func(*server, http.ResponseWriter, *http.Request)
+		once    bool
+		answers bool
+		outcome outcome.Outcome
+	}{
+		"idempotent, hangs":   {first: hang, answers: true},
+		"idempotent, refuses": {first: notRun, answers: true},
+		"idempotent, fails":   {first: fail, answers: true},
+		"idempotent, tears":   {first: tear, answers: true},
+		"once, refuses":       {first: notRun, once: true, answers: true},
+		"once, hangs":         {first: hang, once: true, outcome: outcome.Unknown},
+		"once, tears":         {first: tear, once: true, outcome: outcome.Unknown},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := host(t, "a", newLog().Seam())
+			g.table(func(_, plain *routetable.Route) {
+				if c.once {
+					plain.Kind = routetable.KindOnce
+				}
+			})
+			bad, good := serve(t, "s1", "desk", c.first), serve(t, "s2", "desk", echo)
+			good.Domain = "far"
+			g.register(bad.Server, good.Server)
+			a, err := g.Do(context.Background(), call(g))
+			if c.answers {
+				require.NoError(t, err)
+				defer a.Close()
+				require.Equal(t, "b", string(a.Body))
+				return
+			}
+			require.Equal(t, c.outcome, outcome.From(err).Outcome)
+			require.Empty(t, good.runs(), "a request that may have run goes nowhere else")
+		})
+	}
+}
+
+func TestNoMoreServersThanAttempts(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	var l []*server
+	for _, n := range []string{"s1", "s2", "s3", "s4"} {
+		s := serve(t, n, "desk", tear)
+		l = append(l, s)
+		g.register(s.Server)
+	}
+	_, err := g.Do(context.Background(), call(g))
+	require.Equal(t, outcome.Unknown, outcome.From(err).Outcome)
+	n := 0
+	for _, s := range l {
+		n += len(s.runs())
+	}
+	require.Equal(t, 2, n)
+}
+
+func TestAllServersRefuseIsNotRun(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	g.register(serve(t, "s1", "desk", notRun).Server, serve(t, "s2", "desk", notRun).Server)
+	began := time.Now()
+	_, err := g.Do(context.Background(), call(g))
+	e := outcome.From(err)
+	require.Equal(t, outcome.NotRun, e.Outcome)
+	require.Positive(t, e.RetryAfter)
+	require.Less(t, time.Since(began), 500*time.Millisecond, "a refusal is not held back")
+}
+
+func TestLeavingServersGetNothing(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	s := serve(t, "s1", "desk", echo)
+	s.Leaving = true
+	g.register(s.Server)
+	_, err := g.Do(context.Background(), call(g))
+	require.True(t, outcome.Is(err, outcome.ReasonNoServer))
+	require.Empty(t, s.runs())
+}
+
+func TestSilentServerIsLeftAtTheDeadline(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	g.register(directory.Server{ID: "s1", Service: "desk", Address: silentListener(t), Slots: 1})
+	began := time.Now()
+	_, err := g.Do(context.Background(), call(g))
+	require.True(t, outcome.Is(err, outcome.ReasonDeadline))
+	require.Less(t, time.Since(began), 1500*time.Millisecond)
+}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -196,7 +197,19 @@
 	if p == nil {
 		return stepjournal.Entry{}, v.changed, false
 	}
-	return *p, v.changed, true
+	e = *p
+	e.Saved = nil
+	return e, v.changed, true
+}
+
+// saved returns where the progress of a step's unfinished items stands.
+func (v *view) saved(step string) map[int]int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e := v.fold.Step(step); e != nil {
+		return maps.Clone(e.Saved)
+	}
+	return nil
 }
 
 // finished returns which items of a step have results.
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -37,11 +37,12 @@
 	g     *Gateway
 	lease *orderlease.Lease
 	woken chan struct{}
-	// underWay holds the loads that are not known to be done.
+	// underWay holds the loads that are not known to be done, by server.
 	underWay map[string]*loading
 	// shun holds until when a server gets no order.
 	shun map[string]time.Time
 	over chan *loading
+	// sent is when the newest record of this host's term was sent.
 	sent time.Duration
 }
 
@@ -49,7 +50,9 @@
 type loading struct {
 	load  loadplan.Load
 	began time.Time
-	err   error
+	// due is when the load should be done; from then on it takes no other's place.
+	due time.Time
+	err error
 }
 
 func newOrders(g *Gateway) *orders {
@@ -199,7 +202,7 @@
 }
 
 func atOnce(share float64, servers int) int {
-	return max(int(math.Round(share*float64(servers))), 1)
+	return max(int(math.Ceil(share*float64(servers))), 1)
 }
 
 // goals returns the newest versions of the models, the one named first in front.
@@ -227,8 +230,9 @@
 		for m := range s.Versions {
 			v[m] = o.g.fleet.state[s.ID].version(s, m, now)
 		}
-		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Busy: now.Before(o.shun[s.ID])})
-		if u := o.underWay[s.ID]; u != nil {
+		u := o.underWay[s.ID]
+		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Busy: u != nil || now.Before(o.shun[s.ID])})
+		if u != nil && now.Before(u.due) {
 			under = append(under, u.load)
 		}
 	}
@@ -244,17 +248,26 @@
 	if !o.append(&orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}) {
 		return
 	}
-	n := &loading{load: l, began: time.Now()}
+	n := &loading{load: l, began: time.Now(), due: time.Now().Add(loadTime)}
 	o.underWay[l.Server] = n
-	fence := o.lease.Fence()
+	t := term{fence: o.lease.Fence(), until: o.sent + orderlease.Margin}
 	o.g.wg.Go(func() {
-		n.err = o.carryOut(s, l, fence)
+		n.err = o.carryOut(s, l, t)
 		o.over <- n
 	})
+	time.AfterFunc(loadTime, o.wake)
+}
+
+// term is the right to give one order: an order goes out right after the record
+// that announces it, so that a successor who waits from that record on comes well
+// after it.
+type term struct {
+	fence int64
+	until time.Duration
 }
 
 // carryOut gives the order and waits until the load is done.
-func (o *orders) carryOut(s directory.Server, l loadplan.Load, fence int64) error {
+func (o *orders) carryOut(s directory.Server, l loadplan.Load, t term) error {
 	x, stop := context.WithTimeout(o.g.x, loadMost)
 	defer stop()
 	r, err := o.report(x, s)
@@ -264,20 +277,20 @@
 	if r.Versions[l.Model] >= l.Version {
 		return nil
 	}
-	if !o.lease.Holds(boottime.Now()) {
+	if boottime.Now() > t.until {
 		return outcome.Refuse(outcome.ReasonStaleFence, s.ID)
 	}
 	y, halt := context.WithTimeout(x, orderLimit)
 	err = o.g.engines.Order(y, Order{
-		Server: s, Model: l.Model, Version: l.Version, Holder: o.g.s.Name, Fence: fence, Expected: r.Orders,
+		Server: s, Model: l.Model, Version: l.Version, Holder: o.g.s.Name, Fence: t.fence, Expected: r.Orders,
 	})
 	halt()
 	if err != nil && outcome.From(err).Outcome == outcome.NotRun {
 		return err
 	}
 	o.g.log.Info("orders: load ordered", zap.String("server", s.ID), zap.String("model", l.Model), zap.Int64("version", l.Version),
-		zap.Int64("fence", fence), zap.Int64("expected", r.Orders), zap.Error(err))
-	pause(x, loadTime-reportPause)
+		zap.Int64("fence", t.fence), zap.Int64("expected", r.Orders), zap.Error(err))
+	pause(x, loadTime)
 	return o.await(x, s, l)
 }
 
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +28,13 @@
 	refusedPause = 60 * time.Millisecond
 	// againPause is the time before a sample whose run failed starts again.
 	againPause = 20 * time.Millisecond
+	// paceEvents is the number of events over which a server's pace is measured.
+	paceEvents = 8
+	// saveInterval is the time between two records of a long sample's progress: what
+	// is generated in between is lost with the host. It is shorter during a planned
+	// stop, after which another host goes on.
+	saveInterval     = 1200 * time.Millisecond
+	saveIntervalStop = 300 * time.Millisecond
 	// scorePause is the time before a scorer's call is tried again.
 	scorePause = 50 * time.Millisecond
 	// scoreLimit is the deadline of one scorer's call on a route without a timeout.
@@ -39,8 +47,23 @@
 	d    *drive
 	at   int
 	item *stepjournal.Item
-	// began is when the first run started.
-	began time.Time
+	// asked is when the step was taken up, began when the first run started, scoring
+	// when the text was whole.
+	asked   time.Time
+	began   time.Time
+	scoring time.Time
+	// server is the id of the server that runs the sample since placed; runs counts
+	// the runs, moves those that were ended to go on at a faster server.
+	server string
+	placed time.Time
+	runs   int
+	moves  int
+	// finishing is set once the text is whole: a move would gain nothing.
+	finishing atomic.Bool
+	// pinned is the version that a route with one version a sample wants; 0 for any.
+	pinned atomic.Int64
+	// saved is when the progress was last put into the journal.
+	saved time.Time
 	stop  context.CancelFunc
 
 	// text holds the data of the whole events so far, lastID the id of the last.
@@ -59,6 +82,8 @@
 // run lets an engine generate the rest of the text, and has the text scored. It
 // leaves result nil when the sample has to run again.
 func (s *sample) run(x context.Context, u *lease) {
+	s.runs++
+	s.saved = time.Now()
 	if !s.whole {
 		err := s.generate(x, u)
 		u.done()
@@ -122,13 +147,14 @@
 		return outcome.Lost(outcome.ReasonUnversioned, u.s.ID, nil)
 	}
 	u.version(s.d.step.Model, v)
-	return s.read(r, v, func() { silence.Reset(eventLimit) })
+	return s.read(r, u, v, func() { silence.Reset(eventLimit) })
 }
 
 // read takes the events of a run whose first ones version v generates.
-func (s *sample) read(r *backend.Response, v int64, alive func()) error {
+func (s *sample) read(r *backend.Response, u *lease, v int64, alive func()) error {
 	e := newEvents(r, s.d.g.c.Dialect.EventVersion)
-	for {
+	var mark time.Time
+	for i := 0; ; i++ {
 		n, err := e.next()
 		if errors.Is(err, io.EOF) {
 			s.whole = s.lastID > 0
@@ -147,9 +173,41 @@
 		if err := s.extend(n, v); err != nil {
 			return err
 		}
+		if i%paceEvents == 0 {
+			now := time.Now()
+			if i > 0 {
+				u.paced(now.Sub(mark) / paceEvents)
+			}
+			mark = now
+			s.save(now)
+		}
 	}
 }
 
+// save puts the progress of a long sample into the journal now and then.
+func (s *sample) save(now time.Time) {
+	d := saveInterval
+	if s.d.g.drain.leaving() {
+		d = saveIntervalStop
+	}
+	if now.Sub(s.saved) < d {
+		return
+	}
+	s.saved = now
+	p := stepjournal.Progress{Item: s.at, Text: strings.Join(s.text, "\n"), LastEvent: s.lastID, Versions: s.versions}
+	b, err := stepjournal.Saved(s.d.step.ID, &p)
+	if err != nil || len(b) > s.d.g.s.Log.RecordBytes {
+		s.d.g.log.Warn("sample: progress cannot be kept", zap.String("id", s.item.ID), zap.Int("bytes", len(b)), zap.Error(err))
+		return
+	}
+	s.d.view.post(b)
+}
+
+// restore goes on from a saved progress.
+func (s *sample) restore(p *stepjournal.Progress) {
+	s.text, s.lastID, s.versions = []string{p.Text}, p.LastEvent, p.Versions
+}
+
 // extend adds an event that version v generated.
 func (s *sample) extend(n *event, v int64) error {
 	if v < s.d.step.MinVersion {
@@ -165,13 +223,19 @@
 		}
 		s.versions = append(s.versions, v)
 	}
+	if s.d.route.SingleVersion {
+		s.pinned.Store(v)
+	}
 	s.lastID = n.id
 	s.text = append(s.text, n.data)
 	return nil
 }
 
 // reset begins the sample anew.
-func (s *sample) reset() { s.text, s.versions, s.lastID = nil, nil, 0 }
+func (s *sample) reset() {
+	s.text, s.versions, s.lastID = nil, nil, 0
+	s.pinned.Store(0)
+}
 
 func (s *sample) request(u *lease) backend.Request {
 	d := s.d.g.c.Dialect
@@ -206,6 +270,8 @@
 
 // score has the whole text scored and sets the result.
 func (s *sample) score(x context.Context) {
+	s.scoring = time.Now()
+	s.finishing.Store(true)
 	r := &stepjournal.Result{
 		Step: s.d.step.ID, Item: s.at, ID: s.item.ID, State: stepjournal.Completed,
 		Text: strings.Join(s.text, "\n"), Versions: distinct(s.versions),
@@ -279,6 +345,15 @@
 	return a.Header.Get(s.d.g.c.Dialect.Signature), false, max(r.Attempts, 1)
 }
 
+// log tells how the sample ended and where its time went.
+func (s *sample) log() {
+	now := time.Now()
+	s.d.g.log.Info("sample: ended", zap.String("id", s.item.ID), zap.String("step", s.d.step.ID), zap.String("state", string(s.result.State)),
+		zap.String("server", s.server), zap.Int("runs", s.runs), zap.Int64("events", s.lastID), zap.Int64s("versions", s.result.Versions),
+		zap.Int("hint", s.item.Hint), zap.Duration("waited", s.began.Sub(s.asked)), zap.Duration("generated", s.scoring.Sub(s.began)),
+		zap.Duration("scored", now.Sub(s.scoring)))
+}
+
 // distinct returns the versions without repeats, in their order.
 func distinct(l []int64) []int64 {
 	var r []int64
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -255,7 +255,16 @@
 	}
 }
 
-// drives reports whether this host runs a step.
+// release leaves all steps to other hosts.
+func (p *steps) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, d := range p.drives {
+		d.release()
+	}
+}
+
+// driving reports whether this host runs a step.
 func (p *steps) driving(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -137,6 +137,10 @@
 				w.resume(v, e)
 				continue
 			}
+			if e.Driver.Host == "" {
+				w.take(v, e)
+				continue
+			}
 			asked[e.Driver.Peers] = append(asked[e.Driver.Peers], place{v, e})
 		}
 	}
--- a/pier/loadplan/loadplan.go
+++ b/pier/loadplan/loadplan.go
@@ -45,31 +45,52 @@
 	Share float64
 }
 
-// Plan returns the loads to order now. Goals come first that are listed first.
-// Servers and goals may be in any order; the result depends on nothing else.
+// Plan returns the loads to order now. The model with the fewest servers that can
+// serve its next step comes first, and among equals the goal that is listed first:
+// when loads are scarce, no trainer stands still for another one's second server.
 func Plan(c Config, servers []Server, goals []Goal, underWay []Load) []Load {
 	s := append([]Server(nil), servers...)
 	sort.Slice(s, func(i, j int) bool { return s[i].ID < s[j].ID })
 	models := sortedModels(goals)
-	room := c.AtOnce - len(underWay)
+	loads := append([]Load(nil), underWay...)
 	busy := make(map[string]bool)
-	for _, l := range underWay {
+	for _, l := range loads {
 		busy[l.Server] = true
 	}
-	var r []Load
-	for _, g := range goals {
-		want := int(math.Ceil(c.Share*float64(len(s))/float64(len(models)))) - have(s, g, underWay)
-		for ; want > 0 && room > 0; want-- {
-			i := candidate(s, g, models, busy)
-			if i < 0 {
-				break
-			}
-			busy[s[i].ID] = true
-			r = append(r, Load{Server: s[i].ID, Model: g.Model, Version: g.Version})
-			room--
+	stuck := make(map[string]bool)
+	share := int(math.Ceil(c.Share * float64(len(s)) / float64(max(len(models), 1))))
+	for len(loads) < c.AtOnce {
+		g, ok := neediest(s, goals, loads, share, stuck)
+		if !ok {
+			break
+		}
+		i := candidate(s, g, models, busy)
+		if i < 0 {
+			stuck[g.Model] = true
+			continue
+		}
+		busy[s[i].ID] = true
+		loads = append(loads, Load{Server: s[i].ID, Model: g.Model, Version: g.Version})
+	}
+	return loads[len(underWay):]
+}
+
+// neediest returns the goal that wants a load most.
+func neediest(s []Server, goals []Goal, loads []Load, share int, stuck map[string]bool) (Goal, bool) {
+	best, least := -1, 0
+	for i, g := range goals {
+		if stuck[g.Model] || have(s, g.Model, g.Version, loads) >= share {
+			continue
+		}
+		n := have(s, g.Model, g.Version-1, loads)
+		if best < 0 || n < least {
+			best, least = i, n
 		}
 	}
-	return r
+	if best < 0 {
+		return Goal{}, false
+	}
+	return goals[best], true
 }
 
 func sortedModels(goals []Goal) []string {
@@ -81,16 +102,21 @@
 	return m
 }
 
-// have returns how many servers hold a goal's version or are loading it.
-func have(s []Server, g Goal, underWay []Load) int {
-	n := 0
+// have returns how many servers hold a version of a model, or a newer one, or are
+// loading it.
+func have(s []Server, model string, version int64, loads []Load) int {
+	held := make(map[string]bool)
 	for _, x := range s {
-		if x.Versions[g.Model] >= g.Version {
-			n++
+		held[x.ID] = x.Versions[model] >= version
+	}
+	for _, l := range loads {
+		if l.Model == model && l.Version >= version {
+			held[l.Server] = true
 		}
 	}
-	for _, l := range underWay {
-		if l.Model == g.Model && l.Version == g.Version {
+	n := 0
+	for _, h := range held {
+		if h {
 			n++
 		}
 	}
--- a/pier/loadplan/loadplan_test.go
+++ b/pier/loadplan/loadplan_test.go
@@ -94,3 +94,67 @@
 		require.NotEqual(t, "s0", l.Server)
 	}
 }
+
+// Loads are scarce and two trainers have named versions that nobody holds: each
+// gets a server before one of them gets its second.
+func TestScarceLoadsGoToWhomNobodyServes(t *testing.T) {
+	s := fleet(7)
+	for i := range s {
+		s[i].Versions = map[string]int64{"a": 5, "b": 5, "c": 5}
+	}
+	s[0].Versions["a"] = 7
+	s[1].Versions["a"] = 7
+	l := Plan(Config{AtOnce: 2, Share: 1}, s, []Goal{{"a", 8}, {"b", 7}, {"c", 7}}, nil)
+	require.Equal(t, []string{"b", "c"}, []string{l[0].Model, l[1].Model})
+}
+
+// pace replays three trainers that each name a version every four seconds, with
+// two loads of 0.9 s at once, and returns the fewest servers that could serve a
+// step in its first second.
+func pace(gap int) int {
+	const second, loadMs = 1000, 900
+	s := fleet(9)
+	goals := []Goal{{"a", 1}, {"b", 1}, {"c", 1}}
+	type run struct {
+		l    Load
+		done int
+	}
+	var under []run
+	least := len(s)
+	for now := 0; now < 60*second; now += 50 {
+		for g := range goals {
+			if now%(4*second) == g*second {
+				goals[g].Version++
+			}
+			if now > 20*second && now%(4*second) == g*second+second {
+				least = min(least, serving(s, goals[g].Model, goals[g].Version-1))
+			}
+		}
+		var loads []Load
+		rest := under[:0]
+		for _, r := range under {
+			if now >= r.done {
+				for i := range s {
+					if s[i].ID == r.l.Server {
+						s[i].Versions[r.l.Model] = r.l.Version
+					}
+				}
+				continue
+			}
+			rest = append(rest, r)
+			loads = append(loads, r.l)
+		}
+		under = rest
+		for _, l := range Plan(Config{AtOnce: 2, Share: 1}, s, goals, loads) {
+			under = append(under, run{l, now + loadMs + gap})
+		}
+	}
+	return least
+}
+
+// Three trainers ask for a load more often than the engines can bear. None may be
+// left without a server, and a pause after each load costs servers.
+func TestPaceOfThreeTrainers(t *testing.T) {
+	require.GreaterOrEqual(t, pace(0), 2)
+	require.Less(t, pace(500), pace(0))
+}
--- a/pier/stepjournal/fold.go
+++ b/pier/stepjournal/fold.go
@@ -21,6 +21,8 @@
 	Ended     bool
 	// Results holds the offsets of the results by their positions; it only grows.
 	Results []int64
+	// Saved holds the offset of the newest progress of unfinished items.
+	Saved map[int]int64
 	// done tells by item whether it has a result.
 	done []bool
 }
@@ -98,6 +100,8 @@
 		s.result(at, e.Result)
 	case kindEnded:
 		s.Ended = true
+	case kindProgress:
+		s.save(at, e)
 	}
 	return nil
 }
@@ -129,7 +133,7 @@
 	}
 	f.steps[e.Step] = &Entry{
 		ID: e.Step, From: f.first, To: at + 1, Total: len(s.Items), Driver: e.Driver,
-		Submitted: s.Submitted, done: make([]bool, len(s.Items)),
+		Submitted: s.Submitted, Saved: make(map[int]int64), done: make([]bool, len(s.Items)),
 	}
 	return nil
 }
@@ -140,6 +144,15 @@
 		return
 	}
 	e.done[r.Item] = true
+	delete(e.Saved, r.Item)
 	e.Results = append(e.Results, at)
 	bug.Assert(len(e.Results) <= e.Total, bug.ExactlyOnce, "step %s: %d results of %d", e.ID, len(e.Results), e.Total)
 }
+
+// save takes the newest progress of an item that has no result.
+func (e *Entry) save(at int64, x *envelope) {
+	if x.Result == nil || x.LastEvent <= 0 || x.Result.Item < 0 || x.Result.Item >= e.Total || e.done[x.Result.Item] {
+		return
+	}
+	e.Saved[x.Result.Item] = at
+}
--- a/pier/stepjournal/record.go
+++ b/pier/stepjournal/record.go
@@ -118,6 +118,7 @@
 	kindDriver
 	kindResult
 	kindEnded
+	kindProgress
 )
 
 // envelope is the form of all records.
@@ -132,6 +133,8 @@
 	Chunks int     `msgpack:"n,omitempty"`
 	Data   []byte  `msgpack:"b,omitempty"`
 	Result *Result `msgpack:"r,omitempty"`
+	// LastEvent is the number of events in an unfinished Result.
+	LastEvent int64 `msgpack:"l,omitempty"`
 }
 
 func encode(e *envelope) ([]byte, error) {
@@ -163,6 +166,7 @@
 }
 
 // TakenOver returns the record by which a host follows prior as a step's driver.
+// With an empty driver the prior one leaves the step to any other.
 func TakenOver(step, prior string, d Driver) ([]byte, error) {
 	return encode(&envelope{Kind: kindDriver, Step: step, Prior: prior, Driver: d})
 }
@@ -172,6 +176,35 @@
 	return encode(&envelope{Kind: kindResult, Step: r.Step, Result: r})
 }
 
+// Progress is the part of a sample's text that was generated so far.
+type Progress struct {
+	Item int
+	Text string
+	// LastEvent is the id of the last event in Text.
+	LastEvent int64
+	Versions  []int64
+}
+
+// Saved returns the record of a long sample's progress, from which another host
+// can go on.
+func Saved(step string, p *Progress) ([]byte, error) {
+	return encode(&envelope{
+		Kind: kindProgress, Step: step, LastEvent: p.LastEvent, Result: &Result{Step: step, Item: p.Item, Text: p.Text, Versions: p.Versions},
+	})
+}
+
+// DecodeProgress reads the record of a sample's progress.
+func DecodeProgress(b []byte) (*Progress, error) {
+	e, err := decode(b)
+	if err != nil {
+		return nil, err
+	}
+	if e.Kind != kindProgress || e.Result == nil || e.LastEvent <= 0 {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, "not a progress")
+	}
+	return &Progress{Item: e.Result.Item, Text: e.Result.Text, LastEvent: e.LastEvent, Versions: e.Result.Versions}, nil
+}
+
 // Ended returns the record by which a trainer ends a step.
 func Ended(step string, at time.Time) ([]byte, error) {
 	return encode(&envelope{Kind: kindEnded, Step: step, At: at})
--- a/pier/stepplan/stepplan.go
+++ b/pier/stepplan/stepplan.go
@@ -80,3 +80,21 @@
 func (e Engine) cost() float64 {
 	return max(e.Slowness, 1) * (1 + batchCost*float64(e.Running))
 }
+
+// moveGain is how much less time a token must take elsewhere for a running sample
+// to go on there: a move reads the text again and costs a connection.
+const moveGain = 1.6
+
+// Better reports whether a sample that runs on a server should go on at another
+// one that has room: the samples of a server that turned slow hold up their steps,
+// and a generation can go on elsewhere after its last whole event.
+func Better(l []Engine, server string, min int64) bool {
+	for _, e := range l {
+		if e.ID != server {
+			continue
+		}
+		i := Pick(l, min)
+		return i >= 0 && l[i].ID != server && l[i].cost()*moveGain < e.cost()
+	}
+	return false
+}
--- a/pier/stepplan/stepplan_test.go
+++ b/pier/stepplan/stepplan_test.go
@@ -32,3 +32,22 @@
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Pick(c.l, 2)) })
 	}
 }
+
+func TestSamplesLeaveServersThatTurnSlow(t *testing.T) {
+	slow := Engine{ID: "slow", Version: 2, Slots: 8, Running: 8, Slowness: 3}
+	tests := map[string]struct {
+		l    []Engine
+		want bool
+	}{
+		"room elsewhere":       {[]Engine{slow, {ID: "b", Version: 2, Slots: 8, Running: 4}}, true},
+		"no room elsewhere":    {[]Engine{slow, {ID: "b", Version: 2, Slots: 8, Running: 8}}, false},
+		"older weights there":  {[]Engine{slow, {ID: "b", Version: 1, Slots: 8}}, false},
+		"as slow there":        {[]Engine{slow, {ID: "b", Version: 2, Slots: 8, Slowness: 2.5}}, false},
+		"alone":                {[]Engine{slow}, false},
+		"not a known server":   {[]Engine{{ID: "b", Version: 2, Slots: 8}}, false},
+		"only the batch there": {[]Engine{{ID: "slow", Version: 2, Slots: 8, Running: 7}, {ID: "b", Version: 2, Slots: 8}}, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Better(c.l, "slow", 2)) })
+	}
+}
