--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -184,7 +184,7 @@
 // plan returns the loads to order now.
 func (o *orders) plan() []loadplan.Load {
 	t := o.g.Table()
-	if t == nil || o.g.drain.leaving() {
+	if t == nil {
 		return nil
 	}
 	now := time.Now()
