--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -90,7 +90,7 @@
 		t := time.AfterFunc(q.Silence, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 		defer t.Stop()
 	}
-	a, err := readHeader(c, q.Method)
+	a, err := readHeader(c, q.Method) //nolint:bodyclose // Response.Close ends the body with its connection.
 	if err != nil {
 		return fail(lostReason(err), err)
 	}
--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -109,7 +110,7 @@
 	var w sync.WaitGroup
 	for _, s := range g.servers {
 		w.Go(func() {
-			if err := s.Shutdown(x); err != nil && err != http.ErrServerClosed {
+			if err := s.Shutdown(x); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				g.log.Warn("drain: requests were cut", zap.Error(err))
 			}
 		})
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -144,13 +144,6 @@
 	return f.changed
 }
 
-// servers returns the servers of a service.
-func (f *fleet) servers(service string) []directory.Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.list[service]
-}
-
 // lease is the use of a server by one request of this host.
 type lease struct {
 	f *fleet
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -221,7 +221,7 @@
 	idempotent := c.Route.Kind == routetable.KindIdempotent
 	r, err := g.pool.Do(x, g.request(c, u))
 	if err != nil {
-		g.blame(u, x, err)
+		g.blame(x, u, err)
 		u.done()
 		return nil, err
 	}
@@ -243,7 +243,7 @@
 	}
 	a, err := answer(c, r)
 	if err != nil {
-		g.blame(u, x, err)
+		g.blame(x, u, err)
 		end()
 		return nil, outcome.Lost(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
@@ -268,7 +268,7 @@
 }
 
 // blame puts a server behind others unless the caller itself went away.
-func (g *Gateway) blame(u *lease, x context.Context, err error) {
+func (g *Gateway) blame(x context.Context, u *lease, err error) {
 	if errors.Is(x.Err(), context.Canceled) {
 		return
 	}
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -202,7 +203,7 @@
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(g.log)}
 	g.servers = append(g.servers, s)
 	g.wg.Go(func() {
-		if err := s.Serve(n); err != nil && err != http.ErrServerClosed {
+		if err := s.Serve(n); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("host: listener ended", zap.Error(err))
 		}
 	})
