--- a/pier/gateway/drive.go
+++ b/pier/gateway/drive.go
@@ -44,14 +44,16 @@
 	// ended tells by item that nothing is left to do here.
 	ended []bool
 	left  int
-	// moved is when samples were last moved.
+	// began is when this host learnt that the step is its own; moved is when samples
+	// were last moved.
+	began time.Time
 	moved time.Time
 }
 
 func newDrive(g *Gateway, r *routetable.Route, s *stepjournal.Step, v *view) *drive {
 	d := &drive{
 		g: g, route: r, step: s, view: v, over: make(chan *sample, len(s.Items)),
-		running: make(map[int]*sample), ended: make([]bool, len(s.Items)), left: len(s.Items),
+		running: make(map[int]*sample), ended: make([]bool, len(s.Items)), left: len(s.Items), began: time.Now(),
 	}
 	d.x, d.stop = context.WithCancel(g.x)
 	l := make([]stepplan.Sample, len(s.Items))
@@ -181,7 +183,7 @@
 
 // start begins as many samples as the engines have room for.
 func (d *drive) start() {
-	if d.view.staleAt(time.Now().Add(-driveStale)) {
+	if time.Since(d.began) > driveStale && d.view.staleAt(time.Now().Add(-driveStale)) {
 		return
 	}
 	t := d.g.Table()
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -50,6 +50,9 @@
 	Header http.Header
 	// Body is the whole body, or its beginning when Rest is set.
 	Body []byte
+	// Failed is the number of servers that answered with an error of their own, this
+	// one included.
+	Failed int
 	// Rest is the body that is still to come. Close must be called.
 	Rest  io.Reader
 	close func()
@@ -112,6 +115,7 @@
 			s.open--
 			if t.err == nil {
 				s.drop(t)
+				t.answer.Failed += s.errors
 				return t.answer, nil
 			}
 			if s.again(t) {
@@ -143,6 +147,8 @@
 	tries   []*try
 	// open counts the tries without an end; sent those that may have run.
 	open, sent int
+	// errors counts the servers that answered with an error of their own.
+	errors int
 	over       chan *try
 	hedge      *time.Timer
 	// failed is the newest failure of a try that may have run, last any.
@@ -187,6 +193,9 @@
 		return true
 	}
 	s.failed = s.last
+	if s.last.Reason == outcome.ReasonServerError {
+		s.errors++
+	}
 	return s.idempotent()
 }
 
@@ -293,6 +302,9 @@
 // after its beginning.
 func answer(c Call, r *backend.Response) (*Answer, error) {
 	a := &Answer{Status: r.Status, Header: r.Header}
+	if r.Status == http.StatusInternalServerError {
+		a.Failed = 1
+	}
 	if c.Route.Kind == routetable.KindStream {
 		a.Rest = r
 		return a, nil
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -304,9 +304,7 @@
 		if score != "" {
 			return score, true
 		}
-		if failed {
-			failures++
-		}
+		failures += failed
 		if failures >= most {
 			return "", false
 		}
@@ -315,17 +313,17 @@
 	return "", false
 }
 
-// callScorer makes one call. failed tells that the scorer itself failed; most is
-// how often it may.
-func (s *sample) callScorer(x context.Context) (score string, failed bool, most int) {
+// callScorer makes one call, at several servers if need be. failed counts those
+// that answered with an error of their own; most is how many may.
+func (s *sample) callScorer(x context.Context) (score string, failed, most int) {
 	q := s.item.Scorer
 	t := s.d.g.Table()
 	if t == nil {
-		return "", false, 1
+		return "", 0, 1
 	}
 	r := t.Match(q.Host, q.Path)
 	if r == nil {
-		return "", false, 1
+		return "", 0, 1
 	}
 	limit := r.Timeout
 	if limit <= 0 {
@@ -336,13 +334,13 @@
 		Header: http.Header{}, Deadline: time.Now().Add(limit),
 	})
 	if err != nil {
-		return "", outcome.Is(err, outcome.ReasonServerError), max(r.Attempts, 1)
+		return "", 0, max(r.Attempts, 1)
 	}
 	defer a.Close()
 	if a.Status/100 != 2 {
-		return "", a.Status == http.StatusInternalServerError, max(r.Attempts, 1)
+		return "", a.Failed, max(r.Attempts, 1)
 	}
-	return a.Header.Get(s.d.g.c.Dialect.Signature), false, max(r.Attempts, 1)
+	return a.Header.Get(s.d.g.c.Dialect.Signature), 0, max(r.Attempts, 1)
 }
 
 // log tells how the sample ended and where its time went.
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -18,7 +18,7 @@
 	acceptTries = 3
 	acceptPause = 100 * time.Millisecond
 	// listBytes bounds the texts of one answer to a trainer.
-	listBytes = 192 << 10
+	listBytes = 480 << 10
 )
 
 // steps takes the steps of trainers and lists their results.
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -239,6 +239,47 @@
 	}
 }
 
+// A partition's first long read does not see the step at once: the samples start
+// all the same.
+func TestSamplesStartBeforeTheStepIsReadBack(t *testing.T) {
+	l := newLog()
+	seam := l.Seam()
+	seam.Read = func(x context.Context, q partlog.ReadRequest) (partlog.Page, error) {
+		<-x.Done()
+		return partlog.Page{}, outcome.Lost(outcome.ReasonDeadline, "read", x.Err())
+	}
+	g := host(t, "a", seam)
+	g.table(nil)
+	e := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 1, 0) })
+	g.register(e.Server)
+	require.NoError(t, g.Accept(context.Background(), route(g), step("s", 1)))
+	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, 500*time.Millisecond, time.Millisecond)
+}
+
+// The scorer fails at each of its servers: as many calls as its route allows, then
+// the sample is given up.
+func TestFailingScorerEndsItsSample(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(func(_, plain *routetable.Route) { plain.Attempts = 3 })
+	e := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 1, 0) })
+	g.register(e.Server)
+	var scorers []*server
+	for _, n := range []string{"s1", "s2", "s3", "s4"} {
+		x := serve(t, n, "desk", fail)
+		scorers = append(scorers, x)
+		g.register(x.Server)
+	}
+	s := step("s", 1)
+	s.Items[0].Scorer = &stepjournal.Call{ID: "c", Host: "h", Path: "/plain/x"}
+	require.NoError(t, g.Accept(context.Background(), route(g), s))
+	require.Equal(t, stepjournal.Dead, results(t, g, "s", 1)[0].State)
+	n := 0
+	for _, x := range scorers {
+		n += len(x.runs())
+	}
+	require.Equal(t, 3, n)
+}
+
 // A server turns slow while a faster one has room: its sample goes on there.
 func TestSampleMovesFromSlowServer(t *testing.T) {
 	g := host(t, "a", newLog().Seam())
