--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -149,8 +149,8 @@
 	open, sent int
 	// errors counts the servers that answered with an error of their own.
 	errors int
-	over       chan *try
-	hedge      *time.Timer
+	over   chan *try
+	hedge  *time.Timer
 	// failed is the newest failure of a try that may have run, last any.
 	failed, last *outcome.Error
 }
--- a/pier/memlog/memlog.go
+++ b/pier/memlog/memlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +34,13 @@
 
 type group struct {
 	generation int64
-	members    []string
+	members    []member
+}
+
+// member is in its group until it has been silent for its time to live.
+type member struct {
+	name  string
+	until time.Time
 }
 
 // New returns an empty log with count partitions for each topic.
@@ -214,15 +221,16 @@
 		g = &group{}
 		l.groups[q.Group] = g
 	}
-	at := -1
-	for i, m := range g.members {
-		if m == q.Member {
-			at = i
-		}
-	}
+	now := time.Now()
+	n := len(g.members)
+	g.members = slices.DeleteFunc(g.members, func(m member) bool { return m.name != q.Member && now.After(m.until) })
+	at := slices.IndexFunc(g.members, func(m member) bool { return m.name == q.Member })
 	if at < 0 {
 		at = len(g.members)
-		g.members = append(g.members, q.Member)
+		g.members = append(g.members, member{name: q.Member})
+	}
+	g.members[at].until = now.Add(q.TTL)
+	if len(g.members) != n || at == n {
 		g.generation++
 	}
 	r := partlog.Membership{Generation: g.generation}
@@ -234,19 +242,17 @@
 	return r, nil
 }
 
-func (l *Log) leave(_ context.Context, name, member string) error {
+func (l *Log) leave(_ context.Context, in, name string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	g := l.groups[name]
+	g := l.groups[in]
 	if g == nil {
 		return nil
 	}
-	for i, m := range g.members {
-		if m == member {
-			g.members = append(g.members[:i], g.members[i+1:]...)
-			g.generation++
-			return nil
-		}
+	n := len(g.members)
+	g.members = slices.DeleteFunc(g.members, func(m member) bool { return m.name == name })
+	if len(g.members) != n {
+		g.generation++
 	}
 	return nil
 }
