Have the steps of a model driven by one host, its home

Now the first host of a model (a stronger one after it) is named in a keyed topic; the host that takes a step hands it over, or drives it and becomes the home. A host cut off from the log takes none and says that it drives none.

Ruled out: the log's group as the one to name drivers, as its members' addresses and strength are not in it.

--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -21,6 +21,7 @@
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/memlog"
 	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/settings"
 	"mulberrypier.example/pier/stepjournal"
@@ -38,7 +39,7 @@
 	t.Helper()
 	a := netip.MustParseAddrPort("127.0.0.1:1")
 	s := &Settings{
-		Name: name, Domain: "d1", Listen: Listen{Callers: a, Health: a, Peers: a},
+		Name: name, Domain: "d1", ProcessorShare: 0.5, Listen: Listen{Callers: a, Health: a, Peers: a},
 		Log: Log{
 			Address: a, Partitions: testParts, RecordBytes: 256 << 10, CallBytes: 2 << 20,
 			Retention: settings.Duration(time.Hour), MemberTTL: settings.Duration(time.Second),
@@ -55,6 +56,16 @@
 	return g
 }
 
+// talk lets a host answer others.
+func (g *Gateway) talk(t *testing.T) {
+	t.Helper()
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g.self.Peers = netip.MustParseAddrPort(n.Addr().String())
+	g.server = peer.NewServer(peer.ServerConfig{Listener: n, Handler: g.answerPeer})
+	g.answered()
+}
+
 // table puts routes for steps ("/gen/") and plain calls ("/plain/") in force.
 func (g *Gateway) table(change func(gen, plain *routetable.Route)) {
 	gen := &routetable.Route{
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -109,6 +109,7 @@
 	fleet   *fleet
 	journal *journal
 	steps   *steps
+	homes   *homes
 	watch   *watch
 	orders  *orders
 	drain   *drainer
@@ -135,6 +136,7 @@
 	g.fleet = newFleet(g)
 	g.journal = newJournal(g)
 	g.steps = newSteps(g)
+	g.homes = newHomes(g)
 	g.watch = newWatch(g)
 	g.orders = newOrders(g)
 	g.drain = newDrainer(g)
--- /dev/null
+++ b/pier/gateway/homes.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// The steps of a model are driven by one host where possible, its home: it keeps
+// the connections to the model's engines from step to step, and knows all samples
+// that it has at them. A home costs nothing to be wrong about: a host that cannot
+// hand a step to it drives the step itself and becomes the home.
+
+const (
+	// homesTopic keeps the home of each model.
+	homesTopic = "keyed.homes"
+	// homeAge is how long a home that was read is relied on.
+	homeAge = 2 * time.Second
+	// homeLimit is how long the reading of the homes may hold up a step.
+	homeLimit = 200 * time.Millisecond
+	// handLimit is how long a home may take to take a step.
+	handLimit = 400 * time.Millisecond
+	// cutOff is how long the log may be silent for a host to drive steps.
+	cutOff = 3 * time.Second
+)
+
+// kindDrive is the message that hands a step to its model's home.
+const kindDrive = kindDriving + 1
+
+// home is the record of a model's home.
+type home struct {
+	Driver stepjournal.Driver `msgpack:"d"`
+	// Share is the part of a processor core that the host has.
+	Share float64 `msgpack:"s"`
+}
+
+// homes is this host's view of the homes.
+type homes struct {
+	g  *Gateway
+	mu sync.Mutex
+	// known holds the homes as read at the time read.
+	known map[string]home
+	read  time.Time
+}
+
+func newHomes(g *Gateway) *homes { return &homes{g: g, known: make(map[string]home)} }
+
+// of returns the home of a model; ok is false if there is none or it cannot be
+// read in time.
+func (h *homes) of(x context.Context, model string) (home, bool) {
+	h.mu.Lock()
+	fresh := time.Since(h.read) < homeAge
+	r, ok := h.known[model]
+	h.mu.Unlock()
+	if fresh {
+		return r, ok
+	}
+	x, stop := context.WithTimeout(x, homeLimit)
+	defer stop()
+	n, err := h.g.c.Log.Newest(x, homesTopic)
+	if err != nil {
+		h.g.metrics.logErrors.WithLabelValues(homesTopic).Inc()
+		h.g.log.Warn("homes: cannot be read", zap.Error(err))
+		return home{}, false
+	}
+	known := make(map[string]home)
+	for _, k := range n.Records {
+		var v home
+		if err := msgpack.Unmarshal(k.Value, &v); err != nil {
+			h.g.metrics.unreadable.WithLabelValues(homesTopic).Inc()
+			h.g.log.Warn("homes: record cannot be read", zap.String("model", k.Key), zap.Error(err))
+			continue
+		}
+		known[k.Key] = v
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known, h.read = known, time.Now()
+	r, ok = known[model]
+	return r, ok
+}
+
+// choose returns the driver of a new step of a model, and whether this host should
+// become the model's home.
+func (h *homes) choose(x context.Context, model string) (stepjournal.Driver, bool) {
+	self := h.g.self
+	r, ok := h.of(x, model)
+	switch {
+	case !ok || r.Driver.Host == "":
+		return self, true
+	case r.Driver.Host == self.Host:
+		return self, false
+	case r.Share < h.g.s.ProcessorShare && !h.taken(self.Host):
+		return self, true
+	}
+	return r.Driver, false
+}
+
+// taken reports whether a host is the home of any model.
+func (h *homes) taken(host string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.known {
+		if r.Driver.Host == host {
+			return true
+		}
+	}
+	return false
+}
+
+// claim makes this host the home of a model.
+func (h *homes) claim(model string) {
+	r := home{Driver: h.g.self, Share: h.g.s.ProcessorShare}
+	b, err := msgpack.Marshal(&r)
+	if err != nil {
+		h.g.log.Error("homes: record cannot be made", zap.Error(err))
+		return
+	}
+	x, stop := context.WithTimeout(h.g.x, appendLimit)
+	defer stop()
+	_, err = h.g.c.Log.Append(x, partlog.AppendRequest{
+		Partition: partlog.Partition{Topic: homesTopic}, Records: [][]byte{partlog.JoinKeyed(model, b)}, At: partlog.NoCondition,
+	})
+	if err != nil {
+		h.g.log.Warn("homes: cannot be claimed", zap.String("model", model), zap.Error(err))
+		return
+	}
+	h.mu.Lock()
+	h.known[model] = r
+	h.mu.Unlock()
+	h.g.log.Info("homes: claimed", zap.String("model", model), zap.Float64("share", r.Share))
+}
+
+// hand gives a step that was accepted for its model's home to that host, and takes
+// it over if the home does not take it.
+func (p *steps) hand(r *routetable.Route, s *stepjournal.Step, v *view, to stepjournal.Driver) {
+	x, stop := context.WithTimeout(p.g.x, handLimit)
+	defer stop()
+	err := p.g.peers.Probe(x, to.Peers, kindDrive, s, nil)
+	if err == nil {
+		return
+	}
+	p.g.log.Info("step: its home does not take it", zap.String("id", s.ID), zap.String("home", to.Host), zap.Error(err))
+	b, err := stepjournal.TakenOver(s.ID, to.Host, p.g.self)
+	if err != nil {
+		p.g.log.Error("step: record cannot be made", zap.String("id", s.ID), zap.Error(err))
+		return
+	}
+	if _, err := v.append(p.g.x, [][]byte{b}); err != nil {
+		p.g.log.Warn("step: takeover failed", zap.String("id", s.ID), zap.Error(err))
+		return
+	}
+	if err := v.sync(p.g.x); err != nil {
+		p.g.log.Warn("step: takeover cannot be read back", zap.String("id", s.ID), zap.Error(err))
+		return
+	}
+	if e, _, ok := v.entry(s.ID); ok && e.Driver.Host == p.g.self.Host {
+		p.g.homes.claim(s.Model)
+		p.drive(r, s, v)
+	}
+}
+
+// take takes a step that another host accepted.
+func (p *steps) take(q *peer.Request) (any, error) {
+	var s stepjournal.Step
+	if err := peer.Decode(q.Body, &s); err != nil {
+		return nil, err
+	}
+	if p.g.drain.leaving() || p.g.logSilence() > cutOff {
+		return nil, outcome.Refuse(outcome.ReasonDraining, s.ID)
+	}
+	t := p.g.Table()
+	if t == nil {
+		return nil, outcome.Refuse(outcome.ReasonUnreachable, s.ID)
+	}
+	r := t.Match(s.Host, s.Path)
+	if r == nil || s.Check() != nil {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, s.ID)
+	}
+	p.drive(r, &s, p.g.journal.of(s.ID))
+	return nil, nil
+}
--- a/pier/gateway/settings.go
+++ b/pier/gateway/settings.go
@@ -19,6 +19,9 @@
 	Name string `toml:"name"`
 	// Domain is the failure domain that the host runs in.
 	Domain string `toml:"failure-domain"`
+	// ProcessorShare is the part of a core that the host may use. Steps are driven by
+	// hosts with a large one where possible.
+	ProcessorShare float64 `toml:"processor-share"`
 	// Listen holds the addresses that the host listens on.
 	Listen Listen `toml:"listen"`
 	// Log is the partitioned log.
@@ -97,6 +100,8 @@
 	switch {
 	case s.Name == "":
 		return bad("name")
+	case s.ProcessorShare <= 0:
+		return bad("processor-share")
 	case !s.Listen.Callers.IsValid():
 		return bad("listen.callers")
 	case !s.Listen.Health.IsValid():
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -59,7 +59,8 @@
 		return nil
 	}
 	s.Submitted = time.Now()
-	b, err := stepjournal.Accepted(s, p.g.self, p.g.s.Log.RecordBytes)
+	driver, claim := p.g.homes.choose(x, s.Model)
+	b, err := stepjournal.Accepted(s, driver, p.g.s.Log.RecordBytes)
 	if err != nil {
 		return err
 	}
@@ -70,9 +71,9 @@
 		a, err := v.append(x, b)
 		if err == nil {
 			p.g.log.Info("step: accepted", zap.String("id", s.ID), zap.String("model", s.Model), zap.Int64("step", s.Number),
-				zap.Int64("min-version", s.MinVersion), zap.Int("items", len(s.Items)), zap.Int64("offset", a.First))
+				zap.Int64("min-version", s.MinVersion), zap.Int("items", len(s.Items)), zap.Int64("offset", a.First), zap.String("driver", driver.Host))
 			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			p.drive(r, s, v)
+			p.begin(r, s, v, driver, claim)
 			return nil
 		}
 		e := outcome.From(err)
@@ -82,6 +83,18 @@
 	}
 }
 
+// begin has an accepted step driven, here or at its model's home.
+func (p *steps) begin(r *routetable.Route, s *stepjournal.Step, v *view, driver stepjournal.Driver, claim bool) {
+	if driver.Host != p.g.self.Host {
+		p.g.wg.Go(func() { p.hand(r, s, v, driver) })
+		return
+	}
+	p.drive(r, s, v)
+	if claim {
+		p.g.wg.Go(func() { p.g.homes.claim(s.Model) })
+	}
+}
+
 func size(b [][]byte) int {
 	n := 0
 	for _, r := range b {
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -45,16 +45,25 @@
 
 // answerPeer serves the other hosts.
 func (g *Gateway) answerPeer(_ context.Context, q *peer.Request) (any, error) {
-	if q.Kind != kindDriving {
-		return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
+	switch q.Kind {
+	case kindDriving:
+		return g.answerDriving(q)
+	case kindDrive:
+		return g.steps.take(q)
 	}
+	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
+}
+
+// answerDriving tells which steps this host runs. One that is cut off from the log
+// runs none, as its results cannot be kept.
+func (g *Gateway) answerDriving(q *peer.Request) (any, error) {
 	var m drivingQuery
 	if err := peer.Decode(q.Body, &m); err != nil {
 		return nil, err
 	}
 	a := drivingAnswer{Host: g.self.Host}
 	for _, s := range m.Steps {
-		a.Driving = append(a.Driving, g.steps.driving(s))
+		a.Driving = append(a.Driving, g.steps.driving(s) && g.logSilence() <= cutOff)
 	}
 	return &a, nil
 }
@@ -170,8 +179,7 @@
 	x, stop := context.WithTimeout(w.g.x, askLimit)
 	defer stop()
 	var r drivingAnswer
-	if err := w.g.peers.Call(x, a, kindDriving, &q, &r); err != nil {
-		w.g.peers.Forget(a)
+	if err := w.g.peers.Probe(x, a, kindDriving, &q, &r); err != nil {
 		w.g.log.Info("watch: host does not answer", zap.Stringer("address", a), zap.Error(err))
 		return drivingAnswer{}
 	}
