Ask a step's home for its list; keep connections whose request was refused

A refused sample left its answer unread, which closed the connection: 9116 connections for 16620 requests. Ruled out: size of the answers, links (0.13 s a step).

--- /dev/null
+++ b/pier/gateway/ask.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// A trainer reads at another host each time. A host that does not follow the
+// step's partition asks the homes first, one of which drives the step and has its
+// list: folding a partition from its start takes a small host most of a second.
+// The homes answer from the log as any host would, so the answer is as good.
+
+// askSlack is how long a home may take to answer beyond the wait asked for.
+const askSlack = 300 * time.Millisecond
+
+// kindStep is the message that asks a host about a step.
+const kindStep = kindDrive + 1
+
+// stepQuery asks for a step's results from a position on, or for an item's body.
+type stepQuery struct {
+	Step  string        `msgpack:"s"`
+	After int           `msgpack:"a"`
+	Wait  time.Duration `msgpack:"w"`
+	// Item is the item whose body is wanted; empty for results.
+	Item string `msgpack:"i"`
+}
+
+// stepAnswer is the answer of a host that knows the step.
+type stepAnswer struct {
+	Total   int                   `msgpack:"t"`
+	Results []*stepjournal.Result `msgpack:"r"`
+	Body    []byte                `msgpack:"b"`
+}
+
+// answerStep answers another host about a step that this one follows.
+func (g *Gateway) answerStep(x context.Context, q *peer.Request) (any, error) {
+	var m stepQuery
+	if err := peer.Decode(q.Body, &m); err != nil {
+		return nil, err
+	}
+	v, ok := g.journal.following(m.Step)
+	if !ok {
+		return nil, outcome.Refuse(outcome.ReasonUnknownStep, m.Step)
+	}
+	if m.Item != "" {
+		b, err := v.body(x, m.Step, m.Item)
+		return &stepAnswer{Body: b}, err
+	}
+	l, err := v.results(x, m.Step, m.After, m.Wait)
+	if err != nil {
+		return nil, err
+	}
+	return &stepAnswer{Total: l.Total, Results: l.Results}, nil
+}
+
+// ask asks all homes and returns the first answer; ok is false when none knows the
+// step or answers in time.
+func (h *homes) ask(x context.Context, q stepQuery) (*stepAnswer, bool) {
+	_, _ = h.of(x, "")
+	h.mu.Lock()
+	seen := make(map[string]stepjournal.Driver)
+	for _, r := range h.known {
+		if r.Driver.Host != h.g.self.Host {
+			seen[r.Driver.Host] = r.Driver
+		}
+	}
+	h.mu.Unlock()
+	x, stop := context.WithTimeout(x, q.Wait+askSlack)
+	defer stop()
+	answers := make(chan *stepAnswer, len(seen))
+	for _, d := range seen {
+		go func() {
+			var a stepAnswer
+			if err := h.g.peers.Probe(x, d.Peers, kindStep, &q, &a); err != nil {
+				if !outcome.Is(err, outcome.ReasonUnknownStep) && x.Err() == nil {
+					h.g.log.Info("homes: no answer", zap.String("home", d.Host), zap.String("id", q.Step), zap.Error(err))
+				}
+				answers <- nil
+				return
+			}
+			answers <- &a
+		}()
+	}
+	for range seen {
+		if a := <-answers; a != nil {
+			return a, true
+		}
+	}
+	return nil, false
+}
--- a/pier/gateway/homes_test.go
+++ b/pier/gateway/homes_test.go
@@ -69,3 +69,38 @@
 	require.Error(t, err)
 	require.Zero(t, a.steps.count())
 }
+
+// A host that does not follow the step's partition asks the step's home, and reads
+// the log itself when the home is gone.
+func TestListsComeFromTheHome(t *testing.T) {
+	l := newLog()
+	a, b := host(t, "a", l.Seam()), host(t, "b", l.Seam())
+	e := serve(t, "e1", "engines", oneLine)
+	a.table(nil)
+	a.register(e.Server)
+	a.talk(t)
+	require.NoError(t, a.Accept(context.Background(), route(a), step("s", 3)))
+	first := results(t, a, "s", 3)
+	a.homes.claim("m")
+	list := func() []string {
+		n, err := b.Results(context.Background(), "s", 0, 0)
+		require.NoError(t, err)
+		require.Equal(t, 3, n.Total)
+		var ids []string
+		for _, r := range n.Results {
+			ids = append(ids, r.ID)
+		}
+		return ids
+	}
+	want := []string{first[0].ID, first[1].ID, first[2].ID}
+	require.Equal(t, want, list())
+	body, err := b.Body(context.Background(), "s", first[0].ID)
+	require.NoError(t, err)
+	require.Equal(t, []byte("p"), body)
+	_, follows := b.journal.following("s")
+	require.False(t, follows, "the home was asked")
+	a.Close()
+	require.Equal(t, want, list())
+	_, follows = b.journal.following("s")
+	require.True(t, follows)
+}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -41,18 +41,44 @@
 
 // of returns the view of a step's partition and begins to follow it.
 func (j *journal) of(step string) *view {
-	return j.part(stepjournal.PartOf(step, j.g.s.Log.Partitions))
+	v := j.get(step)
+	v.use()
+	return v
+}
+
+// get returns the view of a step's partition, followed or not.
+func (j *journal) get(step string) *view {
+	return j.view(stepjournal.PartOf(step, j.g.s.Log.Partitions))
 }
 
+// following returns the view of a step's partition if it is being followed and
+// knows the step.
+func (j *journal) following(step string) (*view, bool) {
+	v := j.get(step)
+	v.mu.Lock()
+	ok := v.running && v.fold.Step(step) != nil
+	v.mu.Unlock()
+	if ok {
+		v.use()
+	}
+	return v, ok
+}
+
+// part returns the view of a partition and begins to follow it.
 func (j *journal) part(n int) *view {
+	v := j.view(n)
+	v.use()
+	return v
+}
+
+func (j *journal) view(n int) *view {
 	j.mu.Lock()
+	defer j.mu.Unlock()
 	v := j.views[n]
 	if v == nil {
 		v = &view{j: j, n: n, fold: stepjournal.NewFold(), changed: make(chan struct{})}
 		j.views[n] = v
 	}
-	j.mu.Unlock()
-	v.use()
 	return v
 }
 
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -255,9 +255,11 @@
 
 // status turns the status of an answer into the failure that it tells of.
 func (s *sample) status(r *backend.Response, u *lease) error {
-	switch {
-	case r.Status == http.StatusOK:
+	if r.Status == http.StatusOK {
 		return nil
+	}
+	discard(r)
+	switch {
 	case r.NotRun():
 		return outcome.Refuse(outcome.ReasonQueueFull, u.s.ID)
 	case r.Status == http.StatusUnprocessableEntity:
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -54,8 +55,8 @@
 	if p.g.drain.stopping() {
 		return outcome.Refuse(outcome.ReasonDraining, "").After(busyPause)
 	}
-	v := p.g.journal.of(s.ID)
-	if _, _, known := v.entry(s.ID); known {
+	v, known := p.g.journal.following(s.ID)
+	if known {
 		return nil
 	}
 	s.Submitted = time.Now()
@@ -114,10 +115,20 @@
 // waits up to wait. An error is an *outcome.Error; unknown-step means that there
 // is no such step.
 func (g *Gateway) Results(x context.Context, id string, after int, wait time.Duration) (*List, error) {
+	if _, ok := g.journal.following(id); !ok {
+		if a, ok := g.homes.ask(x, stepQuery{Step: id, After: after, Wait: wait}); ok {
+			return &List{Total: a.Total, Results: a.Results}, nil
+		}
+	}
 	v := g.journal.of(id)
 	if err := v.find(x, id); err != nil {
 		return nil, err
 	}
+	return v.results(x, id, after, wait)
+}
+
+// results is Results for a step that the view knows.
+func (v *view) results(x context.Context, id string, after int, wait time.Duration) (*List, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for waiting := true; ; {
@@ -136,7 +147,7 @@
 			continue
 		case <-t.C:
 		case <-x.Done():
-		case <-g.drain.begun():
+		case <-v.j.g.drain.begun():
 		}
 		// Another host may have shown more: an empty list needs a view of just now.
 		if err := v.sync(x); err != nil {
@@ -186,7 +197,16 @@
 
 // Body returns the body of one of a step's items.
 func (g *Gateway) Body(x context.Context, id, item string) ([]byte, error) {
-	v := g.journal.of(id)
+	if _, ok := g.journal.following(id); !ok {
+		if a, ok := g.homes.ask(x, stepQuery{Step: id, Item: item}); ok {
+			return a.Body, nil
+		}
+	}
+	return g.journal.of(id).body(x, id, item)
+}
+
+// body returns the body of an item out of the log.
+func (v *view) body(x context.Context, id, item string) ([]byte, error) {
 	s, err := v.load(x, id)
 	if err != nil {
 		return nil, err
@@ -223,9 +243,15 @@
 
 // End ends a step for good. A nil error means that the end is kept.
 func (g *Gateway) End(x context.Context, id string) error {
-	v := g.journal.of(id)
-	if err := v.find(x, id); err != nil {
-		return err
+	v, ok := g.journal.following(id)
+	if !ok {
+		_, ok = g.homes.ask(x, stepQuery{Step: id, After: math.MaxInt32})
+	}
+	if !ok {
+		v.use()
+		if err := v.find(x, id); err != nil {
+			return err
+		}
 	}
 	if e, _, _ := v.entry(id); e.Ended {
 		return nil
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
 	"mulberrypier.example/pier/routetable"
@@ -280,6 +281,27 @@
 	require.Equal(t, 3, n)
 }
 
+// An engine without room refuses many samples: the connection stays.
+func TestRefusalsKeepTheirConnection(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	var refused atomic.Int64
+	e := serve(t, "e1", "engines", func(s *server, w http.ResponseWriter, r *http.Request) {
+		if refused.Add(1) <= 5 {
+			notRun(s, w, r)
+			return
+		}
+		generate(w, r, 1, 1, 0)
+	})
+	e.Slots = 1
+	g.register(e.Server)
+	var opened atomic.Int64
+	g.pool = backend.NewPool(backend.Config{Dialect: testDialect, Opened: func() { opened.Add(1) }})
+	require.NoError(t, g.Accept(context.Background(), route(g), step("s", 2)))
+	results(t, g, "s", 2)
+	require.EqualValues(t, 1, opened.Load())
+}
+
 // A server turns slow while a faster one has room: its sample goes on there.
 func TestSampleMovesFromSlowServer(t *testing.T) {
 	g := host(t, "a", newLog().Seam())
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -44,12 +44,14 @@
 }
 
 // answerPeer serves the other hosts.
-func (g *Gateway) answerPeer(_ context.Context, q *peer.Request) (any, error) {
+func (g *Gateway) answerPeer(x context.Context, q *peer.Request) (any, error) {
 	switch q.Kind {
 	case kindDriving:
 		return g.answerDriving(q)
 	case kindDrive:
 		return g.steps.take(q)
+	case kindStep:
+		return g.answerStep(x, q)
 	}
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
