--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -20,6 +20,8 @@
 	appendLimit = 1500 * time.Millisecond
 	// appendBytes bounds the results of one append.
 	appendBytes = 512 << 10
+	// journalBytes bounds the answer to a read of a partition.
+	journalBytes = 512 << 10
 	// cacheBytes bounds the results that are kept for trainers to read.
 	cacheBytes = 768 << 10
 	// appendPauseMost bounds the pause between tries to append.
@@ -76,7 +78,7 @@
 	defer j.mu.Unlock()
 	v := j.views[n]
 	if v == nil {
-		v = &view{j: j, n: n, fold: stepjournal.NewFold(), changed: make(chan struct{})}
+		v = &view{j: j, n: n, fold: stepjournal.NewFold(), end: -1, changed: make(chan struct{})}
 		j.views[n] = v
 	}
 	return v
@@ -87,8 +89,14 @@
 	j *journal
 	n int
 
+	// reading is held by the one that catches up with the log, so that records are
+	// read once; a read that waits for new records does without it.
+	reading sync.Mutex
+
 	mu   sync.Mutex
 	fold *stepjournal.Fold
+	// end is the partition's end as last read, -1 before the first read.
+	end int64
 	// changed is closed and replaced with each new record.
 	changed chan struct{}
 	// fresh is when the newest read that reached the end was sent.
@@ -127,12 +135,32 @@
 
 func (v *view) run() {
 	for v.j.g.x.Err() == nil && !v.idle() {
-		if err := v.read(v.j.g.x, followWait); err != nil {
+		var err error
+		if v.behind() {
+			err = v.catchUp(v.j.g.x)
+		} else {
+			err = v.read(v.j.g.x, followWait)
+		}
+		if err != nil {
 			pause(v.j.g.x, retryPause)
 		}
 	}
 }
 
+// behind reports whether there are records that the view has not read.
+func (v *view) behind() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fold.Next < v.end || v.end < 0
+}
+
+// catchUp reads what is there without waiting for more.
+func (v *view) catchUp(x context.Context) error {
+	v.reading.Lock()
+	defer v.reading.Unlock()
+	return v.read(x, 0)
+}
+
 // read takes the next records, waiting for the first.
 func (v *view) read(x context.Context, wait time.Duration) error {
 	x, stop := context.WithTimeout(x, wait+followSlack)
@@ -141,7 +169,7 @@
 	from := v.fold.Next
 	v.mu.Unlock()
 	sent := time.Now()
-	p, err := v.j.g.c.Log.Read(x, partlog.ReadRequest{Partition: v.partition(), From: from, MaxBytes: followBytes, Wait: wait})
+	p, err := v.j.g.c.Log.Read(x, partlog.ReadRequest{Partition: v.partition(), From: from, MaxBytes: journalBytes, Wait: wait})
 	if outcome.Is(err, partlog.ReasonExpired) {
 		v.skip(p.First)
 		return nil
@@ -181,7 +209,8 @@
 		}
 		v.j.cache.put(cacheKey{v.n, at}, b)
 	}
-	if v.fold.Next >= p.End {
+	v.end = max(v.end, p.End)
+	if v.fold.Next >= p.End && sent.After(v.fresh) {
 		v.fresh = sent
 	}
 	if len(p.Records) > 0 {
@@ -195,7 +224,13 @@
 func (v *view) sync(x context.Context) error {
 	asked := time.Now()
 	for {
-		if err := v.read(x, 0); err != nil {
+		v.reading.Lock()
+		var err error
+		if v.staleAt(asked) {
+			err = v.read(x, 0)
+		}
+		v.reading.Unlock()
+		if err != nil {
 			return err
 		}
 		if !v.staleAt(asked) {
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -33,7 +33,7 @@
 	// saveInterval is the time between two records of a long sample's progress: what
 	// is generated in between is lost with the host. It is shorter during a planned
 	// stop, after which another host goes on.
-	saveInterval     = 1200 * time.Millisecond
+	saveInterval     = 2 * time.Second
 	saveIntervalStop = 300 * time.Millisecond
 	// scorePause is the time before a scorer's call is tried again.
 	scorePause = 50 * time.Millisecond
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -329,3 +330,45 @@
 	require.Len(t, slow.runs(), 1)
 	require.Len(t, fast.runs(), 2)
 }
+
+// A host that knows nothing of a partition reads each of its records once, however
+// many callers wait for it.
+func TestColdPartitionIsReadOnce(t *testing.T) {
+	l := newLog()
+	a := host(t, "a", l.Seam())
+	s := step("s", 30)
+	s.Submitted = time.Now()
+	b, err := stepjournal.Accepted(s, a.self, 256<<10)
+	require.NoError(t, err)
+	v := a.journal.get("s")
+	_, err = v.append(context.Background(), b)
+	require.NoError(t, err)
+	for i := range s.Items {
+		r, err := stepjournal.Finished(&stepjournal.Result{Step: "s", Item: i, ID: s.Items[i].ID, State: stepjournal.Completed, Text: strings.Repeat("x", 100<<10)})
+		require.NoError(t, err)
+		_, err = v.append(context.Background(), [][]byte{r})
+		require.NoError(t, err)
+	}
+	var bytes atomic.Int64
+	seam := l.Seam()
+	read := seam.Read
+	seam.Read = func(x context.Context, q partlog.ReadRequest) (partlog.Page, error) {
+		p, err := read(x, q)
+		for _, r := range p.Records {
+			bytes.Add(int64(len(r)))
+		}
+		time.Sleep(5 * time.Millisecond)
+		return p, err
+	}
+	g := host(t, "b", seam)
+	var w sync.WaitGroup
+	for range 4 {
+		w.Go(func() {
+			n, err := g.Results(context.Background(), "s", 29, 0)
+			require.NoError(t, err)
+			require.Len(t, n.Results, 1)
+		})
+	}
+	w.Wait()
+	require.Less(t, bytes.Load(), int64(33*100<<10))
+}
