--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -253,7 +253,10 @@
 	t := term{fence: o.lease.Fence(), until: o.sent + orderlease.Margin}
 	o.g.wg.Go(func() {
 		n.err = o.carryOut(s, l, t)
-		o.over <- n
+		select {
+		case o.over <- n:
+		case <-o.g.x.Done():
+		}
 	})
 	time.AfterFunc(loadTime, o.wake)
 }
@@ -315,7 +318,9 @@
 
 // loaded takes the end of a load.
 func (o *orders) loaded(l *loading) {
-	delete(o.underWay, l.load.Server)
+	if o.underWay[l.load.Server] == l {
+		delete(o.underWay, l.load.Server)
+	}
 	if l.err == nil {
 		o.g.metrics.orders.WithLabelValues("loaded").Inc()
 		o.g.fleet.hasVersion(l.load.Server, l.load.Model, l.load.Version)
--- /dev/null
+++ b/pier/gateway/orders_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/loadplan"
+	"mulberrypier.example/pier/outcome"
+)
+
+// loader plays the control calls of engines; an order takes effect at once unless
+// lost is set, when it is not answered and never takes effect.
+type loader struct {
+	mu     sync.Mutex
+	orders []Order
+	have   map[string]int64
+	lost   bool
+}
+
+func (l *loader) engines() Engines {
+	return Engines{
+		Order: func(_ context.Context, o Order) error {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.orders = append(l.orders, o)
+			if l.lost {
+				return outcome.Lost(outcome.ReasonConnectionLost, o.Server.ID, nil)
+			}
+			l.have[o.Server.ID] = o.Version
+			return nil
+		},
+		Report: func(_ context.Context, s directory.Server) (Report, error) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return Report{Versions: map[string]int64{"m": l.have[s.ID]}, Orders: 7}, nil
+		},
+	}
+}
+
+func (l *loader) given() []Order {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Order(nil), l.orders...)
+}
+
+// ordering returns a host that may take the lease, with one engine at version 1.
+func ordering(t *testing.T, l *loader) *Gateway {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	g.engines = l.engines()
+	g.register(directory.Server{ID: "e1", Service: "engines", Versions: map[string]int64{"m": 1}, Slots: 1})
+	g.watch.candidate.Store(true)
+	g.wg.Go(g.orders.run)
+	return g
+}
+
+func TestNamedVersionIsOrderedOnce(t *testing.T) {
+	l := &loader{have: map[string]int64{"e1": 1}}
+	g := ordering(t, l)
+	g.tables.putVersion("m", 2)
+	require.Eventually(t, func() bool { return len(l.given()) == 1 }, 5*time.Second, 5*time.Millisecond)
+	time.Sleep(2 * loadTime)
+	o := l.given()
+	require.Len(t, o, 1)
+	require.EqualValues(t, 2, o[0].Version)
+	require.EqualValues(t, 7, o[0].Expected, "a late order must find that others came before it")
+	require.Positive(t, o[0].Fence)
+}
+
+// An announcement that went out too long ago gives no right to order any more.
+func TestOrderLongAfterItsRecordIsNotGiven(t *testing.T) {
+	l := &loader{have: map[string]int64{}}
+	g := host(t, "a", newLog().Seam())
+	g.engines = l.engines()
+	err := g.orders.carryOut(directory.Server{ID: "e1"}, loadplan.Load{Server: "e1", Model: "m", Version: 2}, term{fence: 1})
+	require.True(t, outcome.Is(err, outcome.ReasonStaleFence))
+	require.Empty(t, l.given())
+}
+
+// An engine answers with older weights than it is registered with: it is left
+// alone for a while instead of being asked over and over.
+func TestEngineWithOlderWeightsIsAvoided(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	g.table(nil)
+	e := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { generate(w, r, 1, 1, 0) })
+	e.Versions = map[string]int64{"m": 5}
+	g.register(e.Server)
+	s := step("s", 1)
+	s.MinVersion = 5
+	require.NoError(t, g.Accept(context.Background(), route(g), s))
+	time.Sleep(1200 * time.Millisecond)
+	require.Less(t, len(e.runs()), 6)
+}
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -110,9 +110,7 @@
 	switch e.Reason {
 	case outcome.ReasonQueueFull:
 		u.full(refusedPause)
-	case outcome.ReasonStaleVersion, outcome.ReasonBadRequest:
-	case outcome.ReasonServerError:
-		u.failed(string(e.Reason))
+	case outcome.ReasonBadRequest:
 	default:
 		u.failed(string(e.Reason))
 	}
