--- a/pier/gateway/homes.go
+++ b/pier/gateway/homes.go
@@ -36,6 +36,13 @@
 // kindDrive is the message that hands a step to its model's home.
 const kindDrive = kindDriving + 1
 
+// driveOrder hands a step to its driver.
+type driveOrder struct {
+	// Host is the incarnation that the step's record names as its driver.
+	Host string            `msgpack:"h"`
+	Step *stepjournal.Step `msgpack:"s"`
+}
+
 // home is the record of a model's home.
 type home struct {
 	Driver stepjournal.Driver `msgpack:"d"`
@@ -145,7 +152,7 @@
 func (p *steps) hand(r *routetable.Route, s *stepjournal.Step, v *view, to stepjournal.Driver) {
 	x, stop := context.WithTimeout(p.g.x, handLimit)
 	defer stop()
-	err := p.g.peers.Probe(x, to.Peers, kindDrive, s, nil)
+	err := p.g.peers.Probe(x, to.Peers, kindDrive, &driveOrder{Host: to.Host, Step: s}, nil)
 	if err == nil {
 		return
 	}
@@ -169,23 +176,28 @@
 	}
 }
 
-// take takes a step that another host accepted.
+// take takes a step that another host accepted. A host that was started again is
+// another incarnation than the one that the step's record names, and refuses.
 func (p *steps) take(q *peer.Request) (any, error) {
-	var s stepjournal.Step
-	if err := peer.Decode(q.Body, &s); err != nil {
+	var m driveOrder
+	if err := peer.Decode(q.Body, &m); err != nil {
 		return nil, err
 	}
-	if p.g.drain.leaving() || p.g.logSilence() > cutOff {
-		return nil, outcome.Refuse(outcome.ReasonDraining, s.ID)
+	if m.Step == nil || m.Step.Check() != nil {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, "step")
+	}
+	s := m.Step
+	if m.Host != p.g.self.Host || p.g.drain.leaving() || p.g.logSilence() > cutOff {
+		return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
 	}
 	t := p.g.Table()
 	if t == nil {
 		return nil, outcome.Refuse(outcome.ReasonUnreachable, s.ID)
 	}
 	r := t.Match(s.Host, s.Path)
-	if r == nil || s.Check() != nil {
+	if r == nil {
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, s.ID)
 	}
-	p.drive(r, &s, p.g.journal.of(s.ID))
+	p.drive(r, s, p.g.journal.of(s.ID))
 	return nil, nil
 }
--- a/pier/gateway/homes_test.go
+++ b/pier/gateway/homes_test.go
@@ -67,7 +67,7 @@
 	a.table(nil)
 	a.talk(t)
 	a.heard.Store(time.Now().Add(-time.Minute).UnixNano())
-	err := b.peers.Probe(context.Background(), a.self.Peers, kindDrive, step("s", 1), nil)
+	err := b.peers.Probe(context.Background(), a.self.Peers, kindDrive, &driveOrder{Host: a.self.Host, Step: step("s", 1)}, nil)
 	require.Error(t, err)
 	require.Zero(t, a.steps.count())
 }
@@ -106,3 +106,22 @@
 	_, follows = b.journal.following("s")
 	require.True(t, follows)
 }
+
+// A home that was started again at its old address is another incarnation: steps
+// named for the first one are driven where they came in, without a wait.
+func TestRestartedHomeTakesNoStepOfItsFormerSelf(t *testing.T) {
+	l := newLog()
+	old, again, b := host(t, "a", l.Seam()), host(t, "a", l.Seam()), host(t, "b", l.Seam())
+	e := serve(t, "e1", "engines", oneLine)
+	for _, g := range []*Gateway{again, b} {
+		g.table(nil)
+		g.register(e.Server)
+	}
+	again.talk(t)
+	old.self.Peers = again.self.Peers
+	old.homes.claim("m")
+	require.NoError(t, b.Accept(context.Background(), route(b), step("s", 2)))
+	results(t, b, "s", 2)
+	r, _ := b.homes.of(context.Background(), "m")
+	require.Equal(t, b.self.Host, r.Driver.Host)
+}
