Let one piece of code take over a step, and drop two functions that nothing calls

Read again as a newcomer: a host that hands a step over and the watch each appended a takeover, read it back and compared the driver by themselves; the watch did so without a log line when the reading failed. Both call steps.follow and steps.own now. Reading the homes was asked for by looking up a model without a name; it is homes.refresh. Directory.Leave and Directory.Pending had no caller. Behaviour is the same but for that log line; no test changed.

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -61,13 +61,6 @@
 	}
 }
 
-// Leave marks a server that said by itself that it leaves.
-func (d *Directory) Leave(id string) {
-	if e := d.servers[id]; e != nil {
-		e.s.Leaving = true
-	}
-}
-
 // Observe takes a version that a server stated in an answer.
 func (d *Directory) Observe(id, model string, v int64) bool {
 	e := d.servers[id]
@@ -93,7 +86,7 @@
 	}
 }
 
-// LogAway tells that the log could not be read at now.
+// LogAway tells that the log could not be read.
 func (d *Directory) LogAway() { d.away = true }
 
 // LogBack tells that the log was read at now.
@@ -122,13 +115,3 @@
 func (d *Directory) spared(now time.Time) bool {
 	return d.away || (!d.outageEnd.IsZero() && now.Sub(d.outageEnd) < ReturnGrace)
 }
-
-// Pending reports whether an entry waits for the end of the grace.
-func (d *Directory) Pending() bool {
-	for _, e := range d.servers {
-		if !e.vanished.IsZero() {
-			return true
-		}
-	}
-	return false
-}
--- a/pier/gateway/ask.go
+++ b/pier/gateway/ask.go
@@ -62,7 +62,7 @@
 // ask asks all homes and returns the first answer; ok is false when none knows the
 // step or answers in time.
 func (h *homes) ask(x context.Context, q stepQuery) (*stepAnswer, bool) {
-	_, _ = h.of(x, "")
+	h.refresh(x)
 	h.mu.Lock()
 	seen := make(map[string]stepjournal.Driver)
 	for _, r := range h.known {
--- a/pier/gateway/homes.go
+++ b/pier/gateway/homes.go
@@ -64,12 +64,23 @@
 // of returns the home of a model; ok is false if there is none or it cannot be
 // read in time.
 func (h *homes) of(x context.Context, model string) (home, bool) {
+	if !h.refresh(x) {
+		return home{}, false
+	}
 	h.mu.Lock()
-	fresh := time.Since(h.read) < homeAge
+	defer h.mu.Unlock()
 	r, ok := h.known[model]
+	return r, ok
+}
+
+// refresh reads the homes again once they are older than homeAge; false means that
+// they could not be read, and those known may be out of date.
+func (h *homes) refresh(x context.Context) bool {
+	h.mu.Lock()
+	fresh := time.Since(h.read) < homeAge
 	h.mu.Unlock()
 	if fresh {
-		return r, ok
+		return true
 	}
 	x, stop := context.WithTimeout(x, homeLimit)
 	defer stop()
@@ -77,7 +88,7 @@
 	if err != nil {
 		h.g.metrics.logErrors.WithLabelValues(homesTopic).Inc()
 		h.g.log.Warn("homes: cannot be read", zap.Error(err))
-		return home{}, false
+		return false
 	}
 	known := make(map[string]home)
 	for _, k := range n.Records {
@@ -92,8 +103,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.known, h.read = known, time.Now()
-	r, ok = known[model]
-	return r, ok
+	return true
 }
 
 // choose returns the driver of a new step of a model, and whether this host should
@@ -157,20 +167,10 @@
 		return
 	}
 	p.g.log.Info("step: its home does not take it", zap.String("id", s.ID), zap.String("home", to.Host), zap.Error(err))
-	b, err := stepjournal.TakenOver(s.ID, to.Host, p.g.self)
-	if err != nil {
-		p.g.log.Error("step: record cannot be made", zap.String("id", s.ID), zap.Error(err))
-		return
-	}
-	if _, err := v.append(p.g.x, [][]byte{b}); err != nil {
-		p.g.log.Warn("step: takeover failed", zap.String("id", s.ID), zap.Error(err))
-		return
-	}
-	if err := v.sync(p.g.x); err != nil {
-		p.g.log.Warn("step: takeover cannot be read back", zap.String("id", s.ID), zap.Error(err))
+	if !p.follow(v, s.ID, to.Host) {
 		return
 	}
-	if e, _, ok := v.entry(s.ID); ok && e.Driver.Host == p.g.self.Host {
+	if _, ok := p.own(v, s.ID); ok {
 		p.g.homes.claim(s.Model)
 		p.drive(r, s, v)
 	}
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -268,6 +268,31 @@
 	return nil
 }
 
+// follow records that this host follows prior as a step's driver; false means that
+// the record may not be there.
+func (p *steps) follow(v *view, id, prior string) bool {
+	b, err := stepjournal.TakenOver(id, prior, p.g.self)
+	if err != nil {
+		p.g.log.Error("step: record cannot be made", zap.String("id", id), zap.Error(err))
+		return false
+	}
+	if _, err := v.append(p.g.x, [][]byte{b}); err != nil {
+		p.g.log.Warn("step: takeover failed", zap.String("id", id), zap.Error(err))
+		return false
+	}
+	return true
+}
+
+// own reads the journal to its end and reports whether this host drives a step.
+func (p *steps) own(v *view, id string) (stepjournal.Entry, bool) {
+	if err := v.sync(p.g.x); err != nil {
+		p.g.log.Warn("step: takeover cannot be read back", zap.String("id", id), zap.Error(err))
+		return stepjournal.Entry{}, false
+	}
+	e, _, ok := v.entry(id)
+	return e, ok && e.Driver.Host == p.g.self.Host
+}
+
 // drive begins to run a step on this host, unless it does already.
 func (p *steps) drive(r *routetable.Route, s *stepjournal.Step, v *view) {
 	p.mu.Lock()
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -190,21 +190,12 @@
 
 // take follows a step's driver. The record that comes first in the log wins.
 func (w *watch) take(v *view, e stepjournal.Entry) {
-	b, err := stepjournal.TakenOver(e.ID, e.Driver.Host, w.g.self)
-	if err != nil {
-		w.g.log.Error("watch: record cannot be made", zap.String("id", e.ID), zap.Error(err))
-		return
-	}
-	if _, err := v.append(w.g.x, [][]byte{b}); err != nil {
-		w.g.log.Warn("watch: takeover failed", zap.String("id", e.ID), zap.Error(err))
+	if !w.g.steps.follow(v, e.ID, e.Driver.Host) {
 		return
 	}
 	w.g.metrics.steps.WithLabelValues("taken-over").Inc()
 	w.g.log.Info("step: taken over", zap.String("id", e.ID), zap.String("from", e.Driver.Host), zap.Int("results", len(e.Results)), zap.Int("items", e.Total))
-	if err := v.sync(w.g.x); err != nil {
-		return
-	}
-	if n, _, ok := v.entry(e.ID); ok && n.Driver.Host == w.g.self.Host {
+	if n, ok := w.g.steps.own(v, e.ID); ok {
 		w.resume(v, n)
 	}
 }
