Ask a server that refuses ever more seldom, and avoid an address that another server has

Ruled out: full engines (the load reports showed room).

Refusals in a row double the pause up to eightfold; 421 counts as a failure of the server.

--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/orderlease"
+	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/stepplan"
 )
 
@@ -19,6 +21,8 @@
 	// with each further failure up to avoidMost.
 	avoidFirst = 300 * time.Millisecond
 	avoidMost  = 3 * time.Second
+	// refusalsMost bounds the doublings of the time for which a full server is avoided.
+	refusalsMost = 3
 	// loadTime is how long an engine takes to load a version.
 	loadTime = 950 * time.Millisecond
 	// paceAge is how long a measured pace of a server is relied on.
@@ -51,6 +55,8 @@
 	// the failures in a row.
 	avoid time.Time
 	fails int
+	// refusals counts the requests in a row that the server had no room for.
+	refusals int
 	// ordered holds the versions that the server was ordered to load.
 	ordered map[string]orderedVersion
 	// pace is the time between two events of a generation, measured at paced.
@@ -331,12 +337,27 @@
 	u.f.g.log.Info("servers: avoided", zap.String("server", u.s.ID), zap.String("reason", reason), zap.Duration("for", d))
 }
 
-// full keeps work from a server that refused some for lack of room.
-func (u *lease) full(d time.Duration) {
+// refused takes a refusal. A server without room gets no work for d, and for twice
+// as long with each refusal in a row; another server at the address is a failure.
+func (u *lease) refused(r *backend.Response, d time.Duration) {
+	if r.Status == http.StatusMisdirectedRequest {
+		u.failed(string(outcome.ReasonNotOwner))
+		return
+	}
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	if t := u.f.state[u.s.ID]; t != nil {
+		t.avoid = time.Now().Add(d << min(t.refusals, refusalsMost))
+		t.refusals++
+	}
+}
+
+// accepted takes the beginning of an answer.
+func (u *lease) accepted() {
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
 	if t := u.f.state[u.s.ID]; t != nil {
-		t.avoid = time.Now().Add(d)
+		t.refusals = 0
 	}
 }
 
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -238,7 +238,7 @@
 	end := func() { r.Close(); u.done() }
 	switch {
 	case r.NotRun():
-		u.full(busyPause)
+		u.refused(r, busyPause)
 		discard(r)
 		end()
 		return nil, outcome.Refuse(outcome.ReasonQueueFull, u.s.ID).After(busyPause)
@@ -250,6 +250,7 @@
 		end()
 		return nil, outcome.Lost(outcome.ReasonServerError, u.s.ID, nil)
 	}
+	u.accepted()
 	a, err := answer(c, r)
 	if err != nil {
 		g.blame(x, u, err)
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -108,9 +108,7 @@
 	s.d.g.log.Info("sample: run failed", zap.String("id", s.item.ID), zap.String("server", u.s.ID),
 		zap.String("reason", string(e.Reason)), zap.Int64("events", s.lastID), zap.Int("failures", s.failures))
 	switch e.Reason {
-	case outcome.ReasonQueueFull:
-		u.full(refusedPause)
-	case outcome.ReasonBadRequest:
+	case outcome.ReasonQueueFull, outcome.ReasonBadRequest:
 	default:
 		u.failed(string(e.Reason))
 	}
@@ -254,11 +252,13 @@
 // status turns the status of an answer into the failure that it tells of.
 func (s *sample) status(r *backend.Response, u *lease) error {
 	if r.Status == http.StatusOK {
+		u.accepted()
 		return nil
 	}
 	discard(r)
 	switch {
 	case r.NotRun():
+		u.refused(r, refusedPause)
 		return outcome.Refuse(outcome.ReasonQueueFull, u.s.ID)
 	case r.Status == http.StatusUnprocessableEntity:
 		return outcome.Lost(outcome.ReasonBadRequest, u.s.ID, nil)
