Keep the places of loads for as long as loads take

Ruled out: slow servers (the loads of all of them were slow).

The share is rounded to the nearest number; a load keeps its place for as long as loads took lately; a server that does not carry out orders is left alone for up to 12 s.

--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sort"
 	"time"
 
@@ -27,8 +26,13 @@
 	loadMost = 4 * time.Second
 	// ordersPace is the shortest time between two reads of the orders' topic.
 	ordersPace = 40 * time.Millisecond
-	// shunned is how long a server that did not take an order is left alone.
-	shunned = 1500 * time.Millisecond
+	// shunFirst is how long a server that did not carry out an order is left alone;
+	// the time doubles with each further failure up to shunMost.
+	shunFirst = 1500 * time.Millisecond
+	shunMost  = 12 * time.Second
+	// reportLag is how much later than its end a load is seen to be done: a report is
+	// some hundred milliseconds old, and is asked for each reportPause.
+	reportLag = 300 * time.Millisecond
 )
 
 // orders holds the order lease when it is this host's, and orders engines to load
@@ -39,9 +43,11 @@
 	woken chan struct{}
 	// underWay holds the loads that are not known to be done, by server.
 	underWay map[string]*loading
-	// shun holds until when a server gets no order.
-	shun map[string]time.Time
+	// shun holds the servers that did not carry out their last orders.
+	shun map[string]shunned
 	over chan *loading
+	// pace tells for how long loads keep their places.
+	pace *loadplan.Pace
 	// sent is when the newest record of this host's term was sent.
 	sent time.Duration
 }
@@ -50,15 +56,22 @@
 type loading struct {
 	load  loadplan.Load
 	began time.Time
-	// due is when the load should be done; from then on it takes no other's place.
-	due time.Time
-	err error
+	err   error
+	// busy tells that the server was still at work when the host gave up on it.
+	busy bool
+}
+
+// shunned is a server that gets no order until a time, after so many failures.
+type shunned struct {
+	until time.Time
+	fails int
 }
 
 func newOrders(g *Gateway) *orders {
 	return &orders{
 		g: g, woken: make(chan struct{}, 1), underWay: make(map[string]*loading),
-		shun: make(map[string]time.Time), over: make(chan *loading, 64),
+		shun: make(map[string]shunned), over: make(chan *loading, 64),
+		pace:  loadplan.NewPace(loadplan.PaceConfig{Least: loadTime, Most: loadMost, Lag: reportLag}),
 		lease: orderlease.New(orderlease.Config{Host: g.self.Host, TTL: g.s.Timing.OrderLease.D()}),
 	}
 }
@@ -195,16 +208,12 @@
 		}
 		goals := o.goals(s.Models)
 		servers, under := o.engines(name, now)
-		c := loadplan.Config{AtOnce: atOnce(o.g.s.Policy.LoadsAtOnce, len(servers)), Share: o.g.s.Policy.LoadShare}
+		c := loadplan.Config{AtOnce: loadplan.AtOnce(o.g.s.Policy.LoadsAtOnce, len(servers)), Share: o.g.s.Policy.LoadShare}
 		r = append(r, loadplan.Plan(c, servers, goals, under)...)
 	}
 	return r
 }
 
-func atOnce(share float64, servers int) int {
-	return max(int(math.Ceil(share*float64(servers))), 1)
-}
-
 // goals returns the newest versions of the models, the one named first in front.
 func (o *orders) goals(models []string) []loadplan.Goal {
 	v := o.g.tables.newest()
@@ -231,8 +240,8 @@
 			v[m] = o.g.fleet.state[s.ID].version(s, m, now)
 		}
 		u := o.underWay[s.ID]
-		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Busy: u != nil || now.Before(o.shun[s.ID])})
-		if u != nil && now.Before(u.due) {
+		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Busy: u != nil || now.Before(o.shun[s.ID].until)})
+		if u != nil && now.Sub(u.began) < o.pace.Hold() {
 			under = append(under, u.load)
 		}
 	}
@@ -248,17 +257,17 @@
 	if !o.append(&orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}) {
 		return
 	}
-	n := &loading{load: l, began: time.Now(), due: time.Now().Add(loadTime)}
+	n := &loading{load: l, began: time.Now()}
 	o.underWay[l.Server] = n
 	t := term{fence: o.lease.Fence(), until: o.sent + orderlease.Margin}
 	o.g.wg.Go(func() {
-		n.err = o.carryOut(s, l, t)
+		n.busy, n.err = o.carryOut(s, l, t)
 		select {
 		case o.over <- n:
 		case <-o.g.x.Done():
 		}
 	})
-	time.AfterFunc(loadTime, o.wake)
+	time.AfterFunc(o.pace.Hold(), o.wake)
 }
 
 // term is the right to give one order: an order goes out right after the record
@@ -269,19 +278,20 @@
 	until time.Duration
 }
 
-// carryOut gives the order and waits until the load is done.
-func (o *orders) carryOut(s directory.Server, l loadplan.Load, t term) error {
+// carryOut gives the order and waits until the load is done. With an error, busy
+// tells whether the server was still at work.
+func (o *orders) carryOut(s directory.Server, l loadplan.Load, t term) (busy bool, err error) {
 	x, stop := context.WithTimeout(o.g.x, loadMost)
 	defer stop()
 	r, err := o.report(x, s)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if r.Versions[l.Model] >= l.Version {
-		return nil
+		return false, nil
 	}
 	if boottime.Now() > t.until {
-		return outcome.Refuse(outcome.ReasonStaleFence, s.ID)
+		return false, outcome.Refuse(outcome.ReasonStaleFence, s.ID)
 	}
 	y, halt := context.WithTimeout(x, orderLimit)
 	err = o.g.engines.Order(y, Order{
@@ -289,7 +299,7 @@
 	})
 	halt()
 	if err != nil && outcome.From(err).Outcome == outcome.NotRun {
-		return err
+		return false, err
 	}
 	o.g.log.Info("orders: load ordered", zap.String("server", s.ID), zap.String("model", l.Model), zap.Int64("version", l.Version),
 		zap.Int64("fence", t.fence), zap.Int64("expected", r.Orders), zap.Error(err))
@@ -297,15 +307,19 @@
 	return o.await(x, s, l)
 }
 
-// await asks the server until it has the version.
-func (o *orders) await(x context.Context, s directory.Server, l loadplan.Load) error {
+// await asks the server until it has the version. With an error, busy tells whether
+// the server was still at work.
+func (o *orders) await(x context.Context, s directory.Server, l loadplan.Load) (busy bool, err error) {
 	for {
 		r, err := o.report(x, s)
 		if err == nil && r.Versions[l.Model] >= l.Version {
-			return nil
+			return false, nil
+		}
+		if x.Err() == nil {
+			busy = err == nil && r.Busy
 		}
 		if !pause(x, reportPause) {
-			return outcome.Lost(outcome.ReasonSilent, s.ID, err)
+			return busy, outcome.Lost(outcome.ReasonSilent, s.ID, err)
 		}
 	}
 }
@@ -321,17 +335,30 @@
 	if o.underWay[l.load.Server] == l {
 		delete(o.underWay, l.load.Server)
 	}
+	took := time.Since(l.began)
+	if l.err == nil || l.busy {
+		o.pace.Took(took)
+	}
 	if l.err == nil {
+		delete(o.shun, l.load.Server)
 		o.g.metrics.orders.WithLabelValues("loaded").Inc()
 		o.g.fleet.hasVersion(l.load.Server, l.load.Model, l.load.Version)
 		o.g.log.Info("orders: load done", zap.String("server", l.load.Server), zap.String("model", l.load.Model),
-			zap.Int64("version", l.load.Version), zap.Duration("took", time.Since(l.began)))
+			zap.Int64("version", l.load.Version), zap.Duration("took", took), zap.Duration("hold", o.pace.Hold()))
 		return
 	}
 	e := outcome.From(l.err)
 	o.g.metrics.orders.WithLabelValues(string(e.Reason)).Inc()
-	o.shun[l.load.Server] = time.Now().Add(shunned)
+	o.avoid(l.load.Server)
 	o.g.fleet.notLoaded(l.load.Server, l.load.Model, l.load.Version)
 	o.g.log.Info("orders: load failed", zap.String("server", l.load.Server), zap.String("model", l.load.Model),
-		zap.Int64("version", l.load.Version), zap.String("reason", string(e.Reason)), zap.String("at", e.Detail))
+		zap.Int64("version", l.load.Version), zap.String("reason", string(e.Reason)), zap.String("at", e.Detail), zap.Bool("busy", l.busy))
+}
+
+// avoid leaves a server alone that did not carry out an order: each order to a
+// server that is gone keeps another one waiting.
+func (o *orders) avoid(server string) {
+	n := o.shun[server].fails
+	d := min(shunFirst<<min(n, 8), shunMost)
+	o.shun[server] = shunned{until: time.Now().Add(d), fails: n + 1}
 }
--- a/pier/gateway/orders_test.go
+++ b/pier/gateway/orders_test.go
@@ -78,7 +78,7 @@
 	l := &loader{have: map[string]int64{}}
 	g := host(t, "a", newLog().Seam())
 	g.engines = l.engines()
-	err := g.orders.carryOut(directory.Server{ID: "e1"}, loadplan.Load{Server: "e1", Model: "m", Version: 2}, term{fence: 1})
+	_, err := g.orders.carryOut(directory.Server{ID: "e1"}, loadplan.Load{Server: "e1", Model: "m", Version: 2}, term{fence: 1})
 	require.True(t, outcome.Is(err, outcome.ReasonStaleFence))
 	require.Empty(t, l.given())
 }
@@ -97,3 +97,14 @@
 	time.Sleep(1200 * time.Millisecond)
 	require.Less(t, len(e.runs()), 6)
 }
+
+// Orders to a server that does not carry them out come ever more seldom.
+func TestServerThatLoadsNothingIsLeftAlone(t *testing.T) {
+	g := host(t, "a", newLog().Seam())
+	for want := shunFirst; want < 2*shunMost; want *= 2 {
+		g.orders.loaded(&loading{load: loadplan.Load{Server: "e1", Model: "m", Version: 2}, began: time.Now(), err: outcome.Refuse(outcome.ReasonConflict, "e1")})
+		require.InDelta(t, min(want, shunMost), time.Until(g.orders.shun["e1"].until), float64(time.Second))
+	}
+	g.orders.loaded(&loading{load: loadplan.Load{Server: "e1", Model: "m", Version: 2}, began: time.Now()})
+	require.Empty(t, g.orders.shun)
+}
