Append the records of hosts that are cut off from the log alone

The cut hosts still reached the engines and the other hosts. Ruled out: engines (loads and paces normal), the taking over itself (0.1 s).

A driver's answer to the hosts that watch over its steps holds the records that it cannot append; they append them. A driver with unacknowledged records says that it drives the step. A home that is cut off answers lists at once, so that the asker reads the log itself. Hosts do not look after partitions whose view is not fresh (after an outage they took over steps that were whole: 111, then 80, then 35 results 'known'). Tests first: TestHostThatIsCutOffKeepsItsSteps (ran six samples for three before), TestStuckRecordsAreHandedOutAgain, TestCutOffDriverStopsUnwatched.

--- a/pier/gateway/ask.go
+++ b/pier/gateway/ask.go
@@ -19,6 +19,13 @@
 // askSlack is how long a home may take to answer beyond the wait asked for.
 const askSlack = 300 * time.Millisecond
 
+const (
+	// listSilent is how long the log may be silent for a home to wait for results.
+	listSilent = 1200 * time.Millisecond
+	// listSilentLimit bounds the answer of a home that is cut off from the log.
+	listSilentLimit = 50 * time.Millisecond
+)
+
 // kindStep is the message that asks a host about a step.
 const kindStep = kindDrive + 1
 
@@ -48,6 +55,13 @@
 	if !ok {
 		return nil, outcome.Refuse(outcome.ReasonUnknownStep, m.Step)
 	}
+	if g.logSilence() > listSilent {
+		// A result that is not in the log is no result yet: the caller may know more.
+		m.Wait = 0
+		var stop context.CancelFunc
+		x, stop = context.WithTimeout(x, listSilentLimit)
+		defer stop()
+	}
 	if m.Item != "" {
 		b, err := v.body(x, m.Step, m.Item)
 		return &stepAnswer{Body: b}, err
--- a/pier/gateway/drive.go
+++ b/pier/gateway/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,6 +49,9 @@
 	// were last moved.
 	began time.Time
 	moved time.Time
+	// watched is when another host last asked for the step, in nanoseconds of the
+	// wall clock: it does so while the step is open and this host is its driver.
+	watched atomic.Int64
 }
 
 func newDrive(g *Gateway, r *routetable.Route, s *stepjournal.Step, v *view) *drive {
@@ -183,7 +187,7 @@
 
 // start begins as many samples as the engines have room for.
 func (d *drive) start() {
-	if time.Since(d.began) > driveStale && d.view.staleAt(time.Now().Add(-driveStale)) {
+	if d.outdated(time.Now()) {
 		return
 	}
 	t := d.g.Table()
@@ -204,6 +208,13 @@
 	d.waiting = keep
 }
 
+// outdated reports whether the step may have ended, or gone to another driver,
+// without this host knowing of it.
+func (d *drive) outdated(now time.Time) bool {
+	asked := time.Unix(0, d.watched.Load())
+	return now.Sub(d.began) > driveStale && d.view.staleAt(now.Add(-driveStale)) && now.Sub(asked) > watchedFor
+}
+
 // begin starts a sample if an engine has room for it.
 func (d *drive) begin(t *routetable.Table, s *sample) bool {
 	service, slots, ok := d.engines(t, s)
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -106,6 +106,12 @@
 	// queue holds records to append; flushing tells that an append is under way.
 	queue    [][]byte
 	flushing bool
+	// progress is when records were last acknowledged, or the first was queued.
+	progress time.Time
+	// handed is the number of the queue's records that another host has appended for
+	// this one, at handedAt.
+	handed   int
+	handedAt time.Time
 }
 
 func (v *view) partition() partlog.Partition {
@@ -319,7 +325,7 @@
 	v.queue = append(v.queue, b)
 	v.used = time.Now()
 	if !v.flushing {
-		v.flushing = true
+		v.flushing, v.progress = true, time.Now()
 		v.j.g.wg.Go(v.flush)
 	}
 }
@@ -335,6 +341,8 @@
 		if err == nil {
 			v.mu.Lock()
 			v.queue = v.queue[len(b):]
+			v.handed = max(v.handed-len(b), 0)
+			v.progress = time.Now()
 			v.mu.Unlock()
 			wait = retryPause
 			continue
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -19,6 +19,7 @@
 	unreadable *prometheus.CounterVec
 	bugs       *prometheus.CounterVec
 	opened     prometheus.Counter
+	relayed    prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
 	accept     prometheus.Histogram
@@ -49,7 +50,10 @@
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
-	m.registry.MustRegister(m.opened)
+	m.relayed = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "mulberrypier_relayed_records_total", Help: "Records appended for hosts that are cut off from the log.",
+	})
+	m.registry.MustRegister(m.opened, m.relayed)
 	m.plain = times("plain_seconds", "Time of plain requests, from their arrival to their answer.")
 	m.sample = times("sample_seconds", "Time of samples, from their first start to their result.")
 	m.accept = times("accept_seconds", "Time from the arrival of a step to its acceptance.")
--- /dev/null
+++ b/pier/gateway/relay_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// cutSeam returns a log's seam that fails while cut is set.
+func cutSeam(l partlog.Log, cut *atomic.Bool) partlog.Log {
+	r := l
+	away := func() error { return outcome.Lost(outcome.ReasonLogDown, "cut", nil) }
+	r.Append = func(x context.Context, q partlog.AppendRequest) (partlog.Appended, error) {
+		if cut.Load() {
+			return partlog.Appended{}, away()
+		}
+		return l.Append(x, q)
+	}
+	r.Read = func(x context.Context, q partlog.ReadRequest) (partlog.Page, error) {
+		if cut.Load() {
+			return partlog.Page{}, away()
+		}
+		p, err := l.Read(x, q)
+		if cut.Load() {
+			return partlog.Page{}, away()
+		}
+		return p, err
+	}
+	return r
+}
+
+// The driver of a step is cut off from the log for longer than the step takes. Its
+// samples are not run again elsewhere, and the step is whole without the log's
+// return to it; nothing is listed twice after that return.
+func TestHostThatIsCutOffKeepsItsSteps(t *testing.T) {
+	l := newLog()
+	var cut atomic.Bool
+	a, b := host(t, "a", cutSeam(l.Seam(), &cut)), host(t, "b", l.Seam())
+	begin := make(chan struct{})
+	e := serve(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) {
+		<-begin
+		generate(w, r, 1, 3, 0)
+	})
+	for _, g := range []*Gateway{a, b} {
+		g.table(nil)
+		g.register(e.Server)
+		g.talk(t)
+	}
+	require.NoError(t, a.Accept(context.Background(), route(a), step("s", 3)))
+	require.Eventually(t, func() bool { return len(e.runs()) == 3 }, 5*time.Second, time.Millisecond)
+	cut.Store(true)
+	a.heard.Store(time.Now().Add(-time.Minute).UnixNano())
+	close(begin)
+	b.watch.held = []int{stepjournal.PartOf("s", testParts)}
+	require.Eventually(t, func() bool {
+		b.watch.look()
+		n, err := b.Results(context.Background(), "s", 0, 0)
+		return err == nil && len(n.Results) == 3
+	}, 10*time.Second, 100*time.Millisecond)
+	require.False(t, b.steps.driving("s"))
+	require.Len(t, e.runs(), 3)
+	cut.Store(false)
+	require.Eventually(t, func() bool { return !a.journal.posting() }, 5*time.Second, 10*time.Millisecond)
+	n, err := b.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, n.Results, 3)
+}
+
+// Records are handed out once, and again after a while in case the host that took
+// them is gone.
+func TestStuckRecordsAreHandedOutAgain(t *testing.T) {
+	now := time.Now()
+	v := &view{flushing: true, progress: now, queue: [][]byte{{1}, {2}}}
+	b, waiting := v.stuck(now)
+	require.Empty(t, b, "the log has a moment")
+	require.True(t, waiting)
+	now = now.Add(relayAfter)
+	b, _ = v.stuck(now)
+	require.Len(t, b, 2)
+	v.queue = append(v.queue, []byte{3})
+	b, _ = v.stuck(now.Add(time.Second))
+	require.Equal(t, [][]byte{{3}}, b)
+	b, waiting = v.stuck(now.Add(2 * time.Second))
+	require.Empty(t, b)
+	require.True(t, waiting)
+	b, _ = v.stuck(now.Add(time.Second + relayAgain + time.Millisecond))
+	require.Len(t, b, 3)
+}
+
+// A cut-off driver goes on with its samples only while others ask for its step.
+func TestCutOffDriverStopsUnwatched(t *testing.T) {
+	now := time.Now()
+	d := &drive{began: now.Add(-time.Minute), view: &view{}}
+	require.True(t, d.outdated(now))
+	d.watched.Store(now.UnixNano())
+	require.False(t, d.outdated(now))
+	require.True(t, d.outdated(now.Add(watchedFor+time.Millisecond)))
+}
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -335,6 +335,18 @@
 	return p.drives[id] != nil
 }
 
+// watched is driving for a host that watches over the step.
+func (p *steps) watched(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.drives[id]
+	if d == nil {
+		return false
+	}
+	d.watched.Store(time.Now().UnixNano())
+	return true
+}
+
 // count returns the number of steps that this host runs.
 func (p *steps) count() int {
 	p.mu.Lock()
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -18,11 +18,14 @@
 	// watchGroup is the consumer group of all entry hosts.
 	watchGroup = "entry-hosts"
 	// watchInterval is the time between two looks at the steps of other hosts.
-	watchInterval = 300 * time.Millisecond
+	watchInterval = 250 * time.Millisecond
 	// watchMisses is how many looks in a row must find that a step has no driver.
 	watchMisses = 2
 	// askLimit is how long another host may take to answer.
-	askLimit = 500 * time.Millisecond
+	askLimit = 400 * time.Millisecond
+	// watchStale is how old the view of a partition may be for its steps to be looked
+	// after: an older one lists steps as open that are whole.
+	watchStale = 3 * followWait
 	// memberTTL is how long a host stays in the group without a call; joinInterval
 	// leaves room for a lost call.
 	memberTTL    = 2 * time.Second
@@ -41,6 +44,8 @@
 type drivingAnswer struct {
 	Host    string `msgpack:"h"`
 	Driving []bool `msgpack:"d"`
+	// Records holds by partition the records that the host cannot append itself.
+	Records map[int][][]byte `msgpack:"r"`
 }
 
 // answerPeer serves the other hosts.
@@ -56,16 +61,18 @@
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
 
-// answerDriving tells which steps this host runs. One that is cut off from the log
-// runs none, as its results cannot be kept.
+// answerDriving tells which steps this host runs, or has results of that are not in
+// the log yet.
 func (g *Gateway) answerDriving(q *peer.Request) (any, error) {
 	var m drivingQuery
 	if err := peer.Decode(q.Body, &m); err != nil {
 		return nil, err
 	}
 	a := drivingAnswer{Host: g.self.Host}
-	for _, s := range m.Steps {
-		a.Driving = append(a.Driving, g.steps.driving(s) && g.logSilence() <= cutOff)
+	records, waiting := g.journal.stuckOf(m.Steps, time.Now())
+	a.Records = records
+	for i, s := range m.Steps {
+		a.Driving = append(a.Driving, g.steps.watched(s) || waiting[i])
 	}
 	return &a, nil
 }
@@ -143,6 +150,9 @@
 	asked := make(map[netip.AddrPort][]place)
 	for _, n := range w.held {
 		v := w.g.journal.part(n)
+		if v.staleAt(time.Now().Add(-watchStale)) {
+			continue
+		}
 		for _, e := range v.open() {
 			if e.Driver.Host == w.g.self.Host {
 				w.resume(v, e)
@@ -162,6 +172,7 @@
 			q.Steps = append(q.Steps, p.e.ID)
 		}
 		r := w.ask(a, q)
+		w.relay(r)
 		for i, p := range l {
 			if r.Host == p.e.Driver.Host && i < len(r.Driving) && r.Driving[i] {
 				continue
--- a/pier/stepjournal/record.go
+++ b/pier/stepjournal/record.go
@@ -210,6 +210,12 @@
 	return encode(&envelope{Kind: kindEnded, Step: step, At: at})
 }
 
+// Check returns an error if a record cannot be read.
+func Check(b []byte) error {
+	_, err := decode(b)
+	return err
+}
+
 func decode(b []byte) (*envelope, error) {
 	var e envelope
 	if err := msgpack.Unmarshal(b, &e); err != nil {
