Let several samples leave a slow engine at one look

Ruled out: no room elsewhere (20 engines had some).

stepplan.Moves chooses the samples of one look and counts each where it goes. Test first: TestMovesAtOnce.

--- a/pier/gateway/drive.go
+++ b/pier/gateway/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,8 +20,10 @@
 	// moveTick is the time between two looks for samples on slow servers, and the
 	// shortest time that a sample stays where it is.
 	moveTick = 400 * time.Millisecond
-	// movesMost is how often a sample may go on elsewhere.
-	movesMost = 3
+	// movesMost is how often a sample may go on elsewhere, movesAtOnce how many of a
+	// step do so at one look: the places of all are measured anew in between.
+	movesMost   = 3
+	movesAtOnce = 6
 	// driveStale is how old the view of a step may be for new samples to start: a
 	// host that was cut off does not know of the step's end.
 	driveStale = 10 * time.Second
@@ -111,8 +114,8 @@
 	}
 }
 
-// move ends the runs of samples on servers that turned slow while a faster one
-// has room, so that they go on there.
+// move ends the runs of samples on servers that turned slow while faster ones have
+// room, so that they go on there.
 func (d *drive) move() {
 	if len(d.waiting) > 0 || time.Since(d.moved) < moveTick {
 		return
@@ -122,21 +125,46 @@
 	if t == nil {
 		return
 	}
-	for _, s := range d.running {
-		if s.moves >= movesMost || time.Since(s.placed) < moveTick || s.finishing.Load() {
-			continue
+	for k, l := range d.movable(t) {
+		runs := make([]stepplan.Run, len(l))
+		for i, s := range l {
+			runs[i] = stepplan.Run{Server: s.server, Min: d.need(s)}
 		}
-		service, slots, ok := d.engines(t, s)
-		if ok && d.g.fleet.better(service, d.step.Model, s.server, d.need(s), slots) {
+		for _, i := range d.g.fleet.moves(k.name, d.step.Model, k.slots, runs, movesAtOnce) {
+			s := l[i]
 			s.moves++
 			d.g.metrics.retries.WithLabelValues(reasonMoved).Inc()
 			d.g.log.Info("sample: moves from a slow server", zap.String("id", s.item.ID), zap.String("server", s.server))
 			s.stop()
-			return
 		}
 	}
 }
 
+// engines is a service that generates samples, and the slots of its servers where
+// a registration states none.
+type engines struct {
+	name  string
+	slots int
+}
+
+// movable returns the running samples that may go on elsewhere, by their service,
+// those that have been at their server for longest in front.
+func (d *drive) movable(t *routetable.Table) map[engines][]*sample {
+	r := make(map[engines][]*sample)
+	for _, s := range d.running {
+		if s.moves >= movesMost || time.Since(s.placed) < moveTick || s.finishing.Load() {
+			continue
+		}
+		if k, ok := d.engines(t, s); ok {
+			r[k] = append(r[k], s)
+		}
+	}
+	for _, l := range r {
+		slices.SortFunc(l, func(a, b *sample) int { return a.placed.Compare(b.placed) })
+	}
+	return r
+}
+
 // reasonMoved labels the samples that were moved to a faster server.
 const reasonMoved = "moved"
 
@@ -217,11 +245,11 @@
 
 // begin starts a sample if an engine has room for it.
 func (d *drive) begin(t *routetable.Table, s *sample) bool {
-	service, slots, ok := d.engines(t, s)
+	k, ok := d.engines(t, s)
 	if !ok {
 		return false
 	}
-	u, ok := d.g.fleet.engine(service, d.step.Model, d.need(s), slots)
+	u, ok := d.g.fleet.engine(k.name, d.step.Model, d.need(s), k.slots)
 	if !ok {
 		return false
 	}
@@ -240,18 +268,17 @@
 	return true
 }
 
-// engines returns the service that generates a sample, and the slots of its
-// servers where a registration states none.
-func (d *drive) engines(t *routetable.Table, s *sample) (service string, slots int, ok bool) {
+// engines returns the service that generates a sample.
+func (d *drive) engines(t *routetable.Table, s *sample) (engines, bool) {
 	r := t.Match(d.step.Host, s.item.Path)
 	if r == nil {
-		return "", 0, false
+		return engines{}, false
 	}
-	service, slots = r.Pick(0), 1
-	if v := t.Services[service]; v != nil {
-		slots = max(v.Slots, 1)
+	k := engines{name: r.Pick(0), slots: 1}
+	if v := t.Services[k.name]; v != nil {
+		k.slots = max(v.Slots, 1)
 	}
-	return service, slots, true
+	return k, true
 }
 
 // need returns the oldest version that may generate a sample from here on.
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -170,12 +170,12 @@
 	return &lease{f: f, s: s}, true
 }
 
-// better reports whether a sample that runs on a server should go on at another.
-func (f *fleet) better(service, model, server string, min int64, slots int) bool {
+// moves returns the places of the runs that should go on at another engine.
+func (f *fleet) moves(service, model string, slots int, runs []stepplan.Run, most int) []int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, _ := f.engines(service, model, slots, time.Now())
-	return stepplan.Better(c, server, min)
+	return stepplan.Moves(c, runs, most)
 }
 
 // engines returns the engines that take samples, and their places in the list of
--- a/pier/stepplan/stepplan.go
+++ b/pier/stepplan/stepplan.go
@@ -85,16 +85,36 @@
 // to go on there: a move reads the text again and costs a connection.
 const moveGain = 1.6
 
-// Better reports whether a sample that runs on a server should go on at another
-// one that has room: the samples of a server that turned slow hold up their steps,
-// and a generation can go on elsewhere after its last whole event.
-func Better(l []Engine, server string, min int64) bool {
-	for _, e := range l {
-		if e.ID != server {
+// Run is a sample that runs at a server.
+type Run struct {
+	Server string
+	// Min is the oldest version that may generate the rest.
+	Min int64
+}
+
+// Moves returns the places of the runs that should go on at another engine, at
+// most so many: the samples of a server that turned slow hold up their steps, and a
+// generation can go on elsewhere after its last whole event. The runs listed first
+// go first. Room that one run takes is not there for the next.
+func Moves(l []Engine, runs []Run, most int) []int {
+	l = append([]Engine(nil), l...)
+	at := make(map[string]int, len(l))
+	for i, e := range l {
+		at[e.ID] = i
+	}
+	var moves []int
+	for n, r := range runs {
+		from, ok := at[r.Server]
+		if !ok || len(moves) == most {
+			continue
+		}
+		to := Pick(l, r.Min)
+		if to < 0 || to == from || l[to].cost()*moveGain >= l[from].cost() {
 			continue
 		}
-		i := Pick(l, min)
-		return i >= 0 && l[i].ID != server && l[i].cost()*moveGain < e.cost()
+		l[to].Running++
+		l[from].Running--
+		moves = append(moves, n)
 	}
-	return false
+	return moves
 }
--- a/pier/stepplan/stepplan_test.go
+++ b/pier/stepplan/stepplan_test.go
@@ -48,6 +48,27 @@
 		"only the batch there": {[]Engine{{ID: "slow", Version: 2, Slots: 8, Running: 7}, {ID: "b", Version: 2, Slots: 8}}, false},
 	}
 	for name, c := range tests {
-		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Better(c.l, "slow", 2)) })
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, len(Moves(c.l, []Run{{Server: "slow", Min: 2}}, 1)) == 1)
+		})
 	}
 }
+
+// A fifth of the engines turn slow with a batch each. At one look each of their
+// samples is counted where it goes: no engine gets more than it has room for, and
+// the first ones go first.
+func TestMovesAtOnce(t *testing.T) {
+	l := []Engine{
+		{ID: "slow", Version: 2, Slots: 8, Running: 8, Slowness: 4},
+		{ID: "b", Version: 2, Slots: 8, Running: 6},
+		{ID: "c", Version: 2, Slots: 8, Running: 7},
+		{ID: "old", Version: 1, Slots: 8},
+	}
+	runs := make([]Run, 8)
+	for i := range runs {
+		runs[i] = Run{Server: "slow", Min: 2}
+	}
+	require.Equal(t, []int{0, 1}, Moves(l, runs, 2))
+	require.Equal(t, []int{0, 1, 2}, Moves(l, runs, 8))
+	require.Equal(t, 8, l[0].Running, "the caller's list is left alone")
+}
