Let a host that was started again go on where its former self stopped

The last steps of two trainers were never asked: the lost seconds cannot be made good as a step lasts as long as its longest sample. Ruled out: reading the partitions (0.2 s).

A host joins the group under its own name and address, not its incarnation's. The lease knows the host (name and address) beside the incarnation, and a host goes on with its own lease with a higher fence: orders of one machine are those of one holder. A driver's address that answers as another incarnation is a miss for good. A restarted home reclaims its models and takes over steps that name its former self.

--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -147,6 +147,10 @@
 	return g
 }
 
+// machine names this host whatever incarnation of it runs: a name alone may be given
+// to a host that stands in for another.
+func (g *Gateway) machine() string { return g.s.Name + "@" + g.s.Listen.Peers.String() }
+
 func nonce() string {
 	var b [4]byte
 	if _, err := rand.Read(b[:]); err != nil {
@@ -174,7 +178,7 @@
 			return err
 		}
 	}
-	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run} {
+	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.homes.reclaim} {
 		g.wg.Go(f)
 	}
 	g.log.Info("host: started", zap.String("host", g.self.Host), zap.String("domain", g.s.Domain))
--- a/pier/gateway/homes.go
+++ b/pier/gateway/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -157,6 +158,32 @@
 	h.g.log.Info("homes: claimed", zap.String("model", model), zap.Float64("share", r.Share))
 }
 
+// reclaim makes a host that was started again the home of the models of its former
+// self.
+func (h *homes) reclaim() {
+	for !h.refresh(h.g.x) {
+		if !pause(h.g.x, retryPause) {
+			return
+		}
+	}
+	h.mu.Lock()
+	var l []string
+	for m, r := range h.known {
+		if r.Driver.Host != h.g.self.Host && h.former(r.Driver) {
+			l = append(l, m)
+		}
+	}
+	h.mu.Unlock()
+	for _, m := range l {
+		h.claim(m)
+	}
+}
+
+// former reports whether a driver is an earlier incarnation of this host.
+func (h *homes) former(d stepjournal.Driver) bool {
+	return d.Peers == h.g.self.Peers && strings.HasPrefix(d.Host, h.g.s.Name+"-") && len(d.Host) == len(h.g.self.Host)
+}
+
 // hand gives a step that was accepted for its model's home to that host, and takes
 // it over if the home does not take it.
 func (p *steps) hand(r *routetable.Route, s *stepjournal.Step, v *view, to stepjournal.Driver) {
@@ -176,8 +203,8 @@
 	}
 }
 
-// take takes a step that another host accepted. A host that was started again is
-// another incarnation than the one that the step's record names, and refuses.
+// take takes a step that another host accepted. A host that was started again takes
+// the steps that name its former self over.
 func (p *steps) take(q *peer.Request) (any, error) {
 	var m driveOrder
 	if err := peer.Decode(q.Body, &m); err != nil {
@@ -187,7 +214,9 @@
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, "step")
 	}
 	s := m.Step
-	if m.Host != p.g.self.Host || p.g.drain.leaving() || p.g.logSilence() > cutOff {
+	own := m.Host == p.g.self.Host
+	former := p.g.homes.former(stepjournal.Driver{Host: m.Host, Peers: p.g.self.Peers})
+	if !own && !former || p.g.drain.leaving() || p.g.logSilence() > cutOff {
 		return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
 	}
 	t := p.g.Table()
@@ -198,6 +227,15 @@
 	if r == nil {
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, s.ID)
 	}
-	p.drive(r, s, p.g.journal.of(s.ID))
+	v := p.g.journal.of(s.ID)
+	if !own {
+		if !p.follow(v, s.ID, m.Host) {
+			return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
+		}
+		if _, ok := p.own(v, s.ID); !ok {
+			return nil, nil // another host was faster, and drives the step
+		}
+	}
+	p.drive(r, s, v)
 	return nil, nil
 }
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -72,7 +72,7 @@
 		g: g, woken: make(chan struct{}, 1), underWay: make(map[string]*loading),
 		shun: make(map[string]shunned), over: make(chan *loading, 64),
 		pace:  loadplan.NewPace(loadplan.PaceConfig{Least: loadTime, Most: loadMost, Lag: reportLag}),
-		lease: orderlease.New(orderlease.Config{Host: g.self.Host, TTL: g.s.Timing.OrderLease.D()}),
+		lease: orderlease.New(orderlease.Config{Host: g.self.Host, Machine: g.machine(), TTL: g.s.Timing.OrderLease.D()}),
 	}
 }
 
@@ -142,7 +142,7 @@
 
 // append renews or takes the lease, with an order to announce or without one.
 func (o *orders) append(l *orderlease.Load) bool {
-	r := orderlease.Record{Holder: o.g.self.Host, Load: l}
+	r := orderlease.Record{Holder: o.g.self.Host, Machine: o.g.machine(), Load: l}
 	sent := boottime.Now()
 	if o.lease.Holds(sent) {
 		r.Fence = o.lease.Fence()
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -30,6 +30,10 @@
 	// leaves room for a lost call.
 	memberTTL    = 2 * time.Second
 	joinInterval = 600 * time.Millisecond
+	// joinFirst is the time between two calls in the first settleTime after the start,
+	// in which the partitions of many hosts may move at once.
+	joinFirst  = 250 * time.Millisecond
+	settleTime = 5 * time.Second
 )
 
 // kindDriving is the message that asks a host which steps it runs.
@@ -94,8 +98,13 @@
 func (w *watch) run() {
 	var generation int64
 	joined := time.Time{}
+	began := time.Now()
 	for w.g.x.Err() == nil {
-		if time.Since(joined) >= joinInterval && !w.g.drain.leaving() {
+		every := joinInterval
+		if time.Since(began) < settleTime {
+			every = joinFirst
+		}
+		if time.Since(joined) >= every && !w.g.drain.leaving() {
 			joined = time.Now()
 			generation = w.join(generation)
 		}
@@ -108,7 +117,7 @@
 	x, stop := context.WithTimeout(w.g.x, joinInterval)
 	defer stop()
 	m, err := w.g.c.Log.Join(x, partlog.JoinRequest{
-		Group: watchGroup, Member: w.g.self.Host, Topics: []string{stepjournal.Topic},
+		Group: watchGroup, Member: w.g.machine(), Topics: []string{stepjournal.Topic},
 		TTL: max(memberTTL, w.g.s.Log.MemberTTL.D()), Generation: generation,
 	})
 	if err != nil {
@@ -129,11 +138,12 @@
 	return m.Generation
 }
 
-// leave gives the partitions back at once.
+// leave gives the partitions back at once. A host that was started again is the same
+// member as before, so it has its partitions back at once.
 func (w *watch) leave() {
 	x, stop := context.WithTimeout(context.Background(), joinInterval)
 	defer stop()
-	if err := w.g.c.Log.Leave(x, watchGroup, w.g.self.Host); err != nil {
+	if err := w.g.c.Log.Leave(x, watchGroup, w.g.machine()); err != nil {
 		w.g.log.Warn("watch: leaving the group failed", zap.Error(err))
 	}
 }
@@ -178,6 +188,9 @@
 				continue
 			}
 			seen[p.e.ID] = w.misses[p.e.ID] + 1
+			if r.Host != "" && r.Host != p.e.Driver.Host {
+				seen[p.e.ID] = watchMisses // another incarnation answers: the driver is gone
+			}
 			if seen[p.e.ID] >= watchMisses {
 				w.take(p.v, p.e)
 				seen[p.e.ID] = 0
--- a/pier/orderlease/orderlease.go
+++ b/pier/orderlease/orderlease.go
@@ -3,8 +3,9 @@
 // The lease is a partition of the log. A host holds it from its own conditional
 // append until the lease time has passed, counted from before that append was
 // sent, on a clock that goes on during suspension. Another host may append only
-// when it has read no record for the whole lease time. The offset of a term's
-// first record is its fencing number.
+// when it has read no record for the whole lease time. A host that was started again
+// need not wait for its former self, which is gone and whose fencing numbers are
+// lower. The offset of a term's first record is its fencing number.
 package orderlease
 
 import (
@@ -34,6 +35,8 @@
 // without one.
 type Record struct {
 	Holder string `msgpack:"h"`
+	// Machine tells incarnations of one host from other hosts.
+	Machine string `msgpack:"n,omitempty"`
 	// Fence is the term's fencing number, 0 in the term's first record.
 	Fence int64 `msgpack:"f,omitempty"`
 	Load  *Load `msgpack:"l,omitempty"`
@@ -59,8 +62,10 @@
 
 // Config constructs a Lease.
 type Config struct {
-	// Host is the name of this host's incarnation.
-	Host string
+	// Host is the name of this host's incarnation, Machine that of the host itself:
+	// at most one incarnation of it runs at any time.
+	Host    string
+	Machine string
 	// TTL is how long a record keeps others from taking the lease.
 	TTL time.Duration
 }
@@ -70,8 +75,9 @@
 type Lease struct {
 	c Config
 	// next is the offset to read, and the condition of an append.
-	next   int64
-	holder string
+	next    int64
+	holder  string
+	machine string
 	// heard is when the newest record was read.
 	heard time.Duration
 	// fence and until belong to this host's own term; until 0 means none.
@@ -93,7 +99,7 @@
 	if offset < l.next {
 		return
 	}
-	l.next, l.holder, l.heard = offset+1, r.Holder, now
+	l.next, l.holder, l.machine, l.heard = offset+1, r.Holder, r.Machine, now
 	if r.Holder != l.c.Host {
 		l.until = 0
 	}
@@ -102,7 +108,7 @@
 // SkipTo goes on at an offset whose predecessors are no longer kept.
 func (l *Lease) SkipTo(offset int64, now time.Duration) {
 	if offset > l.next {
-		l.next, l.heard = offset, now
+		l.next, l.heard, l.machine = offset, now, ""
 		if l.holder == "" {
 			l.holder = "unknown"
 		}
@@ -110,11 +116,14 @@
 }
 
 // MayAppend reports whether an append is allowed at now: to renew this host's
-// lease, or to take one that has lapsed.
+// lease, or to take one that has lapsed or is this host's own.
 func (l *Lease) MayAppend(now time.Duration) bool {
 	if l.Holds(now) || l.next == 0 {
 		return true
 	}
+	if l.machine != "" && l.machine == l.c.Machine {
+		return true
+	}
 	return now-l.heard >= l.c.TTL+Margin
 }
 
@@ -124,7 +133,7 @@
 		l.fence = offset + 1
 	}
 	bug.Assert(offset >= l.next, bug.MonotoneRevision, "lease appended at %d before %d", offset, l.next)
-	l.next, l.holder, l.heard = offset+1, l.c.Host, sent
+	l.next, l.holder, l.machine, l.heard = offset+1, l.c.Host, l.c.Machine, sent
 	l.until = sent + l.c.TTL - Margin
 }
 
