Log a lost part of the log once, and measure the log's silence without the wall clock

Read with it: the silence of the log was taken from the time of day, so that a clock that jumps ahead by more than 3 s made a host unready and refuse its steps.

Type reach: one line when a part of the log stops to answer, one when it answers again, with the time and the count; silence from boottime, which goes on during suspension and never jumps. Tests first: TestOneLineForEachLossAndReturn, TestSilenceEndsWithAnyAnswer.

--- a/pier/gateway/ask.go
+++ b/pier/gateway/ask.go
@@ -55,7 +55,7 @@
 	if !ok {
 		return nil, outcome.Refuse(outcome.ReasonUnknownStep, m.Step)
 	}
-	if g.logSilence() > listSilent {
+	if g.reach.silence() > listSilent {
 		// A result that is not in the log is no result yet: the caller may know more.
 		m.Wait = 0
 		var stop context.CancelFunc
--- a/pier/gateway/drive.go
+++ b/pier/gateway/drive.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
@@ -52,8 +53,8 @@
 	// were last moved.
 	began time.Time
 	moved time.Time
-	// watched is when another host last asked for the step, in nanoseconds of the
-	// wall clock: it does so while the step is open and this host is its driver.
+	// watched is the reading of boottime when another host last asked for the step: it
+	// does so while the step is open and this host is its driver.
 	watched atomic.Int64
 }
 
@@ -239,8 +240,8 @@
 // outdated reports whether the step may have ended, or gone to another driver,
 // without this host knowing of it.
 func (d *drive) outdated(now time.Time) bool {
-	asked := time.Unix(0, d.watched.Load())
-	return now.Sub(d.began) > driveStale && d.view.staleAt(now.Add(-driveStale)) && now.Sub(asked) > watchedFor
+	unasked := boottime.Now() - time.Duration(d.watched.Load())
+	return now.Sub(d.began) > driveStale && d.view.staleAt(now.Add(-driveStale)) && unasked > watchedFor
 }
 
 // begin starts a sample if an engine has room for it.
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -63,7 +63,7 @@
 	require.NoError(t, err)
 	g.self.Peers = netip.MustParseAddrPort(n.Addr().String())
 	g.server = peer.NewServer(peer.ServerConfig{Listener: n, Handler: g.answerPeer})
-	g.answered()
+	g.reach.answered("test")
 }
 
 // table puts routes for steps ("/gen/") and plain calls ("/plain/") in force.
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -56,7 +56,7 @@
 		err := f.step()
 		f.pass(err)
 		if err == nil {
-			f.g.answered()
+			f.g.reach.answered(f.topic)
 			pause(f.g.x, f.pace-time.Since(t))
 			continue
 		}
@@ -65,8 +65,7 @@
 			continue
 		}
 		if f.g.x.Err() == nil {
-			f.g.metrics.logErrors.WithLabelValues(f.topic).Inc()
-			f.g.log.Warn("log: read failed", zap.String("topic", f.topic), zap.Error(err))
+			f.g.reach.failed(f.topic, f.topic, err)
 		}
 		pause(f.g.x, retryPause)
 	}
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -110,17 +109,16 @@
 	journal *journal
 	steps   *steps
 	homes   *homes
+	reach   *reach
 	watch   *watch
 	orders  *orders
 	drain   *drainer
 
 	servers []*http.Server
 	server  *peer.Server
-	// heard is when the log last answered, in nanoseconds of the wall clock.
-	heard atomic.Int64
-	x     context.Context
-	stop  context.CancelFunc
-	wg    sync.WaitGroup
+	x       context.Context
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // New returns a gateway that does not listen yet.
@@ -128,6 +126,7 @@
 	s := c.Settings
 	g := &Gateway{c: c, s: s, log: c.Zap, metrics: newMetrics()}
 	g.self = stepjournal.Driver{Host: s.Name + "-" + nonce(), Peers: s.Listen.Peers}
+	g.reach = newReach(g.log, g.metrics)
 	g.x, g.stop = context.WithCancel(context.Background())
 	g.pool = backend.NewPool(backend.Config{Dialect: c.Dialect, Opened: g.metrics.opened.Inc})
 	g.engines = c.Engines(g.pool)
@@ -219,18 +218,10 @@
 // Table returns the configuration in force, or nil before the first is known.
 func (g *Gateway) Table() *routetable.Table { return g.tables.current() }
 
-// answered records that the log answered.
-func (g *Gateway) answered() { g.heard.Store(time.Now().UnixNano()) }
-
-// logSilence returns for how long the log has not answered.
-func (g *Gateway) logSilence() time.Duration {
-	return time.Duration(time.Now().UnixNano() - g.heard.Load())
-}
-
 // health answers the balancer. A host that does not know the configuration, is
 // about to stop, or cannot reach the log asks for its traffic to go elsewhere.
 func (g *Gateway) health(w http.ResponseWriter, _ *http.Request) {
-	if g.Table() == nil || !g.drain.healthy() || g.logSilence() > logSilent {
+	if g.Table() == nil || !g.drain.healthy() || g.reach.silence() > logSilent {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/pier/gateway/homes.go
+++ b/pier/gateway/homes.go
@@ -87,10 +87,10 @@
 	defer stop()
 	n, err := h.g.c.Log.Newest(x, homesTopic)
 	if err != nil {
-		h.g.metrics.logErrors.WithLabelValues(homesTopic).Inc()
-		h.g.log.Warn("homes: cannot be read", zap.Error(err))
+		h.g.reach.failed(homesTopic, homesTopic, err)
 		return false
 	}
+	h.g.reach.answered(homesTopic)
 	known := make(map[string]home)
 	for _, k := range n.Records {
 		var v home
@@ -216,7 +216,7 @@
 	s := m.Step
 	own := m.Host == p.g.self.Host
 	former := p.g.homes.former(stepjournal.Driver{Host: m.Host, Peers: p.g.self.Peers})
-	if !own && !former || p.g.drain.leaving() || p.g.logSilence() > cutOff {
+	if !own && !former || p.g.drain.leaving() || p.g.reach.silence() > cutOff {
 		return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
 	}
 	t := p.g.Table()
--- a/pier/gateway/homes_test.go
+++ b/pier/gateway/homes_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/memlog"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -70,7 +71,7 @@
 	a, b := host(t, "a", newLog().Seam()), host(t, "b", newLog().Seam())
 	a.table(nil)
 	a.talk(t)
-	a.heard.Store(time.Now().Add(-time.Minute).UnixNano())
+	a.reach.heard.Store(int64(boottime.Now() - time.Minute))
 	err := b.peers.Probe(context.Background(), a.self.Peers, kindDrive, &driveOrder{Host: a.self.Host, Step: step("s", 1)}, nil)
 	require.Error(t, err)
 	require.Zero(t, a.steps.count())
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -182,12 +182,11 @@
 	}
 	if err != nil {
 		if v.j.g.x.Err() == nil {
-			v.j.g.metrics.logErrors.WithLabelValues(stepjournal.Topic).Inc()
-			v.j.g.log.Warn("journal: read failed", zap.Int("part", v.n), zap.Int64("from", from), zap.Error(err))
+			v.j.g.reach.failed(stepjournal.Topic, part(v.partition()), err)
 		}
 		return err
 	}
-	v.j.g.answered()
+	v.j.g.reach.answered(part(v.partition()))
 	v.take(p, sent)
 	return nil
 }
@@ -310,10 +309,10 @@
 	defer stop()
 	a, err := v.j.g.c.Log.Append(x, partlog.AppendRequest{Partition: v.partition(), Records: r, At: partlog.NoCondition})
 	if err != nil {
-		v.j.g.metrics.logErrors.WithLabelValues(stepjournal.Topic).Inc()
+		v.j.g.reach.failed(stepjournal.Topic, part(v.partition()), err)
 		return a, err
 	}
-	v.j.g.answered()
+	v.j.g.reach.answered(part(v.partition()))
 	return a, nil
 }
 
@@ -350,7 +349,7 @@
 		if v.j.g.x.Err() != nil {
 			return
 		}
-		v.j.g.log.Warn("journal: append failed", zap.Int("part", v.n), zap.Int("records", len(b)), zap.Error(err))
+		v.j.g.log.Debug("journal: append failed", zap.Int("part", v.n), zap.Int("records", len(b)), zap.Error(err))
 		pause(v.j.g.x, wait)
 		wait = min(2*wait, appendPauseMost)
 	}
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -117,11 +117,11 @@
 	}
 	if err != nil {
 		if o.g.x.Err() == nil {
-			o.g.metrics.logErrors.WithLabelValues(orderlease.Topic).Inc()
+			o.g.reach.failed(orderlease.Topic, orderlease.Topic, err)
 		}
 		return err
 	}
-	o.g.answered()
+	o.g.reach.answered(orderlease.Topic)
 	for i, b := range p.Records {
 		r, err := orderlease.Decode(b)
 		if err != nil {
@@ -164,7 +164,7 @@
 		}
 		return false
 	}
-	o.g.answered()
+	o.g.reach.answered(orderlease.Topic)
 	held := o.lease.Holds(sent)
 	o.lease.Appended(a.First, sent)
 	o.sent = sent
--- /dev/null
+++ b/pier/gateway/reach_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/outcome"
+)
+
+// The log is away for a while: one line tells of it and one of its return, however
+// many calls fail, and other parts of the log are not concerned.
+func TestOneLineForEachLossAndReturn(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	r := newReach(zap.New(core), newMetrics())
+	err := outcome.Lost(outcome.ReasonLogDown, "read", nil)
+	for range 100 {
+		r.failed("steps", "steps/3", err)
+	}
+	r.answered("steps/4")
+	require.Len(t, lines.All(), 1)
+	require.Equal(t, "log: out of reach", lines.All()[0].Message)
+	r.answered("steps/3")
+	r.answered("steps/3")
+	require.Len(t, lines.All(), 2)
+	require.Equal(t, "log: in reach again", lines.All()[1].Message)
+	require.EqualValues(t, 100, lines.All()[1].ContextMap()["failures"])
+	require.Empty(t, r.lost)
+}
+
+func TestSilenceEndsWithAnyAnswer(t *testing.T) {
+	r := newReach(zap.NewNop(), newMetrics())
+	r.heard.Store(int64(boottime.Now() - time.Minute))
+	require.Greater(t, r.silence(), 59*time.Second)
+	r.answered("orders")
+	require.Less(t, r.silence(), time.Minute)
+}
--- a/pier/gateway/relay_test.go
+++ b/pier/gateway/relay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
 	"mulberrypier.example/pier/stepjournal"
@@ -57,7 +58,7 @@
 	require.NoError(t, a.Accept(context.Background(), route(a), step("s", 3)))
 	require.Eventually(t, func() bool { return len(e.runs()) == 3 }, 5*time.Second, time.Millisecond)
 	cut.Store(true)
-	a.heard.Store(time.Now().Add(-time.Minute).UnixNano())
+	a.reach.heard.Store(int64(boottime.Now() - time.Minute))
 	close(begin)
 	b.watch.held = []int{stepjournal.PartOf("s", testParts)}
 	require.Eventually(t, func() bool {
@@ -100,7 +101,8 @@
 	now := time.Now()
 	d := &drive{began: now.Add(-time.Minute), view: &view{}}
 	require.True(t, d.outdated(now))
-	d.watched.Store(now.UnixNano())
+	d.watched.Store(int64(boottime.Now()))
 	require.False(t, d.outdated(now))
-	require.True(t, d.outdated(now.Add(watchedFor+time.Millisecond)))
+	d.watched.Store(int64(boottime.Now() - watchedFor - time.Millisecond))
+	require.True(t, d.outdated(now))
 }
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
@@ -343,7 +344,7 @@
 	if d == nil {
 		return false
 	}
-	d.watched.Store(time.Now().UnixNano())
+	d.watched.Store(int64(boottime.Now()))
 	return true
 }
 
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -121,10 +121,10 @@
 		TTL: max(memberTTL, w.g.s.Log.MemberTTL.D()), Generation: generation,
 	})
 	if err != nil {
-		w.g.metrics.logErrors.WithLabelValues(watchGroup).Inc()
+		w.g.reach.failed(watchGroup, watchGroup, err)
 		return generation
 	}
-	w.g.answered()
+	w.g.reach.answered(watchGroup)
 	w.held = w.held[:0]
 	first := false
 	for _, p := range m.Parts {
