Print the way of a request, step or sample out of the logs: mulberryctl explain

Package logtrail finds the lines that name an id, those of its step, and what befell the servers, models and hosts in them meanwhile; the subcommand reads files or standard input.

--- a/mulberryctl/cmd/cmd.go
+++ b/mulberryctl/cmd/cmd.go
@@ -76,6 +76,8 @@
 	Status statusCmd `cmd:"" help:"Show members, revisions, owned servers, steps and drains."`
 	Drain  drainCmd  `cmd:"" help:"Begin the planned stop of the host."`
 	Chart  chartCmd  `cmd:"" help:"Print a state chart."`
+	// Explain needs no host.
+	Explain explainCmd `cmd:"" help:"Print the way of a request, step or sample out of logs."`
 }
 
 // rejected is a note that was not accepted.
--- /dev/null
+++ b/pier/logtrail/logtrail_test.go
@@ -0,0 +1,71 @@
+package logtrail
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const logs = `
+ 4.0 a {"level":"info","ts":"2026-05-26T11:37:04.000Z","msg":"step: accepted","id":"s1","model":"m1","driver":"a-1"}
+ 4.1 b {"level":"info","ts":"2026-05-26T11:37:04.100Z","msg":"orders: load ordered","server":"e1","model":"m1","version":2}
+ 4.1 b {"level":"info","ts":"2026-05-26T11:37:04.100Z","msg":"orders: load ordered","server":"e9","model":"m9","version":2}
+ 4.2 a {"level":"info","ts":"2026-05-26T11:37:04.200Z","msg":"sample: run failed","id":"x1","server":"e1","reason":"unreachable"}
+ 4.3 a {"level":"info","ts":"2026-05-26T11:37:04.300Z","msg":"servers: avoided","server":"e1","reason":"unreachable"}
+ 4.4 a {"level":"info","ts":"2026-05-26T11:37:04.400Z","msg":"servers: avoided","server":"e2","reason":"unreachable"}
+ 4.5 a {"level":"warn","ts":"2026-05-26T11:37:04.500Z","msg":"log: out of reach","part":"steps/3"}
+ 4.5 c {"level":"warn","ts":"2026-05-26T11:37:04.500Z","msg":"log: out of reach","part":"steps/4"}
+ 5.0 a {"level":"info","ts":"2026-05-26T11:37:05.000Z","msg":"sample: ended","id":"x1","step":"s1","server":"e1","state":"completed"}
+ 5.0 a {"level":"info","ts":"2026-05-26T11:37:05.000Z","msg":"sample: ended","id":"x2","step":"s1","server":"e1","state":"completed"}
+ 5.1 a {"level":"info","ts":"2026-05-26T11:37:05.100Z","msg":"step: left","id":"s1"}
+ 9.9 a {"level":"info","ts":"2026-05-26T11:37:09.900Z","msg":"servers: avoided","server":"e1"}
+torn {"level":"info","ts":"2026-05-26T11:3
+`
+
+func messages(l []Line) []string {
+	var r []string
+	for _, x := range l {
+		r = append(r, x.Host+" "+x.Message)
+	}
+	return r
+}
+
+func TestOf(t *testing.T) {
+	lines, skipped, err := Read(strings.NewReader(logs), "stdin")
+	require.NoError(t, err)
+	require.Equal(t, 2, skipped, "the empty line and the torn one")
+	tests := map[string]struct {
+		id   string
+		want []string
+	}{
+		"a sample": {"x1", []string{
+			"a step: accepted", "b orders: load ordered", "a sample: run failed", "a servers: avoided", "a log: out of reach",
+			"a sample: ended", "a step: left",
+		}},
+		"a step": {"s1", []string{
+			"a step: accepted", "b orders: load ordered", "a servers: avoided", "a log: out of reach",
+			"a sample: ended", "a sample: ended", "a step: left",
+		}},
+		"unknown": {"x9", nil},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, messages(Of(lines, c.id, time.Second))) })
+	}
+}
+
+// Without a collector's prefix, a line is of the host that the caller names.
+func TestHostOfALine(t *testing.T) {
+	l, _, err := Read(strings.NewReader(`{"ts":"2026-05-26T11:37:04Z","msg":"host: started"}`), "front-1")
+	require.NoError(t, err)
+	require.Equal(t, "front-1", l[0].Host)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(logs)
+	f.Fuzz(func(_ *testing.T, s string) {
+		l, _, _ := Read(strings.NewReader(s), "h")
+		Of(l, "s1", time.Second)
+	})
+}
