Let the last holder of the order lease take it again without the first partition

Ruled out: reading the topic (0.1 s). The host of the newest record is a candidate too. Test first: TestRestartedHolderOrdersAtOnce (never ordered before: it was no candidate).

--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -96,13 +96,20 @@
 			pause(o.g.x, retryPause)
 			continue
 		}
-		if o.g.watch.candidate.Load() && !o.g.drain.leaving() && o.lease.MayAppend(boottime.Now()) {
+		if o.candidate() && o.lease.MayAppend(boottime.Now()) {
 			o.append(nil)
 		}
 		pause(o.g.x, ordersPace-time.Since(t))
 	}
 }
 
+// candidate reports whether this host should take the lease once it may: the one that
+// the log deals the first partition to, and the one that held the lease last, which
+// need not wait for it.
+func (o *orders) candidate() bool {
+	return (o.g.watch.candidate.Load() || o.lease.Own()) && !o.g.drain.leaving()
+}
+
 // read takes the next records of the orders' topic.
 func (o *orders) read(wait time.Duration) error {
 	x, stop := context.WithTimeout(o.g.x, wait+followSlack)
--- a/pier/gateway/orders_test.go
+++ b/pier/gateway/orders_test.go
@@ -108,3 +108,29 @@
 	g.orders.loaded(&loading{load: loadplan.Load{Server: "e1", Model: "m", Version: 2}, began: time.Now()})
 	require.Empty(t, g.orders.shun)
 }
+
+// The holder of the lease is started again while the first partition is another
+// host's: it takes the lease all the same, with a higher fence.
+func TestRestartedHolderOrdersAtOnce(t *testing.T) {
+	l := newLog()
+	before := &loader{have: map[string]int64{"e1": 1}}
+	old := host(t, "a", l.Seam())
+	old.table(nil)
+	old.engines = before.engines()
+	old.register(directory.Server{ID: "e1", Service: "engines", Versions: map[string]int64{"m": 1}, Slots: 1})
+	old.watch.candidate.Store(true)
+	old.wg.Go(old.orders.run)
+	old.tables.putVersion("m", 2)
+	require.Eventually(t, func() bool { return len(before.given()) == 1 }, 5*time.Second, 5*time.Millisecond)
+	old.Close()
+
+	after := &loader{have: map[string]int64{"e1": 2}}
+	now := host(t, "a", l.Seam())
+	now.table(nil)
+	now.engines = after.engines()
+	now.register(directory.Server{ID: "e1", Service: "engines", Versions: map[string]int64{"m": 2}, Slots: 1})
+	now.tables.putVersion("m", 3)
+	now.wg.Go(now.orders.run)
+	require.Eventually(t, func() bool { return len(after.given()) == 1 }, 5*time.Second, 5*time.Millisecond)
+	require.Greater(t, after.given()[0].Fence, before.given()[0].Fence)
+}
--- a/pier/orderlease/orderlease.go
+++ b/pier/orderlease/orderlease.go
@@ -121,12 +121,15 @@
 	if l.Holds(now) || l.next == 0 {
 		return true
 	}
-	if l.machine != "" && l.machine == l.c.Machine {
+	if l.Own() {
 		return true
 	}
 	return now-l.heard >= l.c.TTL+Margin
 }
 
+// Own reports whether the newest record is this host's, be it of a former self.
+func (l *Lease) Own() bool { return l.machine != "" && l.machine == l.c.Machine }
+
 // Appended takes the success of this host's append, sent at sent.
 func (l *Lease) Appended(offset int64, sent time.Duration) {
 	if l.until == 0 || l.holder != l.c.Host || !l.Holds(sent) {
--- a/pier/orderlease/orderlease_test.go
+++ b/pier/orderlease/orderlease_test.go
@@ -119,7 +119,9 @@
 		l.Read(1, last, 0)
 	}
 	require.False(t, again.Holds(0), "the lease is taken anew")
+	require.True(t, again.Own())
 	require.True(t, again.MayAppend(0))
+	require.False(t, other.Own())
 	require.False(t, moved.MayAppend(ttl))
 	require.False(t, other.MayAppend(ttl))
 	again.Appended(2, 0)
