--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -323,19 +323,17 @@
 	}
 }
 
-// failed puts the server behind others for a while. What fails while it is avoided,
-// as all its runs do when it breaks off, is the same failure.
+// failed puts the server behind others for a while.
 func (u *lease) failed(reason string) {
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
 	t := u.f.state[u.s.ID]
-	now := time.Now()
-	if t == nil || t.fails > 0 && now.Before(t.avoid) {
+	if t == nil {
 		return
 	}
 	d := min(avoidFirst<<min(t.fails, 8), avoidMost)
 	t.fails++
-	t.avoid = now.Add(d)
+	t.avoid = time.Now().Add(d)
 	u.f.g.log.Info("servers: avoided", zap.String("server", u.s.ID), zap.String("reason", reason), zap.Duration("for", d))
 }
 
