Take a lapsed order lease by rank, not only at the host of the first partition

Ruled out: the hand-over of the step (its samples waited for an engine, 'waited' 5 to 9.9 s). Each host that holds a partition takes the lease, by its lowest partition 0.15 s later each. Test first: TestLapsedLeaseIsTakenByRank.

--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -26,6 +26,9 @@
 	loadMost = 4 * time.Second
 	// ordersPace is the shortest time between two reads of the orders' topic.
 	ordersPace = 40 * time.Millisecond
+	// rankStep is how much longer a host waits for a lease that lapsed than the one of
+	// the rank before it: enough for that one's record to be read.
+	rankStep = 150 * time.Millisecond
 	// shunFirst is how long a server that did not carry out an order is left alone;
 	// the time doubles with each further failure up to shunMost.
 	shunFirst = 1500 * time.Millisecond
@@ -96,18 +99,25 @@
 			pause(o.g.x, retryPause)
 			continue
 		}
-		if o.candidate() && o.lease.MayAppend(boottime.Now()) {
+		if o.mayTake(boottime.Now()) {
 			o.append(nil)
 		}
 		pause(o.g.x, ordersPace-time.Since(t))
 	}
 }
 
-// candidate reports whether this host should take the lease once it may: the one that
-// the log deals the first partition to, and the one that held the lease last, which
-// need not wait for it.
-func (o *orders) candidate() bool {
-	return (o.g.watch.candidate.Load() || o.lease.Own()) && !o.g.drain.leaving()
+// mayTake reports whether this host should take the lease. The one that held it last
+// need not wait. Others wait for the lease time and, by their rank, a little longer,
+// so that they do not all try at once.
+func (o *orders) mayTake(now time.Duration) bool {
+	if o.g.drain.leaving() {
+		return false
+	}
+	if o.lease.Own() {
+		return true
+	}
+	r := o.g.watch.rank.Load()
+	return r != unranked && o.lease.MayAppend(now-time.Duration(r)*rankStep)
 }
 
 // read takes the next records of the orders' topic.
--- a/pier/gateway/orders_test.go
+++ b/pier/gateway/orders_test.go
@@ -11,6 +11,7 @@
 
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/loadplan"
+	"mulberrypier.example/pier/orderlease"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -55,7 +56,7 @@
 	g.table(nil)
 	g.engines = l.engines()
 	g.register(directory.Server{ID: "e1", Service: "engines", Versions: map[string]int64{"m": 1}, Slots: 1})
-	g.watch.candidate.Store(true)
+	g.watch.rank.Store(0)
 	g.wg.Go(g.orders.run)
 	return g
 }
@@ -118,7 +119,7 @@
 	old.table(nil)
 	old.engines = before.engines()
 	old.register(directory.Server{ID: "e1", Service: "engines", Versions: map[string]int64{"m": 1}, Slots: 1})
-	old.watch.candidate.Store(true)
+	old.watch.rank.Store(0)
 	old.wg.Go(old.orders.run)
 	old.tables.putVersion("m", 2)
 	require.Eventually(t, func() bool { return len(before.given()) == 1 }, 5*time.Second, 5*time.Millisecond)
@@ -134,3 +135,28 @@
 	require.Eventually(t, func() bool { return len(after.given()) == 1 }, 5*time.Second, 5*time.Millisecond)
 	require.Greater(t, after.given()[0].Fence, before.given()[0].Fence)
 }
+
+// The lease lapsed: the host of the first partition takes it first, one with another
+// partition later, one with none never.
+func TestLapsedLeaseIsTakenByRank(t *testing.T) {
+	const ttl = 3 * time.Second
+	tests := map[string]struct {
+		rank int64
+		wait time.Duration
+		want bool
+	}{
+		"lowest":             {0, ttl + orderlease.Margin, true},
+		"lowest, too early":  {0, ttl, false},
+		"second":             {1, ttl + orderlease.Margin, false},
+		"second, a bit on":   {1, ttl + orderlease.Margin + rankStep, true},
+		"without partitions": {unranked, time.Hour, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := host(t, "a", newLog().Seam())
+			g.watch.rank.Store(c.rank)
+			g.orders.lease.Read(0, &orderlease.Record{Holder: "b-1", Machine: "b"}, time.Minute)
+			require.Equal(t, c.want, g.orders.mayTake(time.Minute+c.wait))
+		})
+	}
+}
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -85,15 +86,22 @@
 // a step whose driver is gone, or does not know of it, is taken over.
 type watch struct {
 	g *Gateway
-	// candidate is set while this host holds the first partition, which makes it
-	// the one to take the order lease.
-	candidate atomic.Bool
-	held      []int
+	// rank is the lowest partition that this host holds, or unranked: the lower, the
+	// sooner it takes an order lease that lapsed.
+	rank atomic.Int64
+	held []int
 	// misses counts by step the looks in a row that found no driver.
 	misses map[string]int
 }
 
-func newWatch(g *Gateway) *watch { return &watch{g: g, misses: make(map[string]int)} }
+func newWatch(g *Gateway) *watch {
+	w := &watch{g: g, misses: make(map[string]int)}
+	w.rank.Store(unranked)
+	return w
+}
+
+// unranked is the rank of a host that holds no partition.
+const unranked = -1
 
 func (w *watch) run() {
 	var generation int64
@@ -126,12 +134,14 @@
 	}
 	w.g.reach.answered(watchGroup)
 	w.held = w.held[:0]
-	first := false
 	for _, p := range m.Parts {
 		w.held = append(w.held, p.Part)
-		first = first || p.Part == 0
 	}
-	w.candidate.Store(first)
+	rank := unranked
+	if len(w.held) > 0 {
+		rank = slices.Min(w.held)
+	}
+	w.rank.Store(int64(rank))
 	if m.Generation != generation {
 		w.g.log.Info("watch: partitions dealt", zap.Int64("generation", m.Generation), zap.Ints("parts", w.held))
 	}
