Learn how many loads may be under way, and let slow ones keep their places

Ruled out: the lease (held throughout), engines that refuse (none).

Pace learns the number: slow loads lower it, a long time of undisturbed ones raises it. A load's place is free once it should be done, and taken again if its end is not seen when it should be. An order that the engine is not at work on is given up after 1.4 s, not 4 s.

--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -33,9 +33,9 @@
 	// the time doubles with each further failure up to shunMost.
 	shunFirst = 1500 * time.Millisecond
 	shunMost  = 12 * time.Second
-	// reportLag is how much later than its end a load is seen to be done: a report is
-	// some hundred milliseconds old, and is asked for each reportPause.
-	reportLag = 300 * time.Millisecond
+	// reportLag is how much later than its end a load is seen to be done, at most: a
+	// report is some hundred milliseconds old, and is asked for each reportPause.
+	reportLag = 400 * time.Millisecond
 )
 
 // orders holds the order lease when it is this host's, and orders engines to load
@@ -59,7 +59,9 @@
 type loading struct {
 	load  loadplan.Load
 	began time.Time
-	err   error
+	// together counts the loads under way when this one began, itself among them.
+	together int
+	err      error
 	// busy tells that the server was still at work when the host gave up on it.
 	busy bool
 }
@@ -74,7 +76,7 @@
 	return &orders{
 		g: g, woken: make(chan struct{}, 1), underWay: make(map[string]*loading),
 		shun: make(map[string]shunned), over: make(chan *loading, 64),
-		pace:  loadplan.NewPace(loadplan.PaceConfig{Least: loadTime, Most: loadMost, Lag: reportLag}),
+		pace:  loadplan.NewPace(loadplan.PaceConfig{Share: g.s.Policy.LoadsAtOnce, Least: loadTime, Lag: reportLag}),
 		lease: orderlease.New(orderlease.Config{Host: g.self.Host, Machine: g.machine(), TTL: g.s.Timing.OrderLease.D()}),
 	}
 }
@@ -225,7 +227,7 @@
 		}
 		goals := o.goals(s.Models)
 		servers, under := o.engines(name, now)
-		c := loadplan.Config{AtOnce: loadplan.AtOnce(o.g.s.Policy.LoadsAtOnce, len(servers)), Share: o.g.s.Policy.LoadShare}
+		c := loadplan.Config{AtOnce: o.pace.AtOnce(len(servers)), Share: o.g.s.Policy.LoadShare}
 		r = append(r, loadplan.Plan(c, servers, goals, under)...)
 	}
 	return r
@@ -258,7 +260,7 @@
 		}
 		u := o.underWay[s.ID]
 		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Busy: u != nil || now.Before(o.shun[s.ID].until)})
-		if u != nil && now.Sub(u.began) < o.pace.Hold() {
+		if u != nil && o.pace.Holds(now.Sub(u.began)) {
 			under = append(under, u.load)
 		}
 	}
@@ -274,7 +276,7 @@
 	if !o.append(&orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}) {
 		return
 	}
-	n := &loading{load: l, began: time.Now()}
+	n := &loading{load: l, began: time.Now(), together: len(o.underWay) + 1}
 	o.underWay[l.Server] = n
 	t := term{fence: o.lease.Fence(), until: o.sent + orderlease.Margin}
 	o.g.wg.Go(func() {
@@ -284,7 +286,7 @@
 		case <-o.g.x.Done():
 		}
 	})
-	time.AfterFunc(o.pace.Hold(), o.wake)
+	time.AfterFunc(o.pace.Next(), o.wake)
 }
 
 // term is the right to give one order: an order goes out right after the record
@@ -324,9 +326,10 @@
 	return o.await(x, s, l)
 }
 
-// await asks the server until it has the version. With an error, busy tells whether
-// the server was still at work.
+// await asks the server until it has the version, or is at work on no order though it
+// should be. With an error, busy tells whether it was still at work.
 func (o *orders) await(x context.Context, s directory.Server, l loadplan.Load) (busy bool, err error) {
+	ordered := time.Now().Add(-loadTime)
 	for {
 		r, err := o.report(x, s)
 		if err == nil && r.Versions[l.Model] >= l.Version {
@@ -335,6 +338,9 @@
 		if x.Err() == nil {
 			busy = err == nil && r.Busy
 		}
+		if err == nil && !r.Busy && time.Since(ordered) > loadTime+reportLag {
+			return false, outcome.Lost(outcome.ReasonConflict, s.ID, nil)
+		}
 		if !pause(x, reportPause) {
 			return busy, outcome.Lost(outcome.ReasonSilent, s.ID, err)
 		}
@@ -354,14 +360,14 @@
 	}
 	took := time.Since(l.began)
 	if l.err == nil || l.busy {
-		o.pace.Took(took)
+		o.pace.Took(took, l.together, boottime.Now())
 	}
 	if l.err == nil {
 		delete(o.shun, l.load.Server)
 		o.g.metrics.orders.WithLabelValues("loaded").Inc()
 		o.g.fleet.hasVersion(l.load.Server, l.load.Model, l.load.Version)
 		o.g.log.Info("orders: load done", zap.String("server", l.load.Server), zap.String("model", l.load.Model),
-			zap.Int64("version", l.load.Version), zap.Duration("took", took), zap.Duration("hold", o.pace.Hold()))
+			zap.Int64("version", l.load.Version), zap.Duration("took", took), zap.Int("together", l.together))
 		return
 	}
 	e := outcome.From(l.err)
--- a/pier/gateway/orders_test.go
+++ b/pier/gateway/orders_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/loadplan"
 	"mulberrypier.example/pier/orderlease"
@@ -84,6 +85,19 @@
 	require.Empty(t, l.given())
 }
 
+// An order is lost on its way: the engine is at work on none, so its place goes to
+// another before the longest time of a load has passed.
+func TestLostOrderIsGivenUp(t *testing.T) {
+	l := &loader{have: map[string]int64{}, lost: true}
+	g := host(t, "a", newLog().Seam())
+	g.engines = l.engines()
+	until := boottime.Now() + time.Minute
+	busy, err := g.orders.carryOut(directory.Server{ID: "e1"}, loadplan.Load{Server: "e1", Model: "m", Version: 2}, term{fence: 1, until: until})
+	require.True(t, outcome.Is(err, outcome.ReasonConflict))
+	require.False(t, busy)
+	require.Len(t, l.given(), 1)
+}
+
 // An engine answers with older weights than it is registered with: it is left
 // alone for a while instead of being asked over and over.
 func TestEngineWithOlderWeightsIsAvoided(t *testing.T) {
--- a/pier/gateway/settings.go
+++ b/pier/gateway/settings.go
@@ -71,8 +71,8 @@
 
 // Policy holds the decisions on loads and samples.
 type Policy struct {
-	// LoadsAtOnce is the part of the engines that may load weights at one time;
-	// more at once slow each other down.
+	// LoadsAtOnce is the part of the engines that may load weights at one time, as a
+	// first guess: more at once slow each other down, and the host learns how many.
 	LoadsAtOnce float64 `toml:"loads-at-once"`
 	// LoadShare is the number of engines that load each version, as a multiple of
 	// the even share of the engines among the models.
