One command line, one name of an incarnation, one state that follows a chart

What stood twice or more: Main of the four programs, nonce of daemon and gateway, the drainer's locked state. The orders' planner asks the fleet for the servers that may load instead of taking its lock; Dialect.Priority, which nothing read, is gone.

--- a/mulberrybench/internal/cmd/cmd.go
+++ b/mulberrybench/internal/cmd/cmd.go
@@ -2,17 +2,7 @@
 package cmd
 
 import (
-	"fmt"
-	"os"
-
-	"github.com/alecthomas/kong"
-)
-
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"mulberrypier.example/pier/commandline"
 )
 
 // commands is the command line.
@@ -26,19 +16,7 @@
 // the command failed, 2 for a wrong command line.
 func Main(args []string) int {
 	var c commands
-	p, err := kong.New(&c, kong.Name("mulberrybench"), kong.Description("Stand-ins, load and experiments for mulberrypier."), kong.UsageOnError())
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "mulberrybench:", err)
-		return exitUsage
-	}
-	k, err := p.Parse(args)
-	if err != nil {
-		p.Errorf("%s", err)
-		return exitUsage
-	}
-	if err := k.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "mulberrybench:", err)
-		return exitFailed
-	}
-	return exitOK
+	return commandline.Main(commandline.Config{
+		Name: "mulberrybench", Description: "Stand-ins, load and experiments for mulberrypier.", Commands: &c,
+	}, args)
 }
--- a/mulberryctl/cmd/cmd.go
+++ b/mulberryctl/cmd/cmd.go
@@ -5,25 +5,20 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/netip"
 	"os"
 	"text/tabwriter"
 	"time"
 
-	"github.com/alecthomas/kong"
-
+	"mulberrypier.example/pier/commandline"
 	"mulberrypier.example/pier/operator"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/tlskeys"
 )
 
-// Exit codes.
+// Exit codes beside those that all programs share.
 const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitUsage    = 2
 	exitRejected = 3
 	exitUnknown  = 4
 )
@@ -92,22 +87,9 @@
 func Main(args []string) int {
 	var c commands
 	c.out = os.Stdout
-	p, err := kong.New(&c, kong.Name("mulberryctl"), kong.Description("Operators' client of mulberrypier."),
-		kong.UsageOnError(), kong.Bind(&c.globals))
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "mulberryctl:", err)
-		return exitUsage
-	}
-	k, err := p.Parse(args)
-	if err != nil {
-		p.Errorf("%s", err)
-		return exitUsage
-	}
-	if err := k.Run(&c.globals); err != nil {
-		fmt.Fprintln(os.Stderr, "mulberryctl:", err)
-		return exitOf(err)
-	}
-	return exitOK
+	return commandline.Main(commandline.Config{
+		Name: "mulberryctl", Description: "Operators' client of mulberrypier.", Commands: &c, Bind: []any{&c.globals}, ExitOf: exitOf,
+	}, args)
 }
 
 func exitOf(err error) int {
@@ -119,5 +101,5 @@
 	case errors.As(err, &e) && e.Outcome == outcome.Unknown:
 		return exitUnknown
 	}
-	return exitFailed
+	return commandline.ExitFailed
 }
--- a/mulberryd/cmd/cmd.go
+++ b/mulberryd/cmd/cmd.go
@@ -2,17 +2,7 @@
 package cmd
 
 import (
-	"fmt"
-	"os"
-
-	"github.com/alecthomas/kong"
-)
-
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"mulberrypier.example/pier/commandline"
 )
 
 // commands is the command line.
@@ -25,20 +15,7 @@
 // the daemon or the check failed, 2 for a wrong command line.
 func Main(args []string) int {
 	var c commands
-	p, err := kong.New(&c, kong.Name("mulberryd"),
-		kong.Description("Entry host of mulberrypier, a rollout service for reinforcement learning."), kong.UsageOnError())
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "mulberryd:", err)
-		return exitUsage
-	}
-	k, err := p.Parse(args)
-	if err != nil {
-		p.Errorf("%s", err)
-		return exitUsage
-	}
-	if err := k.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "mulberryd:", err)
-		return exitFailed
-	}
-	return exitOK
+	return commandline.Main(commandline.Config{
+		Name: "mulberryd", Description: "Entry host of mulberrypier, a rollout service for reinforcement learning.", Commands: &c,
+	}, args)
 }
--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -23,8 +23,6 @@
 	WeightVersion string
 	// EventVersion is the name of the line with which an event tells a new version.
 	EventVersion string
-	// Priority carries the rank of a generation, 0 to 9.
-	Priority string
 	// LengthHint carries the caller's estimate of the tokens to come.
 	LengthHint string
 	// ResumeAfter carries the id of the last event that the caller has.
--- a/pier/daemon/chats.go
+++ b/pier/daemon/chats.go
@@ -12,6 +12,7 @@
 	"mulberrypier.example/pier/caller"
 	"mulberrypier.example/pier/engine"
 	"mulberrypier.example/pier/entryhost"
+	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -38,7 +39,7 @@
 		q.MaxTokens = chatTokens
 	}
 	m := &entryhost.ChatRequest{Deployment: q.Model, Completion: engine.Completion{
-		Stream: "chat-" + nonce(), Prompt: p, MaxTokens: q.MaxTokens, Prefix: "chat-" + q.Model,
+		Stream: "chat-" + incarnation.Nonce(), Prompt: p, MaxTokens: q.MaxTokens, Prefix: "chat-" + q.Model,
 	}}
 	w := &chatWriter{c: c, id: id, model: q.Model}
 	if q.Stream {
--- a/pier/daemon/claims.go
+++ b/pier/daemon/claims.go
@@ -11,6 +11,7 @@
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/claim"
 	"mulberrypier.example/pier/entryhost"
+	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/service"
 )
@@ -161,7 +162,7 @@
 			p.mu.Unlock()
 			return nil, c.d.metrics.refuse("claim", err)
 		}
-		e = &execution{done: make(chan struct{}), print: print, nonce: nonce(), at: time.Now()}
+		e = &execution{done: make(chan struct{}), print: print, nonce: incarnation.Nonce(), at: time.Now()}
 		p.runs[q.Key] = e
 		c.d.wg.Add(1)
 		go c.execute(p, q, e, endOf(x))
--- a/pier/daemon/daemon.go
+++ b/pier/daemon/daemon.go
@@ -8,9 +8,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +21,7 @@
 	"mulberrypier.example/pier/engine"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/hostlist"
+	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/logservice"
 	"mulberrypier.example/pier/member"
 	"mulberrypier.example/pier/outcome"
@@ -78,7 +77,7 @@
 // New returns a daemon that does not listen yet.
 func New(c Config) *Daemon {
 	s := c.Settings
-	d := &Daemon{c: c, s: s, id: s.Name + "-" + nonce(), metrics: newMetrics()}
+	d := &Daemon{c: c, s: s, id: incarnation.Of(s.Name), metrics: newMetrics()}
 	d.self = member.Member{
 		ID:          d.id,
 		Address:     s.Listen.Peers,
@@ -107,13 +106,6 @@
 	return d
 }
 
-// nonce returns a random name part.
-func nonce() string {
-	var b [6]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
 // logger returns the log of one part; its name is the prefix of each line.
 func (d *Daemon) logger(part string) *zap.Logger {
 	return d.c.Log.Named(part).With(zap.String("host", d.s.Name))
@@ -276,7 +268,7 @@
 		Self:     s,
 		State:    s.State.String(),
 		Revision: d.notes.snapshot().Revision(),
-		Drain:    string(d.drain.current()),
+		Drain:    string(d.drain.state.State()),
 		Members:  len(d.members.candidates()),
 		Servers:  d.owners.views(),
 		Steps:    d.steps.lines(),
--- a/pier/daemon/drain.go
+++ b/pier/daemon/drain.go
@@ -25,11 +25,9 @@
 // check while it still serves, then refuses new work, hands its roles over, and
 // waits for what is in flight.
 type drainer struct {
-	d   *Daemon
-	log *zap.Logger
-	mu  sync.Mutex
-	// state follows the drain chart; guarded by mu.
-	state chart.State
+	d     *Daemon
+	log   *zap.Logger
+	state *chart.Machine
 	// inflight counts the requests of callers, trainers and operators.
 	inflight atomic.Int64
 	once     sync.Once
@@ -37,29 +35,20 @@
 }
 
 func newDrainer(d *Daemon) *drainer {
-	return &drainer{d: d, log: d.logger("drain"), state: drainChart.Initial(), done: make(chan struct{})}
-}
-
-func (r *drainer) current() chart.State {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state
+	return &drainer{d: d, log: d.logger("drain"), state: chart.NewMachine(drainChart), done: make(chan struct{})}
 }
 
 func (r *drainer) fire(e chart.Event) {
-	r.mu.Lock()
-	drainChart.Fire(&r.state, e)
-	s := r.state
-	r.mu.Unlock()
+	s := r.state.Fire(e)
 	r.log.Info("drain is " + string(s))
 }
 
 // healthy reports what the balancer's health check answers.
-func (r *drainer) healthy() bool { return r.current() == drainChart.Initial() }
+func (r *drainer) healthy() bool { return r.state.Initial() }
 
 // stopping reports whether new work is refused.
 func (r *drainer) stopping() bool {
-	s := r.current()
+	s := r.state.State()
 	return s == "draining" || s == "left"
 }
 
--- a/pier/daemon/http.go
+++ b/pier/daemon/http.go
@@ -134,7 +134,7 @@
 		return
 	}
 	c.StatusCode(http.StatusServiceUnavailable)
-	_, _ = c.WriteString(string(d.drain.current()) + "\n")
+	_, _ = c.WriteString(string(d.drain.state.State()) + "\n")
 }
 
 // handled counts a request, gives it an id, and writes the error that f returns.
--- a/pier/daemon/operators.go
+++ b/pier/daemon/operators.go
@@ -126,5 +126,5 @@
 func (d *Daemon) startDrain(c iris.Context, _ string) error {
 	go d.Drain(context.WithoutCancel(d.x))
 	c.StatusCode(http.StatusAccepted)
-	return answerJSON(c, &operator.Drain{State: string(d.drain.current())})
+	return answerJSON(c, &operator.Drain{State: string(d.drain.state.State())})
 }
--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -28,40 +28,29 @@
 // still serves, then waits for what is under way: steps run on here, and those
 // that are not whole in time are taken over by other hosts.
 type drainer struct {
-	g  *Gateway
-	mu sync.Mutex
-	// state follows the drain chart; guarded by mu.
-	state chart.State
+	g     *Gateway
+	state *chart.Machine
 	begin chan struct{}
 }
 
 func newDrainer(g *Gateway) *drainer {
-	return &drainer{g: g, state: drainChart.Initial(), begin: make(chan struct{})}
-}
-
-func (r *drainer) current() chart.State {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state
+	return &drainer{g: g, state: chart.NewMachine(drainChart), begin: make(chan struct{})}
 }
 
 func (r *drainer) fire(e chart.Event) {
-	r.mu.Lock()
-	drainChart.Fire(&r.state, e)
-	s := r.state
-	r.mu.Unlock()
+	s := r.state.Fire(e)
 	r.g.log.Info("drain: state changed", zap.String("state", string(s)), zap.Int("steps", r.g.steps.count()))
 }
 
 // healthy reports whether the balancer may send new connections.
-func (r *drainer) healthy() bool { return r.current() == drainChart.Initial() }
+func (r *drainer) healthy() bool { return r.state.Initial() }
 
 // begun returns a channel that is closed when the stop begins.
 func (r *drainer) begun() <-chan struct{} { return r.begin }
 
 // stopping reports whether no new step is taken.
 func (r *drainer) stopping() bool {
-	s := r.current()
+	s := r.state.State()
 	return s == "draining" || s == "left"
 }
 
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -29,7 +29,7 @@
 
 var testDialect = backend.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", Incarnation: "Incarnation", NotRun: "Not-Run", Signature: "Signature",
-	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", Priority: "Priority", LengthHint: "Hint", ResumeAfter: "Last-Event-Id",
+	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id",
 }
 
 const testParts = 4
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -9,6 +9,7 @@
 
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/loadplan"
 	"mulberrypier.example/pier/orderlease"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/stepplan"
@@ -405,6 +406,25 @@
 	}
 }
 
+// loadable returns the servers of a service that may load weights, with the versions
+// that they hold or will hold soon.
+func (f *fleet) loadable(service string, now time.Time) []loadplan.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var l []loadplan.Server
+	for _, s := range f.list[service] {
+		if s.Leaving {
+			continue
+		}
+		v := make(map[string]int64)
+		for m := range s.Versions {
+			v[m] = f.state[s.ID].version(s, m, now)
+		}
+		l = append(l, loadplan.Server{ID: s.ID, Versions: v})
+	}
+	return l
+}
+
 // server returns a registered server.
 func (f *fleet) server(id string) (directory.Server, bool) {
 	f.mu.Lock()
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"net"
 	"net/http"
@@ -23,6 +21,7 @@
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
 	"mulberrypier.example/pier/peer"
@@ -125,7 +124,7 @@
 func New(c Config) *Gateway {
 	s := c.Settings
 	g := &Gateway{c: c, s: s, log: c.Zap, metrics: newMetrics()}
-	g.self = stepjournal.Driver{Host: s.Name + "-" + nonce(), Peers: s.Listen.Peers}
+	g.self = stepjournal.Driver{Host: incarnation.Of(s.Name), Peers: s.Listen.Peers}
 	g.reach = newReach(g.log, g.metrics)
 	g.x, g.stop = context.WithCancel(context.Background())
 	g.pool = backend.NewPool(backend.Config{Dialect: c.Dialect, Opened: g.metrics.opened.Inc})
@@ -150,14 +149,6 @@
 // to a host that stands in for another.
 func (g *Gateway) machine() string { return g.s.Name + "@" + g.s.Listen.Peers.String() }
 
-func nonce() string {
-	var b [4]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		panic(err)
-	}
-	return hex.EncodeToString(b[:])
-}
-
 // Start listens and begins to follow the log.
 func (g *Gateway) Start() error {
 	l := g.s.Listen
--- a/pier/gateway/homes.go
+++ b/pier/gateway/homes.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
 	"mulberrypier.example/pier/peer"
@@ -181,7 +181,7 @@
 
 // former reports whether a driver is an earlier incarnation of this host.
 func (h *homes) former(d stepjournal.Driver) bool {
-	return d.Peers == h.g.self.Peers && strings.HasPrefix(d.Host, h.g.s.Name+"-") && len(d.Host) == len(h.g.self.Host)
+	return d.Peers == h.g.self.Peers && incarnation.IsOf(d.Host, h.g.s.Name)
 }
 
 // hand gives a step that was accepted for its model's home to that host, and takes
--- a/pier/gateway/homes_test.go
+++ b/pier/gateway/homes_test.go
@@ -159,10 +159,10 @@
 		d    stepjournal.Driver
 		want bool
 	}{
-		"former":          {stepjournal.Driver{Host: "a-00000000", Peers: g.self.Peers}, true},
-		"another address": {stepjournal.Driver{Host: "a-00000000", Peers: netip.MustParseAddrPort("127.0.0.1:9")}, false},
-		"another name":    {stepjournal.Driver{Host: "b-00000000", Peers: g.self.Peers}, false},
-		"a longer name":   {stepjournal.Driver{Host: "a-1-00000000", Peers: g.self.Peers}, false},
+		"former":          {stepjournal.Driver{Host: "a-000000000000", Peers: g.self.Peers}, true},
+		"another address": {stepjournal.Driver{Host: "a-000000000000", Peers: netip.MustParseAddrPort("127.0.0.1:9")}, false},
+		"another name":    {stepjournal.Driver{Host: "b-000000000000", Peers: g.self.Peers}, false},
+		"a longer name":   {stepjournal.Driver{Host: "a-1-000000000000", Peers: g.self.Peers}, false},
 		"nobody":          {stepjournal.Driver{}, false},
 	}
 	for name, c := range tests {
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -244,22 +244,14 @@
 	return r
 }
 
-// engines returns a service's servers for the planner, and the loads under way.
+// engines returns a service's servers for the planner, and the loads under way that
+// keep their places.
 func (o *orders) engines(service string, now time.Time) ([]loadplan.Server, []loadplan.Load) {
-	var l []loadplan.Server
+	l := o.g.fleet.loadable(service, now)
 	var under []loadplan.Load
-	o.g.fleet.mu.Lock()
-	defer o.g.fleet.mu.Unlock()
-	for _, s := range o.g.fleet.list[service] {
-		if s.Leaving {
-			continue
-		}
-		v := make(map[string]int64)
-		for m := range s.Versions {
-			v[m] = o.g.fleet.state[s.ID].version(s, m, now)
-		}
+	for i, s := range l {
 		u := o.underWay[s.ID]
-		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Busy: u != nil || now.Before(o.shun[s.ID].until)})
+		l[i].Busy = u != nil || now.Before(o.shun[s.ID].until)
 		if u != nil && o.pace.Holds(now.Sub(u.began)) {
 			under = append(under, u.load)
 		}
