Name the unknown key and its line when settings are refused

An unknown key's refusal said that there is one, not which. One reader of TOML for both programs' settings (settings.Decode); the gateway's errors name file, key and reason like the daemon's.

--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -47,7 +47,7 @@
 		Timing: Timing{Grace: settings.Duration(8 * time.Second), OrderLease: settings.Duration(3 * time.Second)},
 		Policy: Policy{LoadsAtOnce: 0.2, LoadShare: 1},
 	}
-	require.NoError(t, s.Check())
+	require.Nil(t, s.Check())
 	g := New(Config{
 		Settings: s, Zap: zap.NewNop(), Log: l, Dialect: testDialect,
 		Engines: func(*backend.Pool) Engines { return Engines{} },
--- a/pier/gateway/settings.go
+++ b/pier/gateway/settings.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"net/netip"
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
-	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/settings"
 )
 
@@ -80,22 +76,29 @@
 }
 
 // ReadSettings reads and checks the settings in a file. Keys that are not known
-// are an error, as they are mistyped ones. Errors are *outcome.Error.
+// are an error, as they are mistyped ones. An error is a *settings.Error.
 func ReadSettings(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, outcome.RefuseFor(outcome.ReasonBadRequest, "settings: "+err.Error(), err)
+		return nil, &settings.Error{File: path, Key: "file", Reason: err.Error()}
 	}
 	s := Settings{LogLevel: "info"}
-	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&s); err != nil {
-		return nil, outcome.RefuseFor(outcome.ReasonBadRequest, "settings: "+err.Error(), err)
+	if err := settings.Decode(path, b, &s); err != nil {
+		return nil, err
+	}
+	if err := s.Check(); err != nil {
+		err.File = path
+		return nil, err
 	}
-	return &s, s.Check()
+	return &s, nil
 }
 
-// Check returns an *outcome.Error naming the first setting that is out of range.
-func (s *Settings) Check() error {
-	bad := func(key string) error { return outcome.Refuse(outcome.ReasonBadRequest, "settings: "+key) }
+// Check returns an error that names the first setting that is missing or out of
+// range, or nil.
+func (s *Settings) Check() *settings.Error {
+	bad := func(key string) *settings.Error {
+		return &settings.Error{Key: key, Reason: "is missing or out of range"}
+	}
 	positive := func(d settings.Duration) bool { return d.D() > 0 && d.D() < 24*time.Hour }
 	switch {
 	case s.Name == "":
--- a/pier/settings/settings.go
+++ b/pier/settings/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -192,12 +193,21 @@
 	return Parse(file, b)
 }
 
+// Decode reads TOML into v. Keys that v does not have are an error, as they are
+// mistyped ones; an error is an *Error that names the line.
+func Decode(file string, b []byte, v any) error {
+	err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(v)
+	if err != nil {
+		return &Error{File: file, Key: place(err), Reason: err.Error()}
+	}
+	return nil
+}
+
 // Parse checks settings and fills in the defaults. An error is an *Error.
 func Parse(file string, b []byte) (*Settings, error) {
 	var s Settings
-	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return nil, &Error{File: file, Key: place(err), Reason: err.Error()}
+	if err := Decode(file, b, &s); err != nil {
+		return nil, err
 	}
 	s.Fill()
 	if err := s.Check(); err != nil {
@@ -310,7 +320,7 @@
 	var m *toml.StrictMissingError
 	if errors.As(err, &m) && len(m.Errors) > 0 {
 		r, c := m.Errors[0].Position()
-		return fmt.Sprintf("line %d, column %d: unknown setting", r, c)
+		return fmt.Sprintf("line %d, column %d: unknown setting %s", r, c, strings.Join(m.Errors[0].Key(), "."))
 	}
 	var d *toml.DecodeError
 	if errors.As(err, &d) {
--- a/pier/settings/settings_test.go
+++ b/pier/settings/settings_test.go
@@ -26,7 +26,7 @@
 	require.Equal(t, int64(16<<20), s.Limits.BodyBytes)
 	for name, x := range map[string]struct{ text, key string }{
 		"nothing":         {"", "name"},
-		"unknown setting": {"colour = 1\n" + good, "line 1, column 1: unknown setting"},
+		"unknown setting": {"colour = 1\n" + good, "line 1, column 1: unknown setting colour"},
 		"wrong type":      {"log-level = 3\n" + good, "line 1, column 13"},
 		"bad level":       {"log-level = \"loud\"\n" + good, "log-level"},
 		"bad duration":    {good + "[timing]\nsilence = \"soon\"", "line 12, column 11"},
