--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/boottime"
-	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/loadplan"
 	"mulberrypier.example/pier/orderlease"
 	"mulberrypier.example/pier/outcome"
@@ -18,24 +16,11 @@
 const (
 	// renewInterval is the time between two renewals of the order lease.
 	renewInterval = 900 * time.Millisecond
-	// orderLimit is how long an engine may take to answer an order.
-	orderLimit = 400 * time.Millisecond
-	// reportPause is the time between two questions whether a load is done.
-	reportPause = 150 * time.Millisecond
-	// loadMost is how long a load may take before it counts as failed.
-	loadMost = 4 * time.Second
 	// ordersPace is the shortest time between two reads of the orders' topic.
 	ordersPace = 40 * time.Millisecond
 	// rankStep is how much longer a host waits for a lease that lapsed than the one of
 	// the rank before it: enough for that one's record to be read.
 	rankStep = 150 * time.Millisecond
-	// shunFirst is how long a server that did not carry out an order is left alone;
-	// the time doubles with each further failure up to shunMost.
-	shunFirst = 1500 * time.Millisecond
-	shunMost  = 12 * time.Second
-	// reportLag is how much later than its end a load is seen to be done, at most: a
-	// report is some hundred milliseconds old, and is asked for each reportPause.
-	reportLag = 400 * time.Millisecond
 )
 
 // orders holds the order lease when it is this host's, and orders engines to load
@@ -55,23 +40,6 @@
 	sent time.Duration
 }
 
-// loading is a load under way.
-type loading struct {
-	load  loadplan.Load
-	began time.Time
-	// together counts the loads under way when this one began, itself among them.
-	together int
-	err      error
-	// busy tells that the server was still at work when the host gave up on it.
-	busy bool
-}
-
-// shunned is a server that gets no order until a time, after so many failures.
-type shunned struct {
-	until time.Time
-	fails int
-}
-
 func newOrders(g *Gateway) *orders {
 	return &orders{
 		g: g, woken: make(chan struct{}, 1), underWay: make(map[string]*loading),
@@ -212,168 +180,3 @@
 		o.loaded(l)
 	}
 }
-
-// plan returns the loads to order now.
-func (o *orders) plan() []loadplan.Load {
-	t := o.g.Table()
-	if t == nil {
-		return nil
-	}
-	now := time.Now()
-	var r []loadplan.Load
-	for name, s := range t.Services {
-		if !s.Engine() {
-			continue
-		}
-		goals := o.goals(s.Models)
-		servers, under := o.engines(name, now)
-		c := loadplan.Config{AtOnce: o.pace.AtOnce(len(servers)), Share: o.g.s.Policy.LoadShare}
-		r = append(r, loadplan.Plan(c, servers, goals, under)...)
-	}
-	return r
-}
-
-// goals returns the newest versions of the models, the one named first in front.
-func (o *orders) goals(models []string) []loadplan.Goal {
-	v := o.g.tables.newest()
-	var r []loadplan.Goal
-	for _, m := range models {
-		r = append(r, loadplan.Goal{Model: m, Version: v[m].version})
-	}
-	sort.SliceStable(r, func(i, j int) bool { return v[r[i].Model].seen.Before(v[r[j].Model].seen) })
-	return r
-}
-
-// engines returns a service's servers for the planner, and the loads under way that
-// keep their places.
-func (o *orders) engines(service string, now time.Time) ([]loadplan.Server, []loadplan.Load) {
-	l := o.g.fleet.loadable(service, now)
-	var under []loadplan.Load
-	for i, s := range l {
-		u := o.underWay[s.ID]
-		l[i].Busy = u != nil || now.Before(o.shun[s.ID].until)
-		if u != nil && o.pace.Holds(now.Sub(u.began)) {
-			under = append(under, u.load)
-		}
-	}
-	return l, under
-}
-
-// order announces a load and gives the order.
-func (o *orders) order(l loadplan.Load) {
-	s, ok := o.g.fleet.server(l.Server)
-	if !ok {
-		return
-	}
-	if !o.append(&orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}) {
-		return
-	}
-	n := &loading{load: l, began: time.Now(), together: len(o.underWay) + 1}
-	o.underWay[l.Server] = n
-	t := term{fence: o.lease.Fence(), until: o.sent + orderlease.Margin}
-	o.g.wg.Go(func() {
-		n.busy, n.err = o.carryOut(s, l, t)
-		select {
-		case o.over <- n:
-		case <-o.g.x.Done():
-		}
-	})
-	time.AfterFunc(o.pace.Next(), o.wake)
-}
-
-// term is the right to give one order: an order goes out right after the record
-// that announces it, so that a successor who waits from that record on comes well
-// after it.
-type term struct {
-	fence int64
-	until time.Duration
-}
-
-// carryOut gives the order and waits until the load is done. With an error, busy
-// tells whether the server was still at work.
-func (o *orders) carryOut(s directory.Server, l loadplan.Load, t term) (busy bool, err error) {
-	x, stop := context.WithTimeout(o.g.x, loadMost)
-	defer stop()
-	r, err := o.report(x, s)
-	if err != nil {
-		return false, err
-	}
-	if r.Versions[l.Model] >= l.Version {
-		return false, nil
-	}
-	if boottime.Now() > t.until {
-		return false, outcome.Refuse(outcome.ReasonStaleFence, s.ID)
-	}
-	y, halt := context.WithTimeout(x, orderLimit)
-	err = o.g.engines.Order(y, Order{
-		Server: s, Model: l.Model, Version: l.Version, Holder: o.g.s.Name, Fence: t.fence, Expected: r.Orders,
-	})
-	halt()
-	if err != nil && outcome.From(err).Outcome == outcome.NotRun {
-		return false, err
-	}
-	o.g.log.Info("orders: load ordered", zap.String("server", s.ID), zap.String("model", l.Model), zap.Int64("version", l.Version),
-		zap.Int64("fence", t.fence), zap.Int64("expected", r.Orders), zap.Error(err))
-	pause(x, loadTime)
-	return o.await(x, s, l)
-}
-
-// await asks the server until it has the version, or is at work on no order though it
-// should be. With an error, busy tells whether it was still at work.
-func (o *orders) await(x context.Context, s directory.Server, l loadplan.Load) (busy bool, err error) {
-	ordered := time.Now().Add(-loadTime)
-	for {
-		r, err := o.report(x, s)
-		if err == nil && r.Versions[l.Model] >= l.Version {
-			return false, nil
-		}
-		if x.Err() == nil {
-			busy = err == nil && r.Busy
-		}
-		if err == nil && !r.Busy && time.Since(ordered) > loadTime+reportLag {
-			return false, outcome.Lost(outcome.ReasonConflict, s.ID, nil)
-		}
-		if !pause(x, reportPause) {
-			return busy, outcome.Lost(outcome.ReasonSilent, s.ID, err)
-		}
-	}
-}
-
-func (o *orders) report(x context.Context, s directory.Server) (Report, error) {
-	x, stop := context.WithTimeout(x, orderLimit)
-	defer stop()
-	return o.g.engines.Report(x, s)
-}
-
-// loaded takes the end of a load.
-func (o *orders) loaded(l *loading) {
-	if o.underWay[l.load.Server] == l {
-		delete(o.underWay, l.load.Server)
-	}
-	took := time.Since(l.began)
-	if l.err == nil || l.busy {
-		o.pace.Took(took, l.together, boottime.Now())
-	}
-	if l.err == nil {
-		delete(o.shun, l.load.Server)
-		o.g.metrics.orders.WithLabelValues("loaded").Inc()
-		o.g.fleet.hasVersion(l.load.Server, l.load.Model, l.load.Version)
-		o.g.log.Info("orders: load done", zap.String("server", l.load.Server), zap.String("model", l.load.Model),
-			zap.Int64("version", l.load.Version), zap.Duration("took", took), zap.Int("together", l.together))
-		return
-	}
-	e := outcome.From(l.err)
-	o.g.metrics.orders.WithLabelValues(string(e.Reason)).Inc()
-	o.avoid(l.load.Server)
-	o.g.fleet.notLoaded(l.load.Server, l.load.Model, l.load.Version)
-	o.g.log.Info("orders: load failed", zap.String("server", l.load.Server), zap.String("model", l.load.Model),
-		zap.Int64("version", l.load.Version), zap.String("reason", string(e.Reason)), zap.String("at", e.Detail), zap.Bool("busy", l.busy))
-}
-
-// avoid leaves a server alone that did not carry out an order: each order to a
-// server that is gone keeps another one waiting.
-func (o *orders) avoid(server string) {
-	n := o.shun[server].fails
-	d := min(shunFirst<<min(n, 8), shunMost)
-	o.shun[server] = shunned{until: time.Now().Add(d), fails: n + 1}
-}
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -108,11 +108,7 @@
 	joined := time.Time{}
 	began := time.Now()
 	for w.g.x.Err() == nil {
-		every := joinInterval
-		if time.Since(began) < settleTime {
-			every = joinFirst
-		}
-		if time.Since(joined) >= every && !w.g.drain.leaving() {
+		if time.Since(joined) >= joinPause(time.Since(began)) && !w.g.drain.leaving() {
 			joined = time.Now()
 			generation = w.join(generation)
 		}
@@ -121,6 +117,15 @@
 	}
 }
 
+// joinPause returns the time between two calls to the group, so long after the start.
+func joinPause(up time.Duration) time.Duration {
+	if up < settleTime {
+		return joinFirst
+	}
+	return joinInterval
+}
+
+// join stays in the group and returns its generation.
 func (w *watch) join(generation int64) int64 {
 	x, stop := context.WithTimeout(w.g.x, joinInterval)
 	defer stop()
@@ -158,56 +163,70 @@
 	}
 }
 
+// place is an open step and the view of its partition.
+type place struct {
+	v *view
+	e stepjournal.Entry
+}
+
 // look asks the drivers of the open steps of all held partitions.
 func (w *watch) look() {
 	if w.g.drain.leaving() {
 		return
 	}
-	type place struct {
-		v *view
-		e stepjournal.Entry
+	seen := make(map[string]int)
+	for a, l := range w.driven() {
+		w.check(a, l, seen)
 	}
-	asked := make(map[netip.AddrPort][]place)
+	w.misses = seen
+}
+
+// driven returns the open steps of other hosts, by the address of their driver. It
+// resumes those of this host, and takes those that nobody drives.
+func (w *watch) driven() map[netip.AddrPort][]place {
+	r := make(map[netip.AddrPort][]place)
 	for _, n := range w.held {
 		v := w.g.journal.part(n)
 		if v.staleAt(time.Now().Add(-watchStale)) {
 			continue
 		}
 		for _, e := range v.open() {
-			if e.Driver.Host == w.g.self.Host {
+			switch e.Driver.Host {
+			case w.g.self.Host:
 				w.resume(v, e)
-				continue
-			}
-			if e.Driver.Host == "" {
+			case "":
 				w.take(v, e)
-				continue
+			default:
+				r[e.Driver.Peers] = append(r[e.Driver.Peers], place{v, e})
 			}
-			asked[e.Driver.Peers] = append(asked[e.Driver.Peers], place{v, e})
 		}
 	}
-	seen := make(map[string]int)
-	for a, l := range asked {
-		q := drivingQuery{}
-		for _, p := range l {
-			q.Steps = append(q.Steps, p.e.ID)
+	return r
+}
+
+// check asks the host at an address for its steps, and takes those that it does not
+// run. misses takes the looks in a row in which a step had no driver.
+func (w *watch) check(a netip.AddrPort, l []place, misses map[string]int) {
+	var q drivingQuery
+	for _, p := range l {
+		q.Steps = append(q.Steps, p.e.ID)
+	}
+	r := w.ask(a, q)
+	w.relay(r)
+	for i, p := range l {
+		if r.Host == p.e.Driver.Host && i < len(r.Driving) && r.Driving[i] {
+			continue
 		}
-		r := w.ask(a, q)
-		w.relay(r)
-		for i, p := range l {
-			if r.Host == p.e.Driver.Host && i < len(r.Driving) && r.Driving[i] {
-				continue
-			}
-			seen[p.e.ID] = w.misses[p.e.ID] + 1
-			if r.Host != "" && r.Host != p.e.Driver.Host {
-				seen[p.e.ID] = watchMisses // another incarnation answers: the driver is gone
-			}
-			if seen[p.e.ID] >= watchMisses {
-				w.take(p.v, p.e)
-				seen[p.e.ID] = 0
-			}
+		n := w.misses[p.e.ID] + 1
+		if r.Host != "" && r.Host != p.e.Driver.Host {
+			n = watchMisses // another incarnation answers: the driver is gone
 		}
+		if n >= watchMisses {
+			w.take(p.v, p.e)
+			n = 0
+		}
+		misses[p.e.ID] = n
 	}
-	w.misses = seen
 }
 
 // ask returns a host's answer, an empty one if there is none.
