Rebuild the lists of servers only when a registration says something new

Ruled out: connections and log calls (they fall a host). A renewal that says the same changes nothing, and versions stated since stay known. Tests first: TestRenewalChangesNothing, TestVanishingEntryIsLookedAtAgain.

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -6,6 +6,7 @@
 package directory
 
 import (
+	"maps"
 	"net/netip"
 	"sort"
 	"time"
@@ -40,24 +41,49 @@
 	// outageEnd is when the log was last found to be back, zero if never away.
 	outageEnd time.Time
 	away      bool
+	// dirty tells that the servers are not those of the last snapshot.
+	dirty bool
+	// vanishing counts the entries whose registration was removed.
+	vanishing int
 }
 
 type entry struct {
+	// s is the server as registered, with the versions that it stated since.
 	s Server
+	// registered is the registration as it was read.
+	registered Server
 	// vanished is when the registration was removed; zero while it stands.
 	vanished time.Time
 }
 
+// equal reports whether two registrations say the same.
+func (s *Server) equal(o *Server) bool {
+	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain && s.Slots == o.Slots &&
+		s.Leaving == o.Leaving && s.Orders == o.Orders && s.Born.Equal(o.Born) && maps.Equal(s.Versions, o.Versions)
+}
+
 // New returns an empty directory.
 func New() *Directory { return &Directory{servers: make(map[string]*entry)} }
 
-// Put takes a registration.
-func (d *Directory) Put(s Server) { d.servers[s.ID] = &entry{s: s} }
+// Put takes a registration. Most only renew the one before and change nothing.
+func (d *Directory) Put(s Server) {
+	e := d.servers[s.ID]
+	if e != nil && e.vanished.IsZero() && e.registered.equal(&s) {
+		return
+	}
+	if e != nil && !e.vanished.IsZero() {
+		d.vanishing--
+	}
+	d.servers[s.ID] = &entry{s: s, registered: s}
+	d.dirty = true
+}
 
 // Remove takes the removal of a registration.
 func (d *Directory) Remove(id string, now time.Time) {
 	if e := d.servers[id]; e != nil && e.vanished.IsZero() {
 		e.vanished = now
+		d.vanishing++
+		d.dirty = true
 	}
 }
 
@@ -73,6 +99,7 @@
 	}
 	m[model] = v
 	e.s.Versions = m
+	d.dirty = true
 	return true
 }
 
@@ -96,14 +123,19 @@
 	}
 }
 
+// Changed reports whether a snapshot may differ from the last one.
+func (d *Directory) Changed() bool { return d.dirty || d.vanishing > 0 }
+
 // Snapshot returns the servers in the order of their ids, and forgets those that
 // vanished for good. A server that vanished while the log was away or within
 // ReturnGrace of its return is kept until then.
 func (d *Directory) Snapshot(now time.Time) []Server {
+	d.dirty = false
 	r := make([]Server, 0, len(d.servers))
 	for id, e := range d.servers {
 		if !e.vanished.IsZero() && !d.spared(now) {
 			delete(d.servers, id)
+			d.vanishing--
 			continue
 		}
 		r = append(r, e.s)
--- a/pier/directory/directory_test.go
+++ b/pier/directory/directory_test.go
@@ -51,3 +51,49 @@
 	require.EqualValues(t, 3, d.Snapshot(start)[0].Versions["m"])
 	require.EqualValues(t, 2, before[0].Versions["m"], "a snapshot does not change")
 }
+
+// Servers renew their registrations all the time: nothing changes by that, and what
+// they stated in answers since stays known.
+func TestRenewalChangesNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	reg := func(v int64, leaving bool) Server {
+		return Server{ID: "a", Service: "s", Versions: map[string]int64{"m": v}, Leaving: leaving}
+	}
+	d := New()
+	d.Put(reg(1, false))
+	require.True(t, d.Changed())
+	require.Len(t, d.Snapshot(now), 1)
+	require.False(t, d.Changed())
+	require.True(t, d.Observe("a", "m", 2))
+	require.True(t, d.Changed())
+	d.Snapshot(now)
+	d.Put(reg(1, false))
+	require.False(t, d.Changed())
+	require.EqualValues(t, 2, d.Snapshot(now)[0].Versions["m"])
+	d.Put(reg(1, true))
+	require.True(t, d.Changed())
+	require.True(t, d.Snapshot(now)[0].Leaving)
+}
+
+// A removed entry keeps the directory changing until it is gone or back.
+func TestVanishingEntryIsLookedAtAgain(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := New()
+	d.Put(Server{ID: "a"})
+	d.Put(Server{ID: "b"})
+	d.Snapshot(now)
+	d.LogAway()
+	d.Remove("a", now)
+	require.Len(t, d.Snapshot(now), 2)
+	require.True(t, d.Changed(), "it may go any time")
+	d.LogBack(now)
+	d.Put(Server{ID: "a"})
+	require.Len(t, d.Snapshot(now.Add(2*ReturnGrace)), 2, "it came back")
+	require.False(t, d.Changed())
+	d.Remove("b", now)
+	require.Len(t, d.Snapshot(now.Add(3*ReturnGrace)), 1)
+	require.False(t, d.Changed())
+	d.Put(Server{ID: "b"})
+	require.True(t, d.Changed())
+	require.Len(t, d.Snapshot(now.Add(3*ReturnGrace)), 2)
+}
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -115,7 +115,9 @@
 	} else {
 		f.dir.LogBack(now)
 	}
-	f.rebuild(now)
+	if f.dir.Changed() {
+		f.rebuild(now)
+	}
 }
 
 // rebuild makes the lists of servers by service. The caller holds mu.
