Don't take a renewal's counter for something new

The field says what it holds and is not compared; nothing else reads it. TestRenewalChangesNothing now renews with a new counter (red before); the other assertions are as they were.

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -28,8 +28,8 @@
 	Leaving bool
 	// Versions holds the version of each model that the server last stated.
 	Versions map[string]int64
-	// Orders is the number of orders accepted since the start, as last stated.
-	Orders int64
+	// Renewals counts the registrations; each has a new count.
+	Renewals int64
 	// Born is when the server started, by its own clock.
 	Born time.Time
 }
@@ -56,10 +56,10 @@
 	vanished time.Time
 }
 
-// equal reports whether two registrations say the same.
+// equal reports whether two registrations say the same, one more renewal aside.
 func (s *Server) equal(o *Server) bool {
 	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain && s.Slots == o.Slots &&
-		s.Leaving == o.Leaving && s.Orders == o.Orders && s.Born.Equal(o.Born) && maps.Equal(s.Versions, o.Versions)
+		s.Leaving == o.Leaving && s.Born.Equal(o.Born) && maps.Equal(s.Versions, o.Versions)
 }
 
 // New returns an empty directory.
--- a/pier/directory/directory_test.go
+++ b/pier/directory/directory_test.go
@@ -67,7 +67,9 @@
 	require.True(t, d.Observe("a", "m", 2))
 	require.True(t, d.Changed())
 	d.Snapshot(now)
-	d.Put(reg(1, false))
+	renewed := reg(1, false)
+	renewed.Renewals = 7
+	d.Put(renewed)
 	require.False(t, d.Changed())
 	require.EqualValues(t, 2, d.Snapshot(now)[0].Versions["m"])
 	d.Put(reg(1, true))
