--- a/mulberrybench/internal/standin/faults.go
+++ b/mulberrybench/internal/standin/faults.go
@@ -5,7 +5,6 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -126,15 +125,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
-
-// pause waits for d or for the request's end; it returns false for the latter.
-func pause(x context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-x.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/mulberrybench/internal/standin/service.go
+++ b/mulberrybench/internal/standin/service.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/scorer"
 	"mulberrypier.example/pier/service"
 )
@@ -108,7 +109,7 @@
 	if err != nil {
 		return
 	}
-	if !pause(r.Context(), s.c.Delay) {
+	if !pause.For(r.Context(), s.c.Delay) {
 		return
 	}
 	s.c.Ledger.add(string(b))
@@ -179,7 +180,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !pause(r.Context(), s.c.Delay) {
+	if !pause.For(r.Context(), s.c.Delay) {
 		return
 	}
 	s.c.Ledger.add(q.ID)
--- a/pier/daemon/calls.go
+++ b/pier/daemon/calls.go
@@ -11,6 +11,7 @@
 	"mulberrypier.example/pier/admit"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/release"
 	"mulberrypier.example/pier/service"
 )
@@ -142,7 +143,7 @@
 	}
 	c.d.metrics.retry("call", last)
 	w := callWait << try
-	sleep(x, w/2+rand.N(w))
+	pause.For(x, w/2+rand.N(w))
 	return x.Err() == nil
 }
 
@@ -248,7 +249,7 @@
 			last = err
 		}
 		c.d.metrics.retry("claimed-call", err)
-		sleep(x, callWait<<min(try, 5))
+		pause.For(x, pause.Doubled(callWait, callWait<<5, try))
 		if x.Err() != nil {
 			return nil, last
 		}
--- a/pier/daemon/claims.go
+++ b/pier/daemon/claims.go
@@ -13,6 +13,7 @@
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/service"
 )
 
@@ -317,7 +318,7 @@
 		}
 		if err != nil {
 			c.d.metrics.retry("claim", err)
-			sleep(x, 100*time.Millisecond)
+			pause.For(x, 100*time.Millisecond)
 		}
 	}
 }
@@ -382,7 +383,7 @@
 			w.err = err
 			close(w.done)
 		}
-		sleep(c.d.x, c.d.s.Timing.ClaimLinger.D())
+		pause.For(c.d.x, c.d.s.Timing.ClaimLinger.D())
 	}
 }
 
--- a/pier/daemon/drain.go
+++ b/pier/daemon/drain.go
@@ -10,6 +10,7 @@
 
 	"mulberrypier.example/pier/chart"
 	"mulberrypier.example/pier/member"
+	"mulberrypier.example/pier/pause"
 )
 
 const (
@@ -64,14 +65,14 @@
 	defer stop()
 	r.fire("stop")
 	r.d.members.leave(member.Leaving)
-	sleep(x, r.d.s.Timing.Announce.D())
+	pause.For(x, r.d.s.Timing.Announce.D())
 	if x.Err() != nil {
 		r.fire("limit")
 		return
 	}
 	r.fire("announced")
 	for r.busy() {
-		sleep(x, drainPoll)
+		pause.For(x, drainPoll)
 		if x.Err() != nil {
 			r.fire("limit")
 			return
@@ -80,7 +81,7 @@
 	r.d.owners.handOver(x)
 	r.fire("idle")
 	r.d.members.leave(member.Left)
-	sleep(x, leaveNotice)
+	pause.For(x, leaveNotice)
 }
 
 // busy reports whether anything is in flight on this host. Steps need not be
--- a/pier/daemon/notes.go
+++ b/pier/daemon/notes.go
@@ -14,6 +14,7 @@
 	"mulberrypier.example/pier/config"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/release"
 )
 
@@ -88,21 +89,11 @@
 		}
 		if x.Err() == nil {
 			n.d.metrics.retry("log-read", err)
-			sleep(x, b.NextBackOff())
+			pause.For(x, b.NextBackOff())
 		}
 	}
 }
 
-// sleep waits for d or for the context's end.
-func sleep(x context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-x.Done():
-	case <-t.C:
-	}
-}
-
 // boot takes the newest snapshot in the log, if there is one.
 func (n *notes) boot(x context.Context) error {
 	p, err := n.d.log.Read(x, StreamSnapshots, 0, 1, 0)
@@ -385,7 +376,7 @@
 		if len(p.Behind) == 0 {
 			return true
 		}
-		if sleep(x, revisionPoll); x.Err() != nil {
+		if pause.For(x, revisionPoll); x.Err() != nil {
 			return false
 		}
 	}
--- a/pier/daemon/owners.go
+++ b/pier/daemon/owners.go
@@ -12,6 +12,7 @@
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/owner"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/release"
 	"mulberrypier.example/pier/ring"
 	"mulberrypier.example/pier/rollout"
@@ -120,7 +121,7 @@
 		case <-o.kick:
 			// A burst of ended streams makes one offer, not one each.
 			if d := time.Until(asked.Add(5 * time.Millisecond)); d > 0 {
-				sleep(x, d)
+				pause.For(x, d)
 			}
 			asked = time.Now()
 			go o.ask(x)
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -12,6 +12,7 @@
 
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/release"
 	"mulberrypier.example/pier/rollout"
 )
@@ -255,7 +256,7 @@
 	}
 	// Streams of a host that was just lost are adopted within the next reports;
 	// until then they must not be generated again.
-	sleep(s.d.x, adoptWait+2*s.d.s.Timing.Report.D())
+	pause.For(s.d.x, adoptWait+2*s.d.s.Timing.Report.D())
 	s.askHolds(t, k, p)
 }
 
--- a/pier/daemon/streams.go
+++ b/pier/daemon/streams.go
@@ -15,6 +15,7 @@
 	"mulberrypier.example/pier/engine"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/rollout"
 	"mulberrypier.example/pier/scorer"
 )
@@ -198,7 +199,7 @@
 			return err
 		}
 		o.d.metrics.retry("stream", err)
-		sleep(x, resumeWait)
+		pause.For(x, resumeWait)
 		q.Resume, q.Offset = true, s.sample.Tokens
 	}
 }
--- a/pier/daemon/trainers.go
+++ b/pier/daemon/trainers.go
@@ -8,6 +8,7 @@
 
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/rollout"
 	"mulberrypier.example/pier/trainer"
@@ -42,7 +43,7 @@
 		}
 		d.metrics.retry("coordinator", err)
 		last = err
-		sleep(x, 100*time.Millisecond)
+		pause.For(x, 100*time.Millisecond)
 		if x.Err() != nil {
 			return last
 		}
--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/chart"
+	"mulberrypier.example/pier/pause"
 )
 
 const (
@@ -66,13 +67,13 @@
 	r.fire("stop")
 	close(r.begin)
 	g.watch.leave()
-	pause(x, announceTime)
+	pause.For(x, announceTime)
 	r.fire("announced")
 	for _, s := range g.servers {
 		s.SetKeepAlivesEnabled(false)
 	}
 	for x.Err() == nil && (g.steps.count() > 0 || g.journal.posting()) {
-		pause(x, drainPoll)
+		pause.For(x, drainPoll)
 	}
 	if x.Err() != nil {
 		r.fire("limit")
@@ -88,7 +89,7 @@
 	g.steps.release()
 	x, stop := context.WithTimeout(g.x, drainReserve/2)
 	defer stop()
-	for g.journal.posting() && pause(x, drainPoll/2) {
+	for g.journal.posting() && pause.For(x, drainPoll/2) {
 	}
 }
 
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -9,6 +9,7 @@
 
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/routetable"
 )
 
@@ -57,7 +58,7 @@
 		f.pass(err)
 		if err == nil {
 			f.g.reach.answered(f.topic)
-			pause(f.g.x, f.pace-time.Since(t))
+			pause.For(f.g.x, f.pace-time.Since(t))
 			continue
 		}
 		if outcome.Is(err, partlog.ReasonExpired) {
@@ -67,7 +68,7 @@
 		if f.g.x.Err() == nil {
 			f.g.reach.failed(f.topic, f.topic, err)
 		}
-		pause(f.g.x, retryPause)
+		pause.For(f.g.x, retryPause)
 	}
 }
 
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -236,15 +236,3 @@
 	g.wg.Wait()
 	g.log.Info("host: stopped", zap.String("host", g.self.Host))
 }
-
-// pause waits for d and reports whether x is still live.
-func pause(x context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-x.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pier/gateway/homes.go
+++ b/pier/gateway/homes.go
@@ -11,6 +11,7 @@
 	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
@@ -162,7 +163,7 @@
 // self.
 func (h *homes) reclaim() {
 	for !h.refresh(h.g.x) {
-		if !pause(h.g.x, retryPause) {
+		if !pause.For(h.g.x, retryPause) {
 			return
 		}
 	}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -10,6 +10,7 @@
 
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/stepjournal"
 )
 
@@ -148,7 +149,7 @@
 			err = v.read(v.j.g.x, followWait)
 		}
 		if err != nil {
-			pause(v.j.g.x, retryPause)
+			pause.For(v.j.g.x, retryPause)
 		}
 	}
 }
@@ -350,7 +351,7 @@
 			return
 		}
 		v.j.g.log.Debug("journal: append failed", zap.Int("part", v.n), zap.Int("records", len(b)), zap.Error(err))
-		pause(v.j.g.x, wait)
+		pause.For(v.j.g.x, wait)
 		wait = min(2*wait, appendPauseMost)
 	}
 }
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -11,6 +11,7 @@
 	"mulberrypier.example/pier/orderlease"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/pause"
 )
 
 const (
@@ -66,13 +67,13 @@
 		o.underWay = make(map[string]*loading)
 		t := time.Now()
 		if err := o.read(followWait / 2); err != nil {
-			pause(o.g.x, retryPause)
+			pause.For(o.g.x, retryPause)
 			continue
 		}
 		if o.mayTake(boottime.Now()) {
 			o.append(nil)
 		}
-		pause(o.g.x, ordersPace-time.Since(t))
+		pause.For(o.g.x, ordersPace-time.Since(t))
 	}
 }
 
@@ -164,7 +165,7 @@
 // hold does the holder's work once: renew, order, and wait a little.
 func (o *orders) hold() {
 	if boottime.Now()-o.sent > renewInterval && !o.append(nil) {
-		pause(o.g.x, retryPause)
+		pause.For(o.g.x, retryPause)
 		return
 	}
 	for _, l := range o.plan() {
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -15,6 +15,7 @@
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/stepjournal"
 )
 
@@ -116,7 +117,7 @@
 		s.dead()
 		return
 	}
-	pause(x, againPause)
+	pause.For(x, againPause)
 }
 
 func (s *sample) dead() {
@@ -308,7 +309,7 @@
 		if failures >= most {
 			return "", false
 		}
-		pause(x, scorePause)
+		pause.For(x, scorePause)
 	}
 	return "", false
 }
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -10,6 +10,7 @@
 
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -79,7 +80,7 @@
 			return nil
 		}
 		e := outcome.From(err)
-		if e.Outcome != outcome.NotRun || n == acceptTries || !pause(x, acceptPause) {
+		if e.Outcome != outcome.NotRun || n == acceptTries || !pause.For(x, acceptPause) {
 			return e.After(awayPause)
 		}
 	}
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -11,6 +11,7 @@
 
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partlog"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -113,7 +114,7 @@
 			generation = w.join(generation)
 		}
 		w.look()
-		pause(w.g.x, watchInterval)
+		pause.For(w.g.x, watchInterval)
 	}
 }
 
--- /dev/null
+++ b/pier/pause/pause.go
@@ -0,0 +1,30 @@
+// Package pause holds what is needed between two tries.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d and reports whether x is still live.
+func For(x context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-x.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Doubled returns first, doubled so many times, and at most most.
+func Doubled(first, most time.Duration, times int) time.Duration {
+	for range times {
+		if first >= most {
+			break
+		}
+		first *= 2
+	}
+	return min(first, most)
+}
--- a/pier/trainer/trainer.go
+++ b/pier/trainer/trainer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/pause"
 	"mulberrypier.example/pier/rollout"
 )
 
@@ -221,14 +222,10 @@
 // pause waits before another try; it returns err when the context ends.
 func (c *Client) pause(x context.Context, err error) error {
 	c.retries++
-	t := time.NewTimer(retryWait)
-	defer t.Stop()
-	select {
-	case <-x.Done():
+	if !pause.For(x, retryWait) {
 		return err
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 // do sends one request to one host.
