--- a/pier/commandline/commandline.go
+++ b/pier/commandline/commandline.go
@@ -31,7 +31,7 @@
 
 // Main runs the subcommand that args name and returns the exit code.
 func Main(c Config, args []string) int {
-	p, err := kong.New(c.Commands, kong.Name(c.Name), kong.Description(c.Description), kong.UsageOnError(), kong.Bind(c.Bind...))
+	p, err := kong.New(c.Commands, kong.Name(c.Name), kong.Description(c.Description), kong.UsageOnError())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, c.Name+":", err)
 		return ExitUsage
--- a/pier/gateway/ask.go
+++ b/pier/gateway/ask.go
@@ -16,10 +16,9 @@
 // list: folding a partition from its start takes a small host most of a second.
 // The homes answer from the log as any host would, so the answer is as good.
 
-// askSlack is how long a home may take to answer beyond the wait asked for.
-const askSlack = 300 * time.Millisecond
-
 const (
+	// askSlack is how long a home may take to answer beyond the wait asked for.
+	askSlack = 300 * time.Millisecond
 	// listSilent is how long the log may be silent for a home to wait for results.
 	listSilent = 1200 * time.Millisecond
 	// listSilentLimit bounds the answer of a home that is cut off from the log.
--- a/pier/gateway/events.go
+++ b/pier/gateway/events.go
@@ -22,7 +22,8 @@
 }
 
 // events reads a stream of server-sent events. An event counts once its empty
-// line is read; what comes after the last one is dropped.
+// line is read; what comes after the last one is dropped. The engine's protocol has
+// a field of its own for the version, which package sse would drop.
 type events struct {
 	r            *bufio.Reader
 	versionField string
--- a/pier/gateway/homes.go
+++ b/pier/gateway/homes.go
@@ -215,9 +215,7 @@
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, "step")
 	}
 	s := m.Step
-	own := m.Host == p.g.self.Host
-	former := p.g.homes.former(stepjournal.Driver{Host: m.Host, Peers: p.g.self.Peers})
-	if !own && !former || p.g.drain.leaving() || p.g.reach.silence() > cutOff {
+	if !incarnation.IsOf(m.Host, p.g.s.Name) || p.g.drain.leaving() || p.g.reach.silence() > cutOff {
 		return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
 	}
 	t := p.g.Table()
@@ -229,7 +227,7 @@
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, s.ID)
 	}
 	v := p.g.journal.of(s.ID)
-	if !own {
+	if m.Host != p.g.self.Host {
 		if !p.follow(v, s.ID, m.Host) {
 			return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
 		}
--- a/pier/gateway/loads.go
+++ b/pier/gateway/loads.go
@@ -153,10 +153,11 @@
 	return o.await(x, s, l)
 }
 
-// await asks the server until it has the version, or is at work on no order though it
-// should be. With an error, busy tells whether it was still at work.
+// await asks the server, a load's time after the order, until it has the version or
+// is at work on no order though it should be. With an error, busy tells whether it was
+// still at work.
 func (o *orders) await(x context.Context, s directory.Server, l loadplan.Load) (busy bool, err error) {
-	ordered := time.Now().Add(-loadTime)
+	began := time.Now()
 	for {
 		r, err := o.report(x, s)
 		if err == nil && r.Versions[l.Model] >= l.Version {
@@ -165,7 +166,7 @@
 		if x.Err() == nil {
 			busy = err == nil && r.Busy
 		}
-		if err == nil && !r.Busy && time.Since(ordered) > loadTime+reportLag {
+		if err == nil && !r.Busy && time.Since(began) > reportLag {
 			return false, outcome.Lost(outcome.ReasonConflict, s.ID, nil)
 		}
 		if !pause.For(x, reportPause) {
