--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -19,6 +19,8 @@
 	NotRun string
 	// ServerStamp is present in every answer that comes from a server itself.
 	ServerStamp string
+	// Leaving is present in every answer of a server that is shutting down.
+	Leaving string
 	// Load carries the numbers of running requests, waiting requests and slots, separated
 	// by commas.
 	Load string
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -20,9 +20,11 @@
 
 // Request is a request to one incarnation of a server.
 type Request struct {
-	// Server is the id of the incarnation, Address the address that it listens on.
+	// Server is the id of the incarnation, Address the address that it listens on, and Born
+	// the time at which it started, which differs if an id is used again.
 	Server  string
 	Address netip.AddrPort
+	Born    time.Time
 	Method  string
 	// Target is the path and query, sent unchanged.
 	Target string
@@ -104,6 +106,9 @@
 	if q.ID != "" && a.Header.Get(p.c.Dialect.RequestID) != q.ID {
 		return fail(outcome.ReasonCrossedAnswer, nil)
 	}
+	if a.Header.Get(p.c.Dialect.Leaving) != "" && a.StatusCode != http.StatusMisdirectedRequest {
+		p.c.OnLeaving(q.Server, q.Born)
+	}
 	if k := a.Header.Get("Keep-Alive"); k != "" {
 		c.idleTimeout = parseKeepAlive(k)
 	}
--- a/pier/backend/pool.go
+++ b/pier/backend/pool.go
@@ -32,6 +32,9 @@
 	Dial func(ctx context.Context, a netip.AddrPort) (net.Conn, error)
 	// OnOpen is called for each new connection; it may be nil.
 	OnOpen func()
+	// OnLeaving is called for each answer in which an incarnation of a server states that it
+	// leaves; it may be nil. An answer with status 421 comes from another incarnation.
+	OnLeaving func(server string, born time.Time)
 }
 
 // Pool keeps the idle connections to backend servers for reuse. It is safe for concurrent
@@ -53,6 +56,9 @@
 	if c.OnOpen == nil {
 		c.OnOpen = func() {}
 	}
+	if c.OnLeaving == nil {
+		c.OnLeaving = func(string, time.Time) {}
+	}
 	return &Pool{c: c, idle: make(map[string][]*conn)}
 }
 
--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -16,6 +16,10 @@
 // registration was removed: live servers register again within about two seconds.
 const ReregisterGrace = 2 * time.Second
 
+// leavingMemory is how long an incarnation is remembered as leaving after it was last
+// registered. It may register again as ready after an outage of the log.
+const leavingMemory = 10 * time.Minute
+
 // Server is one incarnation of a backend server.
 type Server struct {
 	ID      string
@@ -25,7 +29,8 @@
 	Domain string
 	// Slots is the number of requests that the server runs at once.
 	Slots int
-	// Leaving reports whether the server is shutting down and must get no new work.
+	// Leaving reports whether the server is shutting down and must get no new work, by its
+	// registration or by one of its answers.
 	Leaving bool
 	// Versions maps each model to the version that the server last reported.
 	Versions map[string]int64
@@ -48,6 +53,15 @@
 	dirty bool
 	// removedCount is the number of entries whose registration was removed.
 	removedCount int
+	// leaving holds, by id, the incarnations that stated in an answer that they leave.
+	leaving map[string]leavingMark
+}
+
+// leavingMark identifies an incarnation that leaves by the time at which it started.
+// keepUntil is when the mark may be dropped if the incarnation is not registered.
+type leavingMark struct {
+	born      time.Time
+	keepUntil time.Time
 }
 
 type entry struct {
@@ -66,7 +80,9 @@
 }
 
 // New returns an empty directory.
-func New() *Directory { return &Directory{servers: make(map[string]*entry)} }
+func New() *Directory {
+	return &Directory{servers: make(map[string]*entry), leaving: make(map[string]leavingMark)}
+}
 
 // Register adds or replaces the registration of a server. A registration that only renews
 // the one before, as most do, changes nothing: versions passed to ObserveVersion since stay
@@ -79,8 +95,42 @@
 	if e != nil && !e.removedAt.IsZero() {
 		d.removedCount--
 	}
-	d.servers[s.ID] = &entry{s: s, registered: s}
+	n := &entry{s: s, registered: s}
+	n.s.Leaving = s.Leaving || d.isLeaving(s.ID, s.Born)
+	d.servers[s.ID] = n
+	d.dirty = true
+}
+
+// ObserveLeaving records that the incarnation of a server that started at born stated in an
+// answer that it leaves. Its registration does not undo that. It returns true if a
+// registered server was not known to be leaving.
+func (d *Directory) ObserveLeaving(id string, born, now time.Time) bool {
+	if m, ok := d.leaving[id]; !ok || !born.Before(m.born) {
+		d.leaving[id] = leavingMark{born: born, keepUntil: now.Add(leavingMemory)}
+	}
+	e := d.servers[id]
+	if e == nil || e.s.Leaving || !e.s.Born.Equal(born) {
+		return false
+	}
+	e.s.Leaving = true
 	d.dirty = true
+	return true
+}
+
+func (d *Directory) isLeaving(id string, born time.Time) bool {
+	m, ok := d.leaving[id]
+	return ok && m.born.Equal(born)
+}
+
+// forgetLeaving drops the marks of incarnations that were replaced or are gone for long.
+func (d *Directory) forgetLeaving(now time.Time) {
+	for id, m := range d.leaving {
+		e := d.servers[id]
+		replaced := e != nil && m.born.Before(e.s.Born)
+		if replaced || e == nil && now.After(m.keepUntil) {
+			delete(d.leaving, id)
+		}
+	}
 }
 
 // Unregister marks the registration of a server as removed at now. The next Snapshot
@@ -148,6 +198,7 @@
 		}
 		r = append(r, e.s)
 	}
+	d.forgetLeaving(now)
 	sort.Slice(r, func(i, j int) bool { return r[i].ID < r[j].ID })
 	return r
 }
--- a/pier/directory/directory_test.go
+++ b/pier/directory/directory_test.go
@@ -101,3 +101,52 @@
 	require.True(t, d.Changed())
 	require.Len(t, d.Snapshot(now.Add(3*ReregisterGrace)), 2)
 }
+
+// A server that states in an answer that it leaves must get no new work, whatever its
+// registration states later. Another incarnation under its id is not affected.
+func TestStatementOfLeavingOutlivesTheRegistration(t *testing.T) {
+	born := time.Unix(500, 0)
+	reg := func(seq int64, born time.Time) Server {
+		return Server{ID: "s", RenewalSeq: seq, Born: born, Versions: map[string]int64{"m": seq}}
+	}
+	leaving := func(d *Directory, now time.Time) bool {
+		l := d.Snapshot(now)
+		require.Len(t, l, 1)
+		return l[0].Leaving
+	}
+	tests := map[string]struct {
+		after func(d *Directory)
+		want  bool
+	}{
+		"renewed":            {func(d *Directory) { d.Register(reg(2, born)) }, true},
+		"removed and back":   {func(d *Directory) { d.Unregister("s", start); d.Snapshot(start); d.Register(reg(3, born)) }, true},
+		"another life":       {func(d *Directory) { d.Register(reg(1, born.Add(time.Second))) }, false},
+		"stated by an older": {func(d *Directory) { d.Register(reg(1, born.Add(time.Second))); d.ObserveLeaving("s", born, start) }, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := New()
+			d.Register(reg(1, born))
+			require.True(t, d.ObserveLeaving("s", born, start))
+			require.False(t, d.ObserveLeaving("s", born, start), "already known")
+			require.True(t, d.Changed())
+			require.True(t, leaving(d, start))
+			c.after(d)
+			require.Equal(t, c.want, leaving(d, start))
+		})
+	}
+}
+
+func TestLeavingServersAreForgottenInTheEnd(t *testing.T) {
+	d := New()
+	for _, id := range []string{"gone", "stays"} {
+		d.Register(Server{ID: id, Born: start})
+		d.ObserveLeaving(id, start, start)
+	}
+	d.Unregister("gone", start)
+	d.Snapshot(start.Add(leavingMemory))
+	require.Len(t, d.leaving, 2)
+	d.Snapshot(start.Add(leavingMemory + 1))
+	require.Contains(t, d.leaving, "stays")
+	require.Len(t, d.leaving, 1)
+}
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -427,6 +427,18 @@
 	}
 }
 
+// leaving records that an incarnation of a server stated in an answer that it leaves.
+func (f *fleet) leaving(server string, born time.Time) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.dir.ObserveLeaving(server, born, now) {
+		return
+	}
+	f.rebuild(now)
+	f.g.log.Info("servers: states in an answer that it leaves", zap.String("server", server))
+}
+
 // loadable returns the servers of a service that may be ordered to load weights, with the
 // versions that they are expected to have.
 func (f *fleet) loadable(service string, now time.Time) []loadplan.Server {
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -300,7 +300,7 @@
 	h[d.ExpectedIncarnation] = []string{u.s.ID}
 	h[d.Deadline] = []string{strconv.FormatInt(max(time.Until(c.Deadline).Milliseconds(), 1), 10)}
 	return backend.Request{
-		Server: u.s.ID, Address: u.s.Address, Method: c.Method, Target: c.Target, Host: c.Host,
+		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: c.Method, Target: c.Target, Host: c.Host,
 		ID: c.ID, Header: h, Body: c.Body,
 	}
 }
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -135,7 +135,10 @@
 	g.self = stepjournal.Driver{Host: incarnation.NewName(s.Name), Peers: s.Listen.Peers}
 	g.logHealth = newLogHealth(g.log, g.metrics)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.pool = backend.NewPool(backend.Config{Dialect: c.Dialect, OnOpen: g.metrics.opened.Inc})
+	g.pool = backend.NewPool(backend.Config{
+		Dialect: c.Dialect, OnOpen: g.metrics.opened.Inc,
+		OnLeaving: func(server string, born time.Time) { g.fleet.leaving(server, born) },
+	})
 	g.engines = c.EngineControl(g.pool)
 	g.peers = peer.NewClient(peer.ClientConfig{})
 	g.tables = newTables(g)
--- a/pier/gateway/loads.go
+++ b/pier/gateway/loads.go
@@ -104,7 +104,7 @@
 // order announces a load in the orders' topic and has carryOut order it from the server.
 func (o *orders) order(l loadplan.Load) {
 	s, ok := o.g.fleet.server(l.Server)
-	if !ok {
+	if !ok || s.Leaving {
 		return
 	}
 	if !o.append(&orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}) {
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -258,7 +258,7 @@
 		h[d.ResumeAfter] = []string{strconv.FormatInt(s.lastID, 10)}
 	}
 	return backend.Request{
-		Server: u.s.ID, Address: u.s.Address, Method: http.MethodPost, Target: s.item.Path,
+		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: http.MethodPost, Target: s.item.Path,
 		Host: s.d.step.Host, ID: s.item.ID, Header: h, Body: s.item.Body,
 	}
 }
