--- a/pier/backend/conn.go
+++ b/pier/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -19,12 +20,20 @@
 	// idleMargin is how long before the server's own idle timeout a connection is closed,
 	// so that no request is sent while the server closes it.
 	idleMargin = 700 * time.Millisecond
+	// maxHeaderBytes bounds the header of an answer with the interim answers before it, and
+	// maxHeaderFields the number of its fields: a parsed field takes several times its size.
+	maxHeaderBytes  = 32 << 10
+	maxHeaderFields = 256
+	// maxInterimAnswers bounds the number of informational (1xx) answers before an answer.
+	maxInterimAnswers = 16
 )
 
 // conn is a connection to one incarnation of a server.
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// limit bounds what r may take in while a header is read.
+	limit *limitedReader
 	// server is the id of the incarnation that the connection was opened to.
 	server string
 	// idleTimeout is how long the connection may be idle, as last stated by its server.
@@ -34,7 +43,31 @@
 }
 
 func newConn(n net.Conn, server string) *conn {
-	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBufferBytes), server: server, idleTimeout: defaultIdleTimeout}
+	l := &limitedReader{r: n, left: unlimited}
+	return &conn{Conn: n, r: bufio.NewReaderSize(l, readBufferBytes), limit: l, server: server, idleTimeout: defaultIdleTimeout}
+}
+
+// unlimited is the value of limitedReader.left without a limit.
+const unlimited = -1
+
+// limitedReader reads from r until left bytes were read, and fails with errTooLarge then.
+type limitedReader struct {
+	r io.Reader
+	// left is the number of bytes that may still be read, or unlimited.
+	left int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.left == unlimited {
+		return l.r.Read(b)
+	}
+	if l.left == 0 {
+		return 0, errTooLarge
+	}
+	n, err := l.r.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // nothingReceived reports whether an idle connection has received nothing: neither an end
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -119,22 +119,47 @@
 	}, nil
 }
 
-// readHeader reads the header of the final answer and skips informational (1xx) ones.
+// errTooLarge is the error of a header that passes one of its bounds.
+var errTooLarge = errors.New("header of the answer is too large")
+
+// readHeader reads the header of the final answer and skips informational (1xx) ones. It
+// fails with errTooLarge if they pass a bound together.
 func readHeader(c *conn, method string) (*http.Response, error) {
-	for {
+	c.limit.left = maxHeaderBytes
+	defer func() { c.limit.left = unlimited }()
+	for range 1 + maxInterimAnswers {
 		a, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if err != nil || a.StatusCode >= http.StatusOK {
-			return a, err
+		if err != nil {
+			return nil, err
+		}
+		if countFields(a.Header) > maxHeaderFields {
+			return nil, errTooLarge
+		}
+		if a.StatusCode >= http.StatusOK {
+			return a, nil
 		}
 	}
+	return nil, errTooLarge
+}
+
+func countFields(h http.Header) int {
+	n := 0
+	for _, l := range h {
+		n += len(l)
+	}
+	return n
 }
 
-// failureReason returns the reason of a failed read: ReasonSilent for a timeout, and
-// ReasonConnectionLost for any other error.
+// failureReason returns the reason of a failed read: ReasonSilent for a timeout,
+// ReasonAnswerTooLarge for a header that passes a bound, and ReasonConnectionLost for any
+// other error.
 func failureReason(err error) outcome.Reason {
 	var t interface{ Timeout() bool }
-	if errors.As(err, &t) && t.Timeout() {
+	switch {
+	case errors.As(err, &t) && t.Timeout():
 		return outcome.ReasonSilent
+	case errors.Is(err, errTooLarge):
+		return outcome.ReasonAnswerTooLarge
 	}
 	return outcome.ReasonConnectionLost
 }
--- a/pier/engine/engine.go
+++ b/pier/engine/engine.go
@@ -16,10 +16,12 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
 
+	"mulberrypier.example/pier/answerlimit"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -132,6 +134,8 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     10 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: answerlimit.HeaderBytes,
 	}
 	return &Client{c: c, http: &http.Client{Transport: t}}
 }
@@ -167,8 +171,9 @@
 		if err != nil {
 			return w.classify(outcome.Ambiguous(outcome.ReasonConnectionLost, q.Stream, err))
 		}
-		w.reset()
+		w.stop() // the time that f takes is not the engine's
 		if e.Type == "ping" {
+			w.reset()
 			continue
 		}
 		var k Chunk
@@ -184,6 +189,7 @@
 		if k.Finish != "" {
 			return nil
 		}
+		w.reset()
 	}
 	return w.classify(outcome.Ambiguous(outcome.ReasonShortAnswer, q.Stream, nil))
 }
@@ -293,8 +299,9 @@
 type watchdog struct {
 	timeout time.Duration
 	timer   *time.Timer
-	// fired is closed when the timeout has expired.
+	// fired is closed, once, when the timeout has expired.
 	fired chan struct{}
+	once  sync.Once
 }
 
 // newWatchdog starts a watchdog that calls cancel after d without a reset; a d of
@@ -303,7 +310,7 @@
 	w := &watchdog{timeout: d, fired: make(chan struct{})}
 	if d > 0 {
 		w.timer = time.AfterFunc(d, func() {
-			close(w.fired)
+			w.once.Do(func() { close(w.fired) }) // a reset after the timeout lets it expire again
 			cancel()
 		})
 	}
--- a/pier/engine/engine_test.go
+++ b/pier/engine/engine_test.go
@@ -82,6 +82,26 @@
 	require.True(t, outcome.HasReason(err, outcome.ReasonSilent), "%v", err)
 }
 
+// TestSlowCallback checks that the time that the callback takes does not count as silence of
+// the engine, also while further events are received already.
+func TestSlowCallback(t *testing.T) {
+	const idle = 50 * time.Millisecond
+	a := startEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 3 {
+			_, _ = w.Write([]byte(encodeEvent(Chunk{Stream: "s", First: i, End: i + 1, Version: 1})))
+		}
+		_, _ = w.Write([]byte(encodeEvent(Chunk{Stream: "s", First: 3, End: 3, Finish: "stop", Total: 3})))
+	})
+	n := 0
+	err := New(Config{IdleTimeout: idle}).Complete(t.Context(), a, &Completion{Stream: "s"}, func(*Chunk) error {
+		n++
+		time.Sleep(2 * idle)
+		return nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, 4, n)
+}
+
 // FuzzEvents checks that arbitrary response bodies give either success or an
 // *outcome.Error.
 func FuzzEvents(f *testing.F) {
--- a/pier/gateway/events.go
+++ b/pier/gateway/events.go
@@ -10,8 +10,8 @@
 	"mulberrypier.example/pier/outcome"
 )
 
-// maxLineBytes bounds the length of a line of a stream.
-const maxLineBytes = 64 << 10
+// maxEventBytes bounds the size of an event of a stream, with all its lines.
+const maxEventBytes = 64 << 10
 
 // event is one complete event of a stream.
 type event struct {
@@ -28,6 +28,8 @@
 type events struct {
 	r            *bufio.Reader
 	versionField string
+	// left is the number of bytes that the current event may still have.
+	left int
 }
 
 func newEvents(r io.Reader, versionField string) *events {
@@ -40,11 +42,15 @@
 	n := &event{id: -1}
 	var data []string
 	begun := false
+	e.left = maxEventBytes
 	for {
 		l, err := e.line()
 		if errors.Is(err, io.EOF) && !begun && l == "" {
 			return nil, io.EOF
 		}
+		if outcome.HasReason(err, outcome.ReasonAnswerTooLarge) {
+			return nil, err
+		}
 		if err != nil {
 			return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, "stream", err)
 		}
@@ -65,6 +71,8 @@
 	}
 }
 
+// line returns the next line without its end. It fails with answer-too-large if the event
+// passes maxEventBytes; each line counts one byte more than its length.
 func (e *events) line() (string, error) {
 	var b []byte
 	for {
@@ -72,8 +80,11 @@
 		if err != nil {
 			return string(b), err
 		}
-		if len(b)+len(p) > maxLineBytes {
-			return "", outcome.Ambiguous(outcome.ReasonAnswerTooLarge, "stream", nil)
+		if e.left -= len(p); !more {
+			e.left--
+		}
+		if e.left < 0 {
+			return "", outcome.Ambiguous(outcome.ReasonAnswerTooLarge, "event", nil)
 		}
 		b = append(b, p...)
 		if !more {
--- a/pier/gateway/events_test.go
+++ b/pier/gateway/events_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/stepjournal"
 )
 
 func TestEvents(t *testing.T) {
@@ -63,3 +65,47 @@
 		}
 	})
 }
+
+// repeated reads as a string without end and counts the bytes.
+type repeated struct {
+	s string
+	n int
+}
+
+func (r *repeated) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = r.s[(r.n+i)%len(r.s)]
+	}
+	r.n += len(b)
+	return len(b), nil
+}
+
+// An engine sends an event that never ends. The reader must give up after a bounded number
+// of bytes, and tell the cause.
+func TestEventWithoutEndIsBounded(t *testing.T) {
+	tests := map[string]string{"line": "x", "data lines": "data: x\n", "empty data lines": "data\n", "comments": ":\n"}
+	for name, in := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &repeated{s: in}
+			_, err := newEvents(r, "weights").next()
+			require.True(t, outcome.HasReason(err, outcome.ReasonAnswerTooLarge), "%v", err)
+			require.LessOrEqual(t, r.n, maxEventBytes+(4<<10))
+		})
+	}
+}
+
+// An engine generates events without end. A run must fail once the text passes what a record
+// can hold, and the sample must start anew.
+func TestTextWithoutEndIsBounded(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	s := &sample{d: &stepDriver{g: g, step: newStep("s", 1), route: &routetable.Route{}}, item: &stepjournal.Item{ID: "i"}}
+	data := strings.Repeat("x", maxEventBytes)
+	var err error
+	for n := int64(1); err == nil; n++ {
+		require.Less(t, n, int64(100))
+		err = s.appendEvent(&event{id: n, data: data}, 1)
+	}
+	require.True(t, outcome.HasReason(err, outcome.ReasonAnswerTooLarge), "%v", err)
+	require.Empty(t, s.text)
+	require.Zero(t, s.lastID)
+}
--- a/pier/gateway/settings.go
+++ b/pier/gateway/settings.go
@@ -119,7 +119,7 @@
 		return bad("log.address")
 	case s.Log.Partitions < 1:
 		return bad("log.partitions")
-	case s.Log.RecordBytes < 4<<10:
+	case s.Log.RecordBytes < 2*recordReserve:
 		return bad("log.record-bytes")
 	case s.Log.CallBytes < s.Log.RecordBytes:
 		return bad("log.call-bytes")
--- a/pier/hostlist/hostlist.go
+++ b/pier/hostlist/hostlist.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"mulberrypier.example/pier/answerlimit"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -44,7 +45,9 @@
 
 // New returns a client that opens a new connection for each read.
 func New(c Config) *Client {
-	return &Client{c: c, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{c: c, http: &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
+	}}}
 }
 
 // Read returns the entries of the list. It takes at most readTimeout. An error is an
--- a/pier/logservice/logservice.go
+++ b/pier/logservice/logservice.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"time"
 
+	"mulberrypier.example/pier/answerlimit"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -75,7 +76,9 @@
 // New returns a client of the log service.
 func New(c Config) *Client {
 	if c.Transport == nil {
-		c.Transport = &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
+		c.Transport = &http.Transport{
+			MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
+		}
 	}
 	return &Client{c: c, http: &http.Client{Transport: c.Transport}}
 }
--- a/pier/logsink/logsink.go
+++ b/pier/logsink/logsink.go
@@ -34,7 +34,7 @@
 	Out io.Writer
 }
 
-// Sink receives the log lines of a process. It is safe for concurrent use, except for Close.
+// Sink receives the log lines of a process. It is safe for concurrent use.
 type Sink struct {
 	c     Config
 	zap   *zap.Logger
@@ -45,6 +45,8 @@
 	done chan struct{}
 
 	mu sync.Mutex
+	// closed is set by Close. mu is held while a line is queued, so that none is queued later.
+	closed bool
 	// second is the Unix time of the newest line in seconds, and count the number of lines
 	// in that second.
 	second int64
@@ -70,9 +72,12 @@
 // Logger returns the logger that writes to the sink.
 func (s *Sink) Logger() *zap.Logger { return s.zap }
 
-// Write queues a copy of a line or drops it. It never blocks on the output and never fails.
+// Write queues a copy of a line or drops it, as it does with all lines after Close. It never
+// blocks on the output and never fails.
 func (s *Sink) Write(b []byte) (int, error) {
-	if !s.withinRate(time.Now().Unix()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || !s.withinRate(time.Now().Unix()) {
 		s.dropped.Add(1)
 		return len(b), nil
 	}
@@ -88,10 +93,8 @@
 func (s *Sink) Sync() error { return nil }
 
 // withinRate counts a line in the given second and reports whether linesPerSecond is not
-// exceeded.
+// exceeded. The caller holds mu.
 func (s *Sink) withinRate(second int64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.second != second {
 		s.second, s.count = second, 0
 	}
@@ -121,9 +124,16 @@
 const closeTimeout = 200 * time.Millisecond
 
 // Close waits until the queued lines are written, for at most closeTimeout, and stops the
-// sink. Nothing may be logged during or after the call: Write would panic.
+// sink. Lines that are logged later are dropped.
 func (s *Sink) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
 	close(s.lines)
+	s.mu.Unlock()
 	select {
 	case <-s.done:
 	case <-time.After(closeTimeout):
--- a/pier/operator/operator.go
+++ b/pier/operator/operator.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"mulberrypier.example/pier/answerlimit"
 	"mulberrypier.example/pier/config"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
@@ -79,7 +80,7 @@
 // New returns a client whose requests time out after 30 seconds.
 func New(c ClientConfig) *Client {
 	return &Client{c: c, http: &http.Client{
-		Transport: &http.Transport{TLSClientConfig: c.TLS},
+		Transport: &http.Transport{TLSClientConfig: c.TLS, MaxResponseHeaderBytes: answerlimit.HeaderBytes},
 		Timeout:   30 * time.Second,
 	}}
 }
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -101,8 +101,11 @@
 }
 
 // AsError returns the *Error in the chain of err. If there is none, it returns one that
-// wraps err, with outcome Unknown and ReasonServerError. The error must not be nil.
+// wraps err, with outcome Unknown and ReasonServerError. For a nil error it returns nil.
 func AsError(err error) *Error {
+	if err == nil {
+		return nil
+	}
 	var e *Error
 	if errors.As(err, &e) {
 		return e
--- a/pier/scorer/scorer.go
+++ b/pier/scorer/scorer.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"mulberrypier.example/pier/answerlimit"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -42,7 +43,9 @@
 func New() *Client {
 	// Each call gets a new connection. An idle one may be dead without notice, and a
 	// call that is not idempotent could not be retried after failing on it.
-	return &Client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
+	}}}
 }
 
 // Score returns the score of one sample. An error is an *outcome.Error. Its outcome is
--- a/pier/service/service.go
+++ b/pier/service/service.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"mulberrypier.example/pier/answerlimit"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/release"
 )
@@ -61,10 +62,15 @@
 func New() *Client {
 	return &Client{
 		pooled: &http.Client{
-			Transport:     &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second},
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
+			},
+			CheckRedirect: noRedirect,
+		},
+		unpooled: &http.Client{
+			Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: answerlimit.HeaderBytes},
 			CheckRedirect: noRedirect,
 		},
-		unpooled: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: noRedirect},
 	}
 }
 
--- a/pier/trainer/trainer.go
+++ b/pier/trainer/trainer.go
@@ -16,6 +16,7 @@
 	"net/netip"
 	"time"
 
+	"mulberrypier.example/pier/answerlimit"
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/rollout"
@@ -80,7 +81,9 @@
 // New returns a client that sends its requests to the first host until one fails.
 func New(c Config) *Client {
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+		c.HTTP = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
+		}}
 	}
 	return &Client{c: c}
 }
