--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -31,6 +31,10 @@
 	preferredDriversMaxAge = 2 * time.Second
 	// preferredDriversTimeout is how long reading the preferred drivers may delay a step.
 	preferredDriversTimeout = 200 * time.Millisecond
+	// preferredCheckInterval is the time between two checks whether a model has a preferred
+	// driver that is smaller than this host. It is longer by preferredRankStep for each rank.
+	preferredCheckInterval = 2 * time.Second
+	preferredRankStep      = 50 * time.Millisecond
 	// handOffTimeout is how long a preferred driver may take to accept a step.
 	handOffTimeout = 400 * time.Millisecond
 	// driveMaxLogSilence is the time without an answer from the log after which a host
@@ -63,20 +67,19 @@
 	// all holds the preferred drivers by model, as read at readAt.
 	all    map[string]driverRecord
 	readAt time.Time
+	// end is the end offset of the topic as of readAt.
+	end int64
 }
 
 func newPreferred(g *Gateway) *preferred { return &preferred{g: g, all: make(map[string]driverRecord)} }
 
-// lookup returns the preferred driver of a model. ok is false if there is none or it cannot
-// be read within preferredDriversTimeout.
-func (p *preferred) lookup(ctx context.Context, model string) (driverRecord, bool) {
-	if !p.refresh(ctx) {
-		return driverRecord{}, false
-	}
+// lookup returns the preferred driver of a model. current is false if the drivers cannot be
+// read within preferredDriversTimeout; the record may then be out of date.
+func (p *preferred) lookup(ctx context.Context, model string) (r driverRecord, current bool) {
+	current = p.refresh(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r, ok := p.all[model]
-	return r, ok
+	return p.all[model], current
 }
 
 // refresh reads the preferred drivers if they are older than preferredDriversMaxAge. It
@@ -109,27 +112,72 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.all, p.readAt = all, time.Now()
+	p.all, p.readAt, p.end = all, time.Now(), n.End
 	return true
 }
 
 // choose returns the driver for a new step of a model, and reports whether this host should
 // become the model's preferred driver. A host replaces a preferred driver with a smaller
-// processor share, unless it is itself preferred for some model already.
+// processor share, unless it is itself preferred for some model already. A host that cannot
+// read the preferred drivers relies on what it knows, and replaces none.
 func (p *preferred) choose(ctx context.Context, model string) (stepjournal.Driver, bool) {
 	self := p.g.self
-	r, ok := p.lookup(ctx, model)
+	r, current := p.lookup(ctx, model)
 	switch {
-	case !ok || r.Driver.Host == "":
-		return self, true
+	case r.Driver.Host == "":
+		return self, current
 	case r.Driver.Host == self.Host:
 		return self, false
-	case r.Share < p.g.s.ProcessorShare && !p.isPreferred(self.Host):
+	case current && r.Share < p.g.s.ProcessorShare && !p.isPreferred(self.Host):
 		return self, true
 	}
 	return r.Driver, false
 }
 
+// successor returns the host that should drive a step of a model after gone: the preferred
+// driver, or this host if there is no other.
+func (p *preferred) successor(ctx context.Context, model string, gone stepjournal.Driver) stepjournal.Driver {
+	r, _ := p.lookup(ctx, model)
+	if r.Driver.Host == "" || r.Driver.Host == gone.Host {
+		return p.g.self
+	}
+	return r.Driver
+}
+
+// improve makes this host the preferred driver of one model that has none, or a smaller one,
+// if it is not preferred already. Steps that run stay where they are. The claim is
+// conditional, so that one of several hosts succeeds.
+func (p *preferred) improve(ctx context.Context) {
+	t := p.g.Table()
+	if t == nil || !p.refresh(ctx) || p.isPreferred(p.g.self.Host) {
+		return
+	}
+	m, ok := p.weakest(t.Models())
+	if ok {
+		p.claimAt(m, p.expectedEnd())
+	}
+}
+
+// weakest returns the model whose preferred driver has the smallest processor share, if that
+// is smaller than this host's. A model without a preferred driver comes first.
+func (p *preferred) weakest(models []string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, share := "", p.g.s.ProcessorShare
+	for _, m := range models {
+		if s := p.all[m].Share; s < share {
+			best, share = m, s
+		}
+	}
+	return best, best != ""
+}
+
+func (p *preferred) expectedEnd() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.end
+}
+
 // isPreferred reports whether a host is the preferred driver of any model.
 func (p *preferred) isPreferred(host string) bool {
 	p.mu.Lock()
@@ -143,7 +191,11 @@
 }
 
 // claim makes this host the preferred driver of a model.
-func (p *preferred) claim(model string) {
+func (p *preferred) claim(model string) { p.claimAt(model, partitionlog.NoCondition) }
+
+// claimAt is claim under the condition that no host has claimed a model since end, unless
+// end is partitionlog.NoCondition.
+func (p *preferred) claimAt(model string, end int64) {
 	r := driverRecord{Driver: p.g.self, Share: p.g.s.ProcessorShare}
 	b, err := msgpack.Marshal(&r)
 	if err != nil {
@@ -155,8 +207,12 @@
 	defer cancel()
 	_, err = p.g.c.Log.Append(ctx, partitionlog.AppendRequest{
 		Partition: partitionlog.Partition{Topic: preferredDriversTopic},
-		Records:   [][]byte{partitionlog.EncodeKeyed(model, b)}, ExpectedEnd: partitionlog.NoCondition,
+		Records:   [][]byte{partitionlog.EncodeKeyed(model, b)}, ExpectedEnd: end,
 	})
+	if outcome.HasReason(err, partitionlog.ReasonMoved) {
+		p.forget() // another host was first
+		return
+	}
 	if err != nil {
 		p.g.log.Warn("homes: claim as preferred driver failed", zap.String("model", model),
 			zap.Error(err))
@@ -169,6 +225,13 @@
 		zap.Float64("share", r.Share))
 }
 
+// forget has the preferred drivers read again at their next use.
+func (p *preferred) forget() {
+	p.mu.Lock()
+	p.readAt = time.Time{}
+	p.mu.Unlock()
+}
+
 // reclaim makes a restarted host the preferred driver of the models of its previous
 // incarnation. It retries until the preferred drivers can be read.
 func (p *preferred) reclaim() {
@@ -207,10 +270,7 @@
 	}
 	p.g.log.Info("step: preferred driver did not accept the hand-off; taking over",
 		zap.String("id", s.ID), zap.String("home", to.Host), zap.Error(err))
-	if !p.appendTakeover(v, s.ID, to.Host) {
-		return
-	}
-	if _, ok := p.confirmDriver(v, s.ID); ok {
+	if p.appendTakeover(v, s.ID, to.Host, p.g.self) && p.isDriver(v, s.ID) {
 		p.g.preferred.claim(s.Model)
 		p.startDriving(r, s, v)
 	}
@@ -238,15 +298,22 @@
 	if r == nil {
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, s.ID)
 	}
+	p.g.wg.Go(func() { p.driveHandedOff(r, s, m.Host) })
+	return nil, nil
+}
+
+// driveHandedOff drives a step whose record names an incarnation of this host as its driver,
+// unless another record of the step came first or another host took it over.
+func (p *steps) driveHandedOff(r *routetable.Route, s *stepjournal.Step, host string) {
 	v := p.g.journal.follow(s.ID)
-	if m.Host != p.g.self.Host {
-		if !p.appendTakeover(v, s.ID, m.Host) {
-			return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
-		}
-		if _, ok := p.confirmDriver(v, s.ID); !ok {
-			return nil, nil // another host took the step over first
-		}
+	if host != p.g.self.Host && !p.appendTakeover(v, s.ID, host, p.g.self) {
+		return
+	}
+	e, known := p.synced(v, s.ID)
+	if known && e.Driver.Host != p.g.self.Host {
+		p.g.log.Info("step: handed off here, but another host drives it", zap.String("id", s.ID),
+			zap.String("driver", e.Driver.Host))
+		return
 	}
 	p.startDriving(r, s, v)
-	return nil, nil
 }
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -78,7 +78,7 @@
 				zap.Int("items", len(s.Items)), zap.Int64("offset", a.First),
 				zap.String("driver", driver.Host))
 			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			p.dispatch(r, s, v, driver, claim)
+			p.g.wg.Go(func() { p.dispatch(r, s, v, driver, a.First, claim) })
 			return nil
 		}
 		e := outcome.AsError(err)
@@ -88,19 +88,38 @@
 	}
 }
 
-// dispatch starts driving an accepted step on this host, or hands it off to its preferred
-// driver.
-func (p *steps) dispatch(r *routetable.Route, s *stepjournal.Step, v *view, driver stepjournal.Driver, claim bool) {
+// dispatch starts driving a step on this host, or hands it off to the driver that its record
+// names. first is the offset of that record.
+//
+// A trainer submits a step again, to another host, when an answer is late. Only the first
+// record of a step counts: if this one is not it, another host drives the step already.
+func (p *steps) dispatch(r *routetable.Route, s *stepjournal.Step, v *view, driver stepjournal.Driver, first int64, claim bool) {
 	if driver.Host != p.g.self.Host {
-		p.g.wg.Go(func() { p.handOff(r, s, v, driver) })
+		p.handOff(r, s, v, driver)
+		return
+	}
+	if e, known := p.synced(v, s.ID); known && e.From != first {
+		p.g.log.Info("step: submitted again; another record came first", zap.String("id", s.ID),
+			zap.Int64("offset", first), zap.Int64("first", e.From), zap.String("driver", e.Driver.Host))
 		return
 	}
 	p.startDriving(r, s, v)
 	if claim {
-		p.g.wg.Go(func() { p.g.preferred.claim(s.Model) })
+		p.g.preferred.claim(s.Model)
 	}
 }
 
+// synced syncs the view with the log and returns a step's entry. known is false if the log
+// cannot be read or does not hold the step.
+func (p *steps) synced(v *view, id string) (e stepjournal.Entry, known bool) {
+	if err := v.sync(p.g.ctx); err != nil {
+		p.g.log.Warn("step: journal cannot be read", zap.String("id", id), zap.Error(err))
+		return stepjournal.Entry{}, false
+	}
+	e, _, known = v.entry(id)
+	return e, known
+}
+
 // encodedSize returns the size of records in an append, with 4 bytes of overhead for each.
 func encodedSize(b [][]byte) int {
 	n := 0
@@ -278,11 +297,70 @@
 	return nil
 }
 
-// appendTakeover appends a record that this host succeeds previous as a step's driver.
-// false means that the record may be missing from the log. The first such record in the log
-// counts, so confirmDriver must follow.
-func (p *steps) appendTakeover(v *view, id, previous string) bool {
-	b, err := stepjournal.TakenOver(id, previous, p.g.self)
+// takeOver gives an open step whose driver is gone another one: the model's preferred
+// driver, or else this host. If several hosts try, the first takeover record in the log
+// counts.
+//
+// The caller may have learnt that the driver is gone from a view that lacks the driver's
+// last records, so the journal is read first: a step that was completed is left alone.
+func (p *steps) takeOver(v *view, e stepjournal.Entry) {
+	n, known := p.synced(v, e.ID)
+	if !known || !n.Open() || n.Driver.Host != e.Driver.Host {
+		return
+	}
+	r, s, ok := p.load(v, e.ID)
+	if !ok {
+		return
+	}
+	to := p.g.preferred.successor(p.g.ctx, s.Model, e.Driver)
+	if !p.appendTakeover(v, e.ID, e.Driver.Host, to) {
+		return
+	}
+	n, known = p.synced(v, e.ID)
+	if !known || n.Driver.Host != to.Host {
+		return
+	}
+	p.g.metrics.steps.WithLabelValues("taken-over").Inc()
+	p.g.log.Info("step: taken over", zap.String("id", e.ID), zap.String("from", e.Driver.Host),
+		zap.String("driver", to.Host), zap.Int("results", len(n.Results)), zap.Int("items", n.Total))
+	if to.Host != p.g.self.Host {
+		p.handOff(r, s, v, to)
+		return
+	}
+	p.startDriving(r, s, v)
+}
+
+// resume runs a step of which this host is the driver according to the journal.
+func (p *steps) resume(v *view, e stepjournal.Entry) {
+	if p.isDriving(e.ID) {
+		return
+	}
+	if r, s, ok := p.load(v, e.ID); ok {
+		p.startDriving(r, s, v)
+	}
+}
+
+// load reads a step from the log and finds its route.
+func (p *steps) load(v *view, id string) (*routetable.Route, *stepjournal.Step, bool) {
+	s, err := v.loadStep(p.g.ctx, id)
+	if err != nil {
+		p.g.log.Warn("watch: step cannot be read from the log; not resumed", zap.String("id", id),
+			zap.Error(err))
+		return nil, nil, false
+	}
+	t := p.g.Table()
+	if t == nil {
+		return nil, nil, false
+	}
+	r := t.Match(s.Host, s.Path)
+	return r, s, r != nil
+}
+
+// appendTakeover appends a record that a host succeeds previous as a step's driver. false
+// means that the record may be missing from the log. The first such record in the log
+// counts, so the journal must be read afterwards.
+func (p *steps) appendTakeover(v *view, id, previous string, to stepjournal.Driver) bool {
+	b, err := stepjournal.TakenOver(id, previous, to)
 	if err != nil {
 		p.g.log.Error("step: takeover record cannot be encoded", zap.String("id", id), zap.Error(err))
 		return false
@@ -294,15 +372,10 @@
 	return true
 }
 
-// confirmDriver syncs the view with the log and reports whether this host drives a step.
-func (p *steps) confirmDriver(v *view, id string) (stepjournal.Entry, bool) {
-	if err := v.sync(p.g.ctx); err != nil {
-		p.g.log.Warn("step: journal cannot be read after a takeover; not driven here",
-			zap.String("id", id), zap.Error(err))
-		return stepjournal.Entry{}, false
-	}
-	e, _, ok := v.entry(id)
-	return e, ok && e.Driver.Host == p.g.self.Host
+// isDriver syncs the view with the log and reports whether this host drives a step.
+func (p *steps) isDriver(v *view, id string) bool {
+	e, known := p.synced(v, id)
+	return known && e.Driver.Host == p.g.self.Host
 }
 
 // startDriving runs a step on this host, unless it is running here already.
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -93,6 +94,8 @@
 	rank atomic.Int64
 	// partitions holds the partitions that are assigned to this host.
 	partitions []int
+	// preferredAt is when the preferred drivers were last checked.
+	preferredAt time.Time
 	// misses holds by step the number of checks in a row that found no driver.
 	misses map[string]int
 }
@@ -116,6 +119,7 @@
 			generation = w.join(generation)
 		}
 		w.checkSteps()
+		w.checkPreferred()
 		backoff.Sleep(w.g.ctx, watchInterval)
 	}
 }
@@ -169,28 +173,72 @@
 	}
 }
 
+// checkPreferred has this host replace a smaller host as the preferred driver of a model, if
+// it holds a partition. Those hosts are few, and each waits a little longer the higher its
+// rank is, so that they don't all try at the same time.
+func (w *watch) checkPreferred() {
+	rank := w.rank.Load()
+	if rank == unranked || w.g.drain.leaving() {
+		return
+	}
+	if time.Since(w.preferredAt) < preferredCheckInterval+time.Duration(rank)*preferredRankStep {
+		return
+	}
+	w.preferredAt = time.Now()
+	w.g.preferred.improve(w.g.ctx)
+}
+
 // openStep is an open step with the view of its partition.
 type openStep struct {
 	v *view
 	e stepjournal.Entry
 }
 
-// checkSteps queries the drivers of the open steps in all assigned partitions.
+// checkSteps queries the drivers of the open steps in all assigned partitions, all at the
+// same time, and takes over the steps whose drivers are gone.
 func (w *watch) checkSteps() {
 	if w.g.drain.leaving() {
 		return
 	}
-	seen := make(map[string]int)
-	for a, l := range w.stepsByDriver() {
-		w.checkDriver(a, l, seen)
+	byDriver, gone := w.stepsByDriver()
+	answers := w.queryDrivers(byDriver)
+	misses := make(map[string]int)
+	for a, l := range byDriver {
+		w.relay(answers[a])
+		for i, p := range l {
+			n := missesAfter(w.misses[p.e.ID], p.e.Driver.Host, answers[a], i)
+			if n >= missesBeforeTakeover {
+				gone = append(gone, p)
+				n = 0
+			}
+			misses[p.e.ID] = n
+		}
 	}
-	w.misses = seen
+	w.misses = misses
+	var g sync.WaitGroup
+	for _, p := range gone {
+		g.Go(func() { w.g.steps.takeOver(p.v, p.e) })
+	}
+	g.Wait()
 }
 
-// stepsByDriver returns the open steps of other hosts, by the peer address of their driver.
-// It resumes the steps of this host, and takes over those without a driver.
-func (w *watch) stepsByDriver() map[netip.AddrPort][]openStep {
-	r := make(map[netip.AddrPort][]openStep)
+// missesAfter returns the number of checks in a row that found no driver of a step, after
+// one more check. before is their number so far, driver the step's driver, and i the index
+// of the step in the query that r answers.
+func missesAfter(before int, driver string, r drivingAnswer, i int) int {
+	switch {
+	case r.Host == driver && i < len(r.Driving) && r.Driving[i]:
+		return 0
+	case r.Host != "" && r.Host != driver:
+		return missesBeforeTakeover // another incarnation answers, so the driver is gone
+	}
+	return before + 1
+}
+
+// stepsByDriver returns the open steps of other hosts, by the peer address of their driver,
+// and those that have no driver. It resumes the steps of this host.
+func (w *watch) stepsByDriver() (byDriver map[netip.AddrPort][]openStep, orphans []openStep) {
+	byDriver = make(map[netip.AddrPort][]openStep)
 	for _, n := range w.partitions {
 		v := w.g.journal.followPartition(n)
 		if v.staleAt(time.Now().Add(-watchMaxViewAge)) {
@@ -199,41 +247,36 @@
 		for _, e := range v.openSteps() {
 			switch e.Driver.Host {
 			case w.g.self.Host:
-				w.resume(v, e)
+				w.g.steps.resume(v, e)
 			case "":
-				w.takeOver(v, e)
+				orphans = append(orphans, openStep{v, e})
 			default:
-				r[e.Driver.Peers] = append(r[e.Driver.Peers], openStep{v, e})
+				byDriver[e.Driver.Peers] = append(byDriver[e.Driver.Peers], openStep{v, e})
 			}
 		}
 	}
-	return r
+	return byDriver, orphans
 }
 
-// checkDriver queries the host at an address for its steps, and takes over those that it
-// was found not to run in enough checks in a row. misses receives the new numbers of such
-// checks by step.
-func (w *watch) checkDriver(a netip.AddrPort, l []openStep, misses map[string]int) {
-	var q drivingQuery
-	for _, p := range l {
-		q.Steps = append(q.Steps, p.e.ID)
-	}
-	r := w.queryDriving(a, q)
-	w.relay(r)
-	for i, p := range l {
-		if r.Host == p.e.Driver.Host && i < len(r.Driving) && r.Driving[i] {
-			continue
-		}
-		n := w.misses[p.e.ID] + 1
-		if r.Host != "" && r.Host != p.e.Driver.Host {
-			n = missesBeforeTakeover // another incarnation answers, so the driver is gone
-		}
-		if n >= missesBeforeTakeover {
-			w.takeOver(p.v, p.e)
-			n = 0
-		}
-		misses[p.e.ID] = n
+// queryDrivers queries the hosts at the addresses for their steps.
+func (w *watch) queryDrivers(byDriver map[netip.AddrPort][]openStep) map[netip.AddrPort]drivingAnswer {
+	r := make(map[netip.AddrPort]drivingAnswer, len(byDriver))
+	var mu sync.Mutex
+	var g sync.WaitGroup
+	for a, l := range byDriver {
+		g.Go(func() {
+			var q drivingQuery
+			for _, p := range l {
+				q.Steps = append(q.Steps, p.e.ID)
+			}
+			x := w.queryDriving(a, q)
+			mu.Lock()
+			defer mu.Unlock()
+			r[a] = x
+		})
 	}
+	g.Wait()
+	return r
 }
 
 // queryDriving returns a host's answer, or an empty one if it does not answer in time.
@@ -248,39 +291,3 @@
 	}
 	return r
 }
-
-// takeOver makes this host the successor of a step's driver. If several hosts try, the
-// first takeover record in the log counts.
-func (w *watch) takeOver(v *view, e stepjournal.Entry) {
-	if !w.g.steps.appendTakeover(v, e.ID, e.Driver.Host) {
-		return
-	}
-	w.g.metrics.steps.WithLabelValues("taken-over").Inc()
-	w.g.log.Info("step: taken over", zap.String("id", e.ID), zap.String("from", e.Driver.Host),
-		zap.Int("results", len(e.Results)), zap.Int("items", e.Total))
-	if n, ok := w.g.steps.confirmDriver(v, e.ID); ok {
-		w.resume(v, n)
-	}
-}
-
-// resume runs a step of which this host is the driver according to the journal.
-func (w *watch) resume(v *view, e stepjournal.Entry) {
-	if w.g.steps.isDriving(e.ID) {
-		return
-	}
-	s, err := v.loadStep(w.g.ctx, e.ID)
-	if err != nil {
-		w.g.log.Warn("watch: step cannot be read from the log; not resumed", zap.String("id", e.ID),
-			zap.Error(err))
-		return
-	}
-	t := w.g.Table()
-	if t == nil {
-		return
-	}
-	r := t.Match(s.Host, s.Path)
-	if r == nil {
-		return
-	}
-	w.g.steps.startDriving(r, s, v)
-}
--- a/pier/routetable/routetable.go
+++ b/pier/routetable/routetable.go
@@ -3,6 +3,7 @@
 package routetable
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -138,6 +139,16 @@
 	return t
 }
 
+// Models returns the names of the models of all services, sorted.
+func (t *Table) Models() []string {
+	var r []string
+	for _, s := range t.Services {
+		r = append(r, s.Models...)
+	}
+	slices.Sort(r)
+	return slices.Compact(r)
+}
+
 // Match returns the route of host with the longest prefix of path, or nil if there is none.
 // A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
