--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -67,6 +67,17 @@
 	g.logHealth.answered("test")
 }
 
+// knowPeers makes other hosts known as peers that carry calls to the log.
+func (g *Gateway) knowPeers(l ...*Gateway) {
+	var a []netip.AddrPort
+	for _, x := range l {
+		a = append(a, x.self.Peers)
+	}
+	g.peerLog.mu.Lock()
+	defer g.peerLog.mu.Unlock()
+	g.peerLog.paths.SetPeers(a)
+}
+
 // table sets a configuration with routes for steps ("/gen/") and plain requests ("/plain/").
 // change, if not nil, modifies the routes first.
 func (g *Gateway) table(change func(gen, plain *routetable.Route)) {
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -62,7 +62,7 @@
 		f.readDone(err)
 		if err == nil {
 			f.g.logHealth.answered(f.topic)
-			backoff.Sleep(f.g.ctx, f.minInterval-time.Since(t))
+			backoff.Sleep(f.g.ctx, f.interval()-time.Since(t))
 			continue
 		}
 		if outcome.HasReason(err, partitionlog.ReasonExpired) {
@@ -76,6 +76,14 @@
 	}
 }
 
+// interval returns the shortest time between two reads at present.
+func (f *follower) interval() time.Duration {
+	if f.g.peerLog.directFails() {
+		return carriedReadFactor * f.minInterval
+	}
+	return f.minInterval
+}
+
 func (f *follower) readNext() error {
 	ctx, cancel := context.WithTimeout(f.g.ctx, readWait+readSlack)
 	defer cancel()
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -111,6 +111,7 @@
 	engines EngineControl
 	peers   *peer.Client
 
+	peerLog   *peerLog
 	tables    *tables
 	fleet     *fleet
 	journal   *journal
@@ -141,6 +142,8 @@
 	})
 	g.engines = c.EngineControl(g.pool)
 	g.peers = peer.NewClient(peer.ClientConfig{})
+	g.peerLog = newPeerLog(g, c.Log)
+	g.c.Log = g.peerLog.functions()
 	g.tables = newTables(g)
 	g.fleet = newFleet(g)
 	g.journal = newJournal(g)
@@ -180,7 +183,7 @@
 			return err
 		}
 	}
-	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim} {
+	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run} {
 		g.wg.Go(f)
 	}
 	g.log.Info("host: started", zap.String("host", g.self.Host), zap.String("domain", g.s.Domain))
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -110,13 +110,6 @@
 	// queue holds records to append; flushing is set while flush appends them.
 	queue    [][]byte
 	flushing bool
-	// progressAt is when queued records were last acknowledged, or when the first was
-	// queued.
-	progressAt time.Time
-	// relayed is the number of records at the head of the queue that were given to another
-	// host to append; relayedAt is when they were.
-	relayed   int
-	relayedAt time.Time
 }
 
 func (v *view) partition() partitionlog.Partition {
@@ -341,7 +334,7 @@
 	v.queue = append(v.queue, b)
 	v.usedAt = time.Now()
 	if !v.flushing {
-		v.flushing, v.progressAt = true, time.Now()
+		v.flushing = true
 		v.j.g.wg.Go(v.flush)
 	}
 }
@@ -358,8 +351,6 @@
 		if err == nil {
 			v.mu.Lock()
 			v.queue = v.queue[len(b):]
-			v.relayed = max(v.relayed-len(b), 0)
-			v.progressAt = time.Now()
 			v.mu.Unlock()
 			wait = logRetryDelay
 			continue
@@ -390,14 +381,18 @@
 }
 
 // hasPending reports whether any record has not been acknowledged yet.
+func (v *view) hasPending() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.queue) > 0
+}
+
+// hasPending reports whether any record of any partition has not been acknowledged yet.
 func (j *journal) hasPending() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, v := range j.views {
-		v.mu.Lock()
-		n := len(v.queue)
-		v.mu.Unlock()
-		if n > 0 {
+		if v.hasPending() {
 			return true
 		}
 	}
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -18,8 +18,9 @@
 	logErrors  *prometheus.CounterVec
 	unreadable *prometheus.CounterVec
 	bugs       *prometheus.CounterVec
+	viaPeers   *prometheus.CounterVec
+	carried    *prometheus.CounterVec
 	opened     prometheus.Counter
-	relayed    prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
 	accept     prometheus.Histogram
@@ -45,15 +46,14 @@
 	m.steps = counter("steps_total", "What happened to steps on this host.", "event")
 	m.orders = counter("orders_total", "Orders to engines, by outcome.", "outcome")
 	m.logErrors = counter("log_errors_total", "Failed calls to the log, by topic.", "topic")
+	m.viaPeers = counter("log_calls_via_peers_total", "Calls to the log that were made through a peer, by result.", "result")
+	m.carried = counter("log_calls_carried_total", "Calls to the log that peers asked this host to make, by result.", "result")
 	m.unreadable = counter("unreadable_records_total", "Records that were skipped, by topic.", "topic")
 	m.bugs = counter("broken_invariants_total", "Invariants found broken.", "invariant")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
-	m.relayed = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "mulberrypier_relayed_records_total", Help: "Records appended for hosts that are cut off from the log.",
-	})
-	m.registry.MustRegister(m.opened, m.relayed)
+	m.registry.MustRegister(m.opened)
 	m.plain = histogram("plain_seconds", "Time of plain requests, from their arrival to their answer.")
 	m.sample = histogram("sample_seconds", "Time of samples, from their first start to their result.")
 	m.accept = histogram("accept_seconds", "Time from the arrival of a step to its acceptance.")
--- /dev/null
+++ b/pier/gateway/peerlog.go
@@ -0,0 +1,402 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/logpath"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/peer"
+)
+
+// A host that the log turns away, or that cannot reach it, makes its calls to the log
+// through a peer that does: a message carries the call as it is and the log's answer. Package
+// logpath decides by which path a call goes.
+
+const (
+	// membersInterval is the time between two reads of the group's members, which are the
+	// peers that carry calls.
+	membersInterval = 10 * time.Second
+	// probeInterval is the time between two direct calls of a host whose calls go through
+	// peers, to learn when the log answers it again.
+	probeInterval = 300 * time.Millisecond
+	probeTimeout  = 600 * time.Millisecond
+	// maxPeersAsked bounds the peers that are asked for one call.
+	maxPeersAsked = 3
+	// maxCarried bounds the calls that a host carries at the same time, and
+	// maxCarriedReadBytes the answer to a read among them.
+	maxCarried          = 48
+	maxCarriedReadBytes = 128 << 10
+	// carriedReadFactor is the factor by which a host reads keyed topics less often while
+	// its calls go through peers.
+	carriedReadFactor = 4
+	// peerLinger is how long connections to peers stay open after the last use for a call.
+	peerLinger = 5 * time.Second
+)
+
+// kindLogCall is the kind of a message that carries a call to the log.
+const kindLogCall = kindStepQuery + 1
+
+// logCall is a call to the log. One of its fields is set.
+type logCall struct {
+	Append  *partitionlog.AppendRequest `msgpack:"a"`
+	Read    *partitionlog.ReadRequest   `msgpack:"r"`
+	Newest  string                      `msgpack:"n"`
+	Join    *partitionlog.JoinRequest   `msgpack:"j"`
+	Leave   *leaveCall                  `msgpack:"l"`
+	Members string                      `msgpack:"m"`
+}
+
+// leaveCall removes a member from a group.
+type leaveCall struct {
+	Group  string `msgpack:"g"`
+	Member string `msgpack:"m"`
+}
+
+// logAnswer is the log's answer to a logCall. Err is its error, if any; the page of a read
+// that failed may still state the first offset.
+type logAnswer struct {
+	Append     partitionlog.AppendResult `msgpack:"a"`
+	Page       partitionlog.Page         `msgpack:"p"`
+	Newest     partitionlog.Newest       `msgpack:"n"`
+	Membership partitionlog.Membership   `msgpack:"m"`
+	Members    []string                  `msgpack:"l"`
+	Err        *outcome.Error            `msgpack:"e"`
+}
+
+// repeatable reports whether the call may be made again although it may have been executed.
+// Records of steps, claims and memberships may be repeated: the first one, or the same one,
+// counts. A conditional append may not, as its own first execution would fail the second.
+func (q *logCall) repeatable() bool {
+	return q.Append == nil || q.Append.ExpectedEnd == partitionlog.NoCondition
+}
+
+// wait returns how long the log may hold the call back.
+func (q *logCall) wait() time.Duration {
+	if q.Read != nil {
+		return q.Read.Wait
+	}
+	return 0
+}
+
+// make calls a log.
+func (q *logCall) make(ctx context.Context, l partitionlog.Log) *logAnswer {
+	var a logAnswer
+	var err error
+	switch {
+	case q.Append != nil:
+		a.Append, err = l.Append(ctx, *q.Append)
+	case q.Read != nil:
+		a.Page, err = l.Read(ctx, *q.Read)
+	case q.Newest != "":
+		a.Newest, err = l.Newest(ctx, q.Newest)
+	case q.Join != nil:
+		a.Membership, err = l.Join(ctx, *q.Join)
+	case q.Leave != nil:
+		err = l.Leave(ctx, q.Leave.Group, q.Leave.Member)
+	case q.Members != "":
+		a.Members, err = l.Members(ctx, q.Members)
+	default:
+		err = outcome.Refuse(outcome.ReasonBadRequest, "empty call to the log")
+	}
+	a.Err = outcome.AsError(err)
+	return &a
+}
+
+// err returns the error of the answer, nil if there is none.
+func (a *logAnswer) err() error {
+	if a.Err == nil {
+		return nil
+	}
+	return a.Err
+}
+
+// answered reports whether the log answered, be it with an error of its own such as an end
+// offset that has moved.
+func (a *logAnswer) answered() bool {
+	if a.Err == nil {
+		return true
+	}
+	switch a.Err.Reason {
+	case partitionlog.ReasonMoved, partitionlog.ReasonExpired, partitionlog.ReasonFenced, outcome.ReasonBadRequest:
+		return true
+	}
+	return false
+}
+
+// peerLog makes this host's calls to the log, and carries those of peers. It is safe for
+// concurrent use.
+type peerLog struct {
+	g *Gateway
+	// direct is the log without the way through peers.
+	direct partitionlog.Log
+	// carrying limits the calls that this host carries.
+	carrying chan struct{}
+
+	mu    sync.Mutex
+	paths *logpath.Chooser
+	// lastAsked holds when each peer with an open connection was last asked.
+	lastAsked map[netip.AddrPort]time.Duration
+}
+
+func newPeerLog(g *Gateway, l partitionlog.Log) *peerLog {
+	return &peerLog{
+		g: g, direct: l, carrying: make(chan struct{}, maxCarried), paths: logpath.New(g.s.Listen.Peers),
+		lastAsked: make(map[netip.AddrPort]time.Duration),
+	}
+}
+
+// functions returns the log as the rest of the host uses it.
+func (l *peerLog) functions() partitionlog.Log {
+	return partitionlog.Log{
+		Append: func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+			a := l.do(ctx, &logCall{Append: &q})
+			return a.Append, a.err()
+		},
+		Read: func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+			a := l.do(ctx, &logCall{Read: &q})
+			return a.Page, a.err()
+		},
+		Newest: func(ctx context.Context, topic string) (partitionlog.Newest, error) {
+			a := l.do(ctx, &logCall{Newest: topic})
+			return a.Newest, a.err()
+		},
+		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
+			a := l.do(ctx, &logCall{Join: &q})
+			return a.Membership, a.err()
+		},
+		Leave: func(ctx context.Context, group, member string) error {
+			return l.do(ctx, &logCall{Leave: &leaveCall{Group: group, Member: member}}).err()
+		},
+		Members: func(ctx context.Context, group string) ([]string, error) {
+			a := l.do(ctx, &logCall{Members: group})
+			return a.Members, a.err()
+		},
+	}
+}
+
+// directFails reports whether the log turns this host away.
+func (l *peerLog) directFails() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.DirectFails(boottime.Now())
+}
+
+// nextPeer returns the peer to ask next. ok is false if there is none.
+func (l *peerLog) nextPeer() (netip.AddrPort, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.Peer(boottime.Now())
+}
+
+// do makes a call directly or through peers. If one path fails, it tries the next, unless
+// the call may have been executed and must not be repeated.
+func (l *peerLog) do(ctx context.Context, q *logCall) *logAnswer {
+	d := doneCall{q: q}
+	if l.directFails() {
+		if l.askPeers(ctx, &d); d.settled(ctx) {
+			return d.answer
+		}
+		d.add(l.askDirect(ctx, q))
+		return d.answer
+	}
+	d.add(l.askDirectFirst(ctx, q))
+	if !d.settled(ctx) {
+		l.askPeers(ctx, &d)
+	}
+	return d.answer
+}
+
+// doneCall collects the answers of the paths by which a call was made.
+type doneCall struct {
+	q *logCall
+	// answer is the log's answer, or else the failure that leaves most open.
+	answer *logAnswer
+}
+
+func (d *doneCall) add(a *logAnswer) {
+	if d.answer == nil || a.answered() || d.answer.Err.Outcome == outcome.NotRun {
+		d.answer = a
+	}
+}
+
+// settled reports whether the call must not be made again.
+func (d *doneCall) settled(ctx context.Context) bool {
+	if d.answer == nil {
+		return false
+	}
+	return d.answer.answered() || ctx.Err() != nil || d.answer.Err.Outcome != outcome.NotRun && !d.q.repeatable()
+}
+
+// askDirectFirst is askDirect with part of the time kept for a peer, if there is one and the
+// call may be repeated.
+func (l *peerLog) askDirectFirst(ctx context.Context, q *logCall) *logAnswer {
+	_, ok := l.nextPeer()
+	end, limited := ctx.Deadline()
+	if !ok || !limited || !q.repeatable() {
+		return l.askDirect(ctx, q)
+	}
+	left := time.Until(end) - q.wait()
+	ctx, cancel := context.WithTimeout(ctx, q.wait()+left/2)
+	defer cancel()
+	return l.askDirect(ctx, q)
+}
+
+// askDirect makes a call directly.
+func (l *peerLog) askDirect(ctx context.Context, q *logCall) *logAnswer {
+	a := q.make(ctx, l.direct)
+	if !a.answered() && errors.Is(ctx.Err(), context.Canceled) {
+		return a // the caller no longer waits, which says nothing about the path
+	}
+	l.mu.Lock()
+	changed := l.paths.Direct(a.answered(), boottime.Now())
+	l.mu.Unlock()
+	switch {
+	case changed && a.answered():
+		l.g.log.Info("log: answers this host again; calls no longer go through peers")
+	case changed:
+		l.g.log.Warn("log: turns this host away; calls go through peers", zap.Error(a.err()))
+	}
+	return a
+}
+
+// askPeers makes a call through one peer after another.
+func (l *peerLog) askPeers(ctx context.Context, d *doneCall) {
+	for range maxPeersAsked {
+		p, ok := l.nextPeer()
+		if !ok {
+			return
+		}
+		d.add(l.askPeer(ctx, p, d.q))
+		if d.settled(ctx) {
+			return
+		}
+	}
+}
+
+// askPeer makes a call through a peer.
+func (l *peerLog) askPeer(ctx context.Context, p netip.AddrPort, q *logCall) *logAnswer {
+	now := boottime.Now()
+	l.mu.Lock()
+	l.lastAsked[p] = now
+	l.mu.Unlock()
+	var a logAnswer
+	if err := l.g.peers.Call(ctx, p, kindLogCall, q, &a); err != nil {
+		a = logAnswer{Err: outcome.AsError(err)}
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			l.g.peers.Disconnect(p)
+		}
+	}
+	if !a.answered() && errors.Is(ctx.Err(), context.Canceled) {
+		return &a
+	}
+	l.mu.Lock()
+	l.paths.Via(p, a.answered(), boottime.Now())
+	l.mu.Unlock()
+	if a.answered() {
+		l.g.metrics.viaPeers.WithLabelValues("answered").Inc()
+		return &a
+	}
+	l.g.metrics.viaPeers.WithLabelValues(string(a.Err.Reason)).Inc()
+	a.Err = a.Err.WithReason(outcome.ReasonLogDown)
+	return &a
+}
+
+// carry makes a call to the log for a peer, directly only.
+func (l *peerLog) carry(ctx context.Context, r *peer.Request) (any, error) {
+	var q logCall
+	if err := peer.Decode(r.Body, &q); err != nil {
+		return nil, err
+	}
+	if l.directFails() {
+		l.g.metrics.carried.WithLabelValues(string(outcome.ReasonLogDown)).Inc()
+		return nil, outcome.Refuse(outcome.ReasonLogDown, "host is turned away itself")
+	}
+	select {
+	case l.carrying <- struct{}{}:
+		defer func() { <-l.carrying }()
+	default:
+		l.g.metrics.carried.WithLabelValues(string(outcome.ReasonQueueFull)).Inc()
+		return nil, outcome.Refuse(outcome.ReasonQueueFull, "calls for peers")
+	}
+	if q.Read != nil {
+		q.Read.MaxBytes = min(q.Read.MaxBytes, maxCarriedReadBytes)
+	}
+	a := l.askDirect(ctx, &q)
+	l.g.metrics.carried.WithLabelValues("done").Inc()
+	return a, nil
+}
+
+// run learns the peers, and probes the direct path while it fails.
+func (l *peerLog) run() {
+	var readAt time.Time
+	for l.g.ctx.Err() == nil {
+		if l.directFails() {
+			l.probe()
+		} else if time.Since(readAt) > membersInterval && l.readMembers() {
+			readAt = time.Now()
+		}
+		l.closeIdle(boottime.Now())
+		backoff.Sleep(l.g.ctx, probeInterval)
+	}
+}
+
+// probe makes a direct call.
+func (l *peerLog) probe() {
+	ctx, cancel := context.WithTimeout(l.g.ctx, probeTimeout)
+	defer cancel()
+	l.askDirect(ctx, &logCall{Members: watchGroup})
+}
+
+// readMembers reads the group's members and reports whether that succeeded.
+func (l *peerLog) readMembers() bool {
+	ctx, cancel := context.WithTimeout(l.g.ctx, probeTimeout)
+	defer cancel()
+	a := l.askDirect(ctx, &logCall{Members: watchGroup})
+	if a.Err != nil {
+		l.g.log.Info("log: members of the group cannot be read; peers stay as known", zap.Error(a.err()))
+		return false
+	}
+	var peers []netip.AddrPort
+	for _, m := range a.Members {
+		if p, ok := peerAddress(m); ok {
+			peers = append(peers, p)
+		}
+	}
+	l.mu.Lock()
+	l.paths.SetPeers(peers)
+	l.mu.Unlock()
+	return len(peers) > 0
+}
+
+// peerAddress returns the peer address in the name of a member, as hostID makes it.
+func peerAddress(member string) (netip.AddrPort, bool) {
+	i := strings.LastIndexByte(member, '@')
+	a, err := netip.ParseAddrPort(member[i+1:])
+	return a, err == nil
+}
+
+// closeIdle closes the connections to peers that were not asked for peerLinger.
+func (l *peerLog) closeIdle(now time.Duration) {
+	l.mu.Lock()
+	var idle []netip.AddrPort
+	for a, t := range l.lastAsked {
+		if now-t > peerLinger {
+			idle = append(idle, a)
+			delete(l.lastAsked, a)
+		}
+	}
+	l.mu.Unlock()
+	for _, a := range idle {
+		l.g.peers.Disconnect(a)
+	}
+}
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -29,6 +29,8 @@
 	// driveMaxViewAge is the greatest age of the view of the step's partition at which new
 	// samples start: a host that cannot reach the log does not learn of the step's end.
 	driveMaxViewAge = 10 * time.Second
+	// watchedTimeout is how long a step counts as watched after the last query for it.
+	watchedTimeout = 2 * time.Second
 	// abandonMargin is added to the time after which the route gives samples up, since the
 	// clocks of hosts differ.
 	abandonMargin = 3 * time.Second
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -78,7 +78,7 @@
 				zap.Int("items", len(s.Items)), zap.Int64("offset", a.First),
 				zap.String("driver", driver.Host))
 			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			p.g.wg.Go(func() { p.dispatch(r, s, v, driver, a.First, claim) })
+			p.g.wg.Go(func() { p.dispatch(r, s, v, driver, claim) })
 			return nil
 		}
 		e := outcome.AsError(err)
@@ -89,18 +89,18 @@
 }
 
 // dispatch starts driving a step on this host, or hands it off to the driver that its record
-// names. first is the offset of that record.
+// names.
 //
 // A trainer submits a step again, to another host, when an answer is late. Only the first
 // record of a step counts: if this one is not it, another host drives the step already.
-func (p *steps) dispatch(r *routetable.Route, s *stepjournal.Step, v *view, driver stepjournal.Driver, first int64, claim bool) {
+func (p *steps) dispatch(r *routetable.Route, s *stepjournal.Step, v *view, driver stepjournal.Driver, claim bool) {
 	if driver.Host != p.g.self.Host {
 		p.handOff(r, s, v, driver)
 		return
 	}
-	if e, known := p.synced(v, s.ID); known && e.From != first {
+	if e, known := p.synced(v, s.ID); known && e.Driver.Host != p.g.self.Host {
 		p.g.log.Info("step: submitted again; another record came first", zap.String("id", s.ID),
-			zap.Int64("offset", first), zap.Int64("first", e.From), zap.String("driver", e.Driver.Host))
+			zap.String("driver", e.Driver.Host))
 		return
 	}
 	p.startDriving(r, s, v)
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -52,8 +52,6 @@
 type drivingAnswer struct {
 	Host    string `msgpack:"h"`
 	Driving []bool `msgpack:"d"`
-	// Records holds, by partition, the records that the host cannot append itself.
-	Records map[int][][]byte `msgpack:"r"`
 }
 
 // answerPeer handles the messages of other hosts.
@@ -65,6 +63,8 @@
 		return g.steps.acceptHandOff(q)
 	case kindStepQuery:
 		return g.answerStep(ctx, q)
+	case kindLogCall:
+		return g.peerLog.carry(ctx, q)
 	}
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
@@ -77,10 +77,8 @@
 		return nil, err
 	}
 	a := drivingAnswer{Host: g.self.Host}
-	records, waiting := g.journal.relayableFor(m.Steps, time.Now())
-	a.Records = records
-	for i, s := range m.Steps {
-		a.Driving = append(a.Driving, g.steps.watched(s) || waiting[i])
+	for _, s := range m.Steps {
+		a.Driving = append(a.Driving, g.steps.watched(s) || g.journal.get(s).hasPending())
 	}
 	return &a, nil
 }
@@ -204,7 +202,6 @@
 	answers := w.queryDrivers(byDriver)
 	misses := make(map[string]int)
 	for a, l := range byDriver {
-		w.relay(answers[a])
 		for i, p := range l {
 			n := missesAfter(w.misses[p.e.ID], p.e.Driver.Host, answers[a], i)
 			if n >= missesBeforeTakeover {
--- a/pier/gateway/watch_test.go
+++ b/pier/gateway/watch_test.go
@@ -72,8 +72,8 @@
 	}
 	for _, id := range []string{"s1", "s2"} {
 		require.NoError(t, lost.Accept(context.Background(), route(lost), newStep(id, 1)))
+		require.Eventually(t, func() bool { return lost.preferred.isPreferred(lost.self.Host) }, 5*time.Second, time.Millisecond)
 	}
-	require.Eventually(t, func() bool { return lost.preferred.isPreferred(lost.self.Host) }, 5*time.Second, time.Millisecond)
 	large.preferred.claim("m")
 	lost.Close()
 	watcher.watch.partitions = []int{0, 1, 2, 3}
--- a/pier/memlog/memlog.go
+++ b/pier/memlog/memlog.go
@@ -56,7 +56,7 @@
 
 // Functions returns the functions by which the program uses the log.
 func (l *Log) Functions() partitionlog.Log {
-	return partitionlog.Log{Append: l.append, Read: l.read, Newest: l.newest, Join: l.join, Leave: l.leave}
+	return partitionlog.Log{Append: l.append, Read: l.read, Newest: l.newest, Join: l.join, Leave: l.leave, Members: l.groupMembers}
 }
 
 // SetDown starts an outage if b is true, and ends it otherwise. During an outage every call
@@ -273,3 +273,20 @@
 	}
 	return nil
 }
+
+func (l *Log) groupMembers(_ context.Context, name string) ([]string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, outcome.Refuse(outcome.ReasonLogDown, name)
+	}
+	g := l.groups[name]
+	if g == nil {
+		return nil, nil
+	}
+	var r []string
+	for _, m := range g.members[:min(len(g.members), l.partitionCount)] {
+		r = append(r, m.name)
+	}
+	return r, nil
+}
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -142,6 +142,11 @@
 	return &c
 }
 
+// WithReason returns a copy of e with another reason, and with e as its cause.
+func (e *Error) WithReason(r Reason) *Error {
+	return &Error{Outcome: e.Outcome, Reason: r, Detail: e.Error(), RetryAfter: e.RetryAfter, cause: e}
+}
+
 // Status returns the HTTP status code of an answer that carries e.
 func (e *Error) Status() int {
 	switch e.Reason {
--- a/pier/partitionlog/partitionlog.go
+++ b/pier/partitionlog/partitionlog.go
@@ -123,6 +123,8 @@
 	Join func(ctx context.Context, q JoinRequest) (Membership, error)
 	// Leave removes a member from a consumer group.
 	Leave func(ctx context.Context, group, member string) error
+	// Members returns the members of a consumer group that hold partitions, each once.
+	Members func(ctx context.Context, group string) ([]string, error)
 }
 
 // DecodeKeyed decodes a record of a keyed topic into key and value. It returns false if the
