--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/stepjournal"
@@ -141,13 +140,14 @@
 func (v *view) run() {
 	for v.j.g.ctx.Err() == nil && !v.stopIfIdle() {
 		var err error
+		end := v.j.g.peerLog.outageEnd()
 		if v.behind() {
 			err = v.catchUp(v.j.g.ctx)
 		} else {
 			err = v.read(v.j.g.ctx, readWait)
 		}
 		if err != nil {
-			backoff.Sleep(v.j.g.ctx, logRetryDelay)
+			retrySleep(v.j.g.ctx, end, logRetryDelay)
 		}
 	}
 }
@@ -347,6 +347,7 @@
 		if len(b) == 0 {
 			return
 		}
+		end := v.j.g.peerLog.outageEnd()
 		_, err := v.append(v.j.g.ctx, b)
 		if err == nil {
 			v.mu.Lock()
@@ -360,7 +361,7 @@
 		}
 		v.j.g.log.Debug("journal: append failed; retrying after a backoff", zap.Int("part", v.n),
 			zap.Int("records", len(b)), zap.Error(err))
-		backoff.Sleep(v.j.g.ctx, wait)
+		retrySleep(v.j.g.ctx, end, wait)
 		wait = min(2*wait, maxAppendBackoff)
 	}
 }
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -26,10 +26,15 @@
 	// membersInterval is the time between two reads of the group's members, which are the
 	// peers that carry calls.
 	membersInterval = 10 * time.Second
-	// probeInterval is the time between two direct calls of a host whose calls go through
-	// peers, to learn when the log answers it again.
-	probeInterval = 300 * time.Millisecond
+	// probeInterval is the time between two direct calls that probe whether the log answers
+	// this host again. Each waits for probeTimeout, so that a slow log counts as answering.
+	probeInterval = 150 * time.Millisecond
 	probeTimeout  = 600 * time.Millisecond
+	// membersTimeout bounds the time for reading the group's members.
+	membersTimeout = time.Second
+	// outageSilence is the time without an answer to a direct call after which an answer
+	// shows that an outage has ended.
+	outageSilence = 700 * time.Millisecond
 	// maxPeersAsked bounds the peers that are asked for one call.
 	maxPeersAsked = 3
 	// maxCarried bounds the calls that a host carries at the same time, and
@@ -146,13 +151,23 @@
 	paths *logpath.Chooser
 	// lastAsked holds when each peer with an open connection was last asked.
 	lastAsked map[netip.AddrPort]time.Duration
+	// answeredAt is when a direct call was last answered.
+	answeredAt time.Duration
+	// outage ends with the next outage of the direct path, by endOutage. Calls that were sent
+	// before lostBefore, when the first call that is answered again was sent, will probably get
+	// no answer.
+	outage     context.Context
+	endOutage  context.CancelFunc
+	lostBefore time.Duration
 }
 
 func newPeerLog(g *Gateway, l partitionlog.Log) *peerLog {
-	return &peerLog{
+	r := &peerLog{
 		g: g, direct: l, carrying: make(chan struct{}, maxCarried), paths: logpath.New(g.s.Listen.Peers),
-		lastAsked: make(map[netip.AddrPort]time.Duration),
+		lastAsked: make(map[netip.AddrPort]time.Duration), answeredAt: boottime.Now(),
 	}
+	r.outage, r.endOutage = context.WithCancel(g.ctx)
+	return r
 }
 
 // functions returns the log as the rest of the host uses it.
@@ -251,14 +266,41 @@
 	return l.askDirect(ctx, q)
 }
 
-// askDirect makes a call directly.
+// askDirect makes a call directly. It gives the call up when the end of an outage shows that
+// its answer was lost.
 func (l *peerLog) askDirect(ctx context.Context, q *logCall) *logAnswer {
-	a := q.make(ctx, l.direct)
-	if !a.answered() && errors.Is(ctx.Err(), context.Canceled) {
-		return a // the caller no longer waits, which says nothing about the path
+	sent := boottime.Now()
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(l.outageEnd(), func() {
+		if l.isLost(sent) {
+			cancel()
+		}
+	})
+	defer stop()
+	a := q.make(callCtx, l.direct)
+	switch {
+	case a.answered() || ctx.Err() == nil && callCtx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		l.observeDirect(a, sent)
+	default:
+		// The caller no longer waits, or the call was given up: neither tells of the path.
 	}
+	return a
+}
+
+// observeDirect records whether a direct call that was sent at a time was answered.
+func (l *peerLog) observeDirect(a *logAnswer, sent time.Duration) {
+	now := boottime.Now()
 	l.mu.Lock()
-	changed := l.paths.Direct(a.answered(), boottime.Now())
+	changed := l.paths.Direct(a.answered(), now)
+	if a.answered() {
+		if now-l.answeredAt > outageSilence {
+			l.lostBefore = sent
+			l.endOutage()
+			l.outage, l.endOutage = context.WithCancel(l.g.ctx)
+		}
+		l.answeredAt = now
+	}
 	l.mu.Unlock()
 	switch {
 	case changed && a.answered():
@@ -266,7 +308,34 @@
 	case changed:
 		l.g.log.Warn("log: turns this host away; calls go through peers", zap.Error(a.err()))
 	}
-	return a
+}
+
+// isLost reports whether a direct call that was sent at a time and got no answer yet will
+// probably get none.
+func (l *peerLog) isLost(sent time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return sent < l.lostBefore
+}
+
+// outageEnd returns a context that ends with the next outage of the direct path.
+func (l *peerLog) outageEnd() context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outage
+}
+
+// retrySleep waits for d before a failed call is made again, but not beyond the end of the
+// outage that outageEnd returned before the call. It returns false if ctx has ended.
+func retrySleep(ctx, outageEnd context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-outageEnd.Done():
+	case <-t.C:
+	}
+	return ctx.Err() == nil
 }
 
 // askPeers makes a call through one peer after another.
@@ -341,8 +410,9 @@
 	var readAt time.Time
 	for l.g.ctx.Err() == nil {
 		if l.directFails() {
-			l.probe()
-		} else if time.Since(readAt) > membersInterval && l.readMembers() {
+			l.g.wg.Go(l.probe)
+		} else if time.Since(readAt) > membersInterval {
+			l.readMembers()
 			readAt = time.Now()
 		}
 		l.closeIdle(boottime.Now())
@@ -357,14 +427,14 @@
 	l.askDirect(ctx, &logCall{Members: watchGroup})
 }
 
-// readMembers reads the group's members and reports whether that succeeded.
-func (l *peerLog) readMembers() bool {
-	ctx, cancel := context.WithTimeout(l.g.ctx, probeTimeout)
+// readMembers reads the group's members, which are the peers that carry calls.
+func (l *peerLog) readMembers() {
+	ctx, cancel := context.WithTimeout(l.g.ctx, membersTimeout)
 	defer cancel()
 	a := l.askDirect(ctx, &logCall{Members: watchGroup})
 	if a.Err != nil {
 		l.g.log.Info("log: members of the group cannot be read; peers stay as known", zap.Error(a.err()))
-		return false
+		return
 	}
 	var peers []netip.AddrPort
 	for _, m := range a.Members {
@@ -375,7 +445,6 @@
 	l.mu.Lock()
 	l.paths.SetPeers(peers)
 	l.mu.Unlock()
-	return len(peers) > 0
 }
 
 // peerAddress returns the peer address in the name of a member, as hostID makes it.
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -254,3 +254,71 @@
 		})
 	}
 }
+
+// The log is silent for all hosts for some seconds, in which a driver finishes its step. What
+// was sent meanwhile is lost. Once the log is back, the results must be in it, and another
+// host must list them all, within half a second.
+func TestListIsCompleteSoonAfterAnOutage(t *testing.T) {
+	l := newLog()
+	var cut atomic.Bool
+	a, b := newHost(t, "a", lossyLog(l.Functions(), &cut)), newHost(t, "b", lossyLog(l.Functions(), &cut))
+	begin := make(chan struct{})
+	e := startServer(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) {
+		<-begin
+		stream(w, r, 1, 3, 0)
+	})
+	for _, g := range []*Gateway{a, b} {
+		g.table(nil)
+		g.register(e.Server)
+		g.listenPeers(t)
+		g.wg.Go(g.peerLog.run)
+	}
+	a.knowPeers(b)
+	b.knowPeers(a)
+	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 3)))
+	require.Eventually(t, func() bool { return len(e.runs()) == 3 }, 5*time.Second, time.Millisecond)
+	v := b.journal.follow("s")
+	require.NoError(t, v.sync(context.Background()))
+	cut.Store(true)
+	close(begin)
+	time.Sleep(4 * time.Second)
+	cut.Store(false)
+	back := time.Now()
+	for {
+		n, _, ok := v.entry("s")
+		require.True(t, ok)
+		if len(n.Results) == 3 {
+			break
+		}
+		require.Less(t, time.Since(back), 3*time.Second)
+		time.Sleep(time.Millisecond)
+	}
+	require.Less(t, time.Since(back), 500*time.Millisecond)
+}
+
+// lossyLog returns a log that never answers a call that was sent, or was waiting, while cut
+// is set, also once cut is not set any more.
+func lossyLog(l partitionlog.Log, cut *atomic.Bool) partitionlog.Log {
+	r := disconnectableLog(l, cut, isSilent)
+	read := r.Read
+	r.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if cut.Load() {
+			return read(ctx, q)
+		}
+		waiting, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			for waiting.Err() == nil && !cut.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		p, err := l.Read(waiting, q)
+		if cut.Load() {
+			<-ctx.Done()
+			return partitionlog.Page{}, outcome.Ambiguous(outcome.ReasonLogDown, "lost", ctx.Err())
+		}
+		return p, err
+	}
+	return r
+}
