--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -67,7 +67,7 @@
 // *outcome.Error. Its outcome is not-run only if no byte was sent.
 func (p *Pool) Do(ctx context.Context, q Request) (*Response, error) {
 	if ctx.Err() != nil {
-		return nil, outcome.Refuse(outcome.ReasonDeadline, q.Server)
+		return nil, outcome.Refuse(outcome.ReasonOf(ctx), q.Server)
 	}
 	c := p.takeIdle(q.Server)
 	if c == nil {
@@ -87,7 +87,7 @@
 		stop()
 		_ = c.Close()
 		if ctx.Err() != nil {
-			r = outcome.ReasonDeadline
+			r = outcome.ReasonOf(ctx)
 		}
 		return nil, outcome.Ambiguous(r, q.Server, err)
 	}
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -133,7 +134,7 @@
 	case s.failed == nil:
 		return nil, s.last
 	case ctx.Err() != nil:
-		return nil, outcome.Ambiguous(outcome.ReasonDeadline, s.service, ctx.Err())
+		return nil, outcome.Ambiguous(outcome.ReasonOf(ctx), s.servers(), ctx.Err())
 	}
 	return nil, s.failed
 }
@@ -187,6 +188,15 @@
 	}
 }
 
+// servers returns the servers that were asked, in order, separated by commas.
+func (s *plainDispatch) servers() string {
+	var l []string
+	for _, t := range s.attempts {
+		l = append(l, t.u.s.ID)
+	}
+	return strings.Join(l, ",")
+}
+
 // mayRetry handles a failed attempt and reports whether another may follow.
 func (s *plainDispatch) mayRetry(t *serverAttempt) bool {
 	t.cancel()
--- a/pier/gateway/forward_test.go
+++ b/pier/gateway/forward_test.go
@@ -134,3 +134,34 @@
 	_, err := g.Do(context.Background(), call(g))
 	require.True(t, outcome.HasReason(err, outcome.ReasonDeadline))
 }
+
+// A request that runs out of time must name the servers that were asked, and one whose
+// caller is gone must not be reported as out of time.
+func TestUnansweredRequestNamesServersAndCause(t *testing.T) {
+	tests := map[string]struct {
+		leaves bool
+		reason outcome.Reason
+	}{
+		"out of time":        {false, outcome.ReasonDeadline},
+		"the caller is gone": {true, outcome.ReasonCancelled},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newHost(t, "a", newLog().Functions())
+			g.table(nil)
+			a, b := startServer(t, "a", "desk", hang), startServer(t, "b", "desk", hang)
+			g.register(a.Server, b.Server)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if c.leaves {
+				time.AfterFunc(150*time.Millisecond, cancel)
+			}
+			q := call(g)
+			q.Deadline = time.Now().Add(300 * time.Millisecond)
+			_, err := g.Do(ctx, q)
+			require.True(t, outcome.HasReason(err, c.reason), "%v", err)
+			require.Equal(t, outcome.Unknown, outcome.AsError(err).Outcome)
+			require.Equal(t, "a,b", outcome.AsError(err).Detail)
+		})
+	}
+}
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -429,3 +429,19 @@
 	time.Sleep(200 * time.Millisecond)
 	require.Equal(t, []int{1, 0, 0}, []int{a.steps.count(), b.steps.count(), c.steps.count()})
 }
+
+// An engine accepts a sample and sends nothing. The run must end as silent, not as one that
+// ran out of time or was cancelled, so that a failed sample can be explained.
+func TestSilentEngineIsReported(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	g.table(nil)
+	e := startServer(t, "e1", "engines", func(_ *server, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	g.register(e.Server)
+	u, ok := g.fleet.pickEngine("engines", "m", 1, 1)
+	require.True(t, ok)
+	defer u.release()
+	s := &sample{d: &stepDriver{g: g, step: newStep("s", 1), route: route(g)}, item: &newStep("s", 1).Items[0]}
+	err := s.generate(context.Background(), u)
+	require.True(t, outcome.HasReason(err, outcome.ReasonSilent), "%v", err)
+	require.Equal(t, "e1", outcome.AsError(err).Detail)
+}
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -6,6 +6,7 @@
 package outcome
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strings"
@@ -113,6 +114,15 @@
 	return Ambiguous(ReasonServerError, err.Error(), err)
 }
 
+// ReasonOf returns the reason of a failure that the end of ctx has caused: cancelled if the
+// caller no longer waits, and deadline-exceeded otherwise.
+func ReasonOf(ctx context.Context) Reason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ReasonCancelled
+	}
+	return ReasonDeadline
+}
+
 // HasReason reports whether err wraps an *Error with the reason r.
 func HasReason(err error, r Reason) bool {
 	var e *Error
