--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -42,6 +44,8 @@
 	dir       *directory.Directory
 	byService map[string][]directory.Server
 	states    map[string]*serverState
+	// registrations holds the encoded registrations in force, by server.
+	registrations map[string][]byte
 	// changed is closed and replaced when a server may have free capacity.
 	changed chan struct{}
 }
@@ -79,7 +83,7 @@
 func newFleet(g *Gateway) *fleet {
 	return &fleet{
 		g: g, dir: directory.New(), byService: make(map[string][]directory.Server),
-		states: make(map[string]*serverState), changed: make(chan struct{}),
+		states: make(map[string]*serverState), registrations: make(map[string][]byte), changed: make(chan struct{}),
 	}
 }
 
@@ -97,10 +101,14 @@
 	defer f.mu.Unlock()
 	if len(value) == 0 {
 		f.dir.Unregister(key, now)
+		delete(f.registrations, key)
 		f.g.log.Info("servers: registration removed", zap.String("server", key),
 			zap.Int64("offset", offset))
 		return
 	}
+	if r := f.g.c.Sources.IsRenewal; r != nil && r(f.registrations[key], value) {
+		return
+	}
 	s, err := f.g.c.Sources.ReadServer(key, value)
 	if err != nil {
 		f.g.metrics.unreadable.WithLabelValues(f.g.c.Sources.Servers).Inc()
@@ -109,11 +117,13 @@
 		return
 	}
 	f.dir.Register(s)
+	f.registrations[key] = bytes.Clone(value)
 }
 
 func (f *fleet) retainKeys(keys map[string]bool) {
 	f.mu.Lock()
 	f.dir.Retain(keys, time.Now())
+	maps.DeleteFunc(f.registrations, func(k string, _ []byte) bool { return !keys[k] })
 	f.mu.Unlock()
 }
 
--- a/pier/gateway/fleet_test.go
+++ b/pier/gateway/fleet_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/directory"
 )
 
 // An engine lacks capacity, or its address is now used by another server. It must be tried
@@ -29,3 +31,30 @@
 		})
 	}
 }
+
+// Most records of the servers' topic renew a registration. They must not be decoded, and a
+// server whose registration was removed must be back with its next record.
+func TestRenewalsAreNotDecoded(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	decoded := 0
+	g.c.Sources.ReadServer = func(key string, _ []byte) (directory.Server, error) {
+		decoded++
+		return directory.Server{ID: key, Service: "engines"}, nil
+	}
+	g.c.Sources.IsRenewal = func(before, now []byte) bool { return len(before) > 0 && before[0] == now[0] }
+	count := func() int { g.fleet.readDone(nil); return len(g.fleet.byService["engines"]) }
+	for i := range byte(5) {
+		g.fleet.put("s", []byte{'x', i}, int64(i))
+	}
+	require.Equal(t, 1, decoded)
+	g.fleet.put("s", nil, 5)
+	require.Zero(t, count())
+	g.fleet.put("s", []byte{'x', 6}, 6)
+	require.Equal(t, 1, count())
+	g.fleet.put("s", []byte{'y', 7}, 7)
+	require.Equal(t, 3, decoded)
+	g.fleet.retainKeys(map[string]bool{})
+	require.Zero(t, count())
+	g.fleet.put("s", []byte{'y', 8}, 8)
+	require.Equal(t, 1, count())
+}
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -50,6 +50,9 @@
 	ReadChange func(key string, value []byte) (c OperatorRecord, ok bool, err error)
 	// ReadServer decodes a server's registration. The key is the server's ID.
 	ReadServer func(key string, value []byte) (directory.Server, error)
+	// IsRenewal reports, without decoding them, whether a registration only renews the one
+	// before; nil if that cannot be told.
+	IsRenewal func(before, now []byte) bool
 }
 
 // EngineControl holds the control calls to engines.
