--- a/pier/backend/bounds_test.go
+++ b/pier/backend/bounds_test.go
@@ -96,9 +96,8 @@
 	tests := map[string]string{"extension": "1;x=", "trailer": "0\r\nA: ", "size": ""}
 	for name, start := range tests {
 		t.Run(name, func(t *testing.T) {
-			r := &io.LimitedReader{N: socketBytes, R: io.MultiReader(
-				strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+start), zeros{}),
-			}
+			answer := strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start)
+			r := &io.LimitedReader{N: socketBytes, R: io.MultiReader(answer, zeros{})}
 			a, err := http.ReadResponse(bufio.NewReaderSize(r, readBufferBytes), nil)
 			require.NoError(t, err)
 			defer func() { _ = a.Body.Close() }()
@@ -132,7 +131,7 @@
 			_ = far.Close()
 		}()
 		c := newConn(near, "s")
-		a, err := readHeader(c, http.MethodGet)
+		a, err := readHeader(c, http.MethodGet) //nolint:bodyclose // The connection is closed.
 		if err != nil {
 			require.Nil(t, a)
 			return
--- /dev/null
+++ b/pier/gateway/logcall.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+)
+
+// kindLogCall is the kind of a message that carries a call to the log.
+const kindLogCall = kindStepQuery + 1
+
+// logCall is a call to the log. One of its fields is set.
+type logCall struct {
+	Append  *partitionlog.AppendRequest `msgpack:"a"`
+	Read    *partitionlog.ReadRequest   `msgpack:"r"`
+	Newest  string                      `msgpack:"n"`
+	Join    *partitionlog.JoinRequest   `msgpack:"j"`
+	Leave   *leaveCall                  `msgpack:"l"`
+	Members string                      `msgpack:"m"`
+}
+
+// leaveCall removes a member from a group.
+type leaveCall struct {
+	Group  string `msgpack:"g"`
+	Member string `msgpack:"m"`
+}
+
+// logAnswer is the log's answer to a logCall. Err is its error, if any; the page of a read
+// that failed may still state the first offset.
+type logAnswer struct {
+	Append     partitionlog.AppendResult `msgpack:"a"`
+	Page       partitionlog.Page         `msgpack:"p"`
+	Newest     partitionlog.Newest       `msgpack:"n"`
+	Membership partitionlog.Membership   `msgpack:"m"`
+	Members    []string                  `msgpack:"l"`
+	Err        *outcome.Error            `msgpack:"e"`
+}
+
+// repeatable reports whether the call may be made again although it may have been executed.
+// Records of steps, claims and memberships may be repeated: the first one, or the same one,
+// counts. A conditional append may not, as its own first execution would fail the second.
+func (q *logCall) repeatable() bool {
+	return q.Append == nil || q.Append.ExpectedEnd == partitionlog.NoCondition
+}
+
+// wait returns how long the log may hold the call back.
+func (q *logCall) wait() time.Duration {
+	if q.Read != nil {
+		return q.Read.Wait
+	}
+	return 0
+}
+
+// make calls a log.
+func (q *logCall) make(ctx context.Context, l partitionlog.Log) *logAnswer {
+	var a logAnswer
+	var err error
+	switch {
+	case q.Append != nil:
+		a.Append, err = l.Append(ctx, *q.Append)
+	case q.Read != nil:
+		a.Page, err = l.Read(ctx, *q.Read)
+	case q.Newest != "":
+		a.Newest, err = l.Newest(ctx, q.Newest)
+	case q.Join != nil:
+		a.Membership, err = l.Join(ctx, *q.Join)
+	case q.Leave != nil:
+		err = l.Leave(ctx, q.Leave.Group, q.Leave.Member)
+	case q.Members != "":
+		a.Members, err = l.Members(ctx, q.Members)
+	default:
+		err = outcome.Refuse(outcome.ReasonBadRequest, "empty call to the log")
+	}
+	a.Err = outcome.AsError(err)
+	return &a
+}
+
+// err returns the error of the answer, nil if there is none.
+func (a *logAnswer) err() error {
+	if a.Err == nil {
+		return nil
+	}
+	return a.Err
+}
+
+// answered reports whether the log answered, be it with an error of its own such as an end
+// offset that has moved.
+func (a *logAnswer) answered() bool {
+	if a.Err == nil {
+		return true
+	}
+	switch a.Err.Reason {
+	case partitionlog.ReasonMoved, partitionlog.ReasonExpired, partitionlog.ReasonFenced, outcome.ReasonBadRequest:
+		return true
+	}
+	return false
+}
+
+// doneCall collects the answers of the paths by which a call was made.
+type doneCall struct {
+	q *logCall
+	// answer is the log's answer, or else the failure that leaves most open.
+	answer *logAnswer
+}
+
+func (d *doneCall) add(a *logAnswer) {
+	if d.answer == nil || a.answered() || d.answer.Err.Outcome == outcome.NotRun {
+		d.answer = a
+	}
+}
+
+// settled reports whether the call must not be made again.
+func (d *doneCall) settled(ctx context.Context) bool {
+	if d.answer == nil {
+		return false
+	}
+	return d.answer.answered() || ctx.Err() != nil || d.answer.Err.Outcome != outcome.NotRun && !d.q.repeatable()
+}
--- /dev/null
+++ b/pier/gateway/reservation.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/outcome"
+)
+
+// reservation is the use of a server by one request of this host. It must be released.
+type reservation struct {
+	f *fleet
+	s directory.Server
+}
+
+// paced records a measurement of the time between two events of a generation.
+func (u *reservation) paced(d time.Duration) {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	t := u.f.states[u.s.ID]
+	if t == nil {
+		return
+	}
+	now := time.Now()
+	if t.pace == 0 || now.Sub(t.paced) >= paceMaxAge {
+		t.pace = d
+	} else {
+		t.pace += time.Duration(paceWeight * float64(d-t.pace))
+	}
+	t.paced = now
+}
+
+// observeLoad records the load that a server states in an answer.
+func (u *reservation) observeLoad(a *backend.Response) {
+	l, ok := a.Load()
+	if !ok {
+		return
+	}
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	if t := u.f.states[u.s.ID]; t != nil {
+		t.load, t.loadAt, t.ownRunning = l, time.Now(), t.running
+	}
+}
+
+// version records the version of a model that a server states in an answer. A version older
+// than the ordered one shows that the order was not carried out.
+func (u *reservation) version(model string, v int64) {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	if t := u.f.states[u.s.ID]; t != nil && t.ordered[model].version > v {
+		delete(t.ordered, model)
+	}
+	if u.f.dir.ObserveVersion(u.s.ID, model, v) {
+		u.f.rebuild(time.Now())
+	}
+}
+
+// failed records a failure: the server is avoided for some time.
+func (u *reservation) failed(reason string) {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	t := u.f.states[u.s.ID]
+	if t == nil {
+		return
+	}
+	d := backoff.Exponential(initialAvoidTime, maxAvoidTime, t.failures)
+	t.failures++
+	t.avoidUntil = time.Now().Add(d)
+	u.f.g.log.Info("servers: avoided", zap.String("server", u.s.ID), zap.String("reason", reason),
+		zap.Duration("for", d))
+}
+
+// refused records a refusal. A server without capacity is avoided for d, which doubles with
+// each refusal in a row, up to maxRefusalDoublings times. If another server answers at the
+// address, that counts as a failure.
+func (u *reservation) refused(r *backend.Response, d time.Duration) {
+	if r.Status == http.StatusMisdirectedRequest {
+		u.failed(string(outcome.ReasonNotOwner))
+		return
+	}
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	if t := u.f.states[u.s.ID]; t != nil {
+		t.avoidUntil = time.Now().Add(backoff.Exponential(d, d<<maxRefusalDoublings, t.refusals))
+		t.refusals++
+	}
+}
+
+// accepted records that the server accepted the request.
+func (u *reservation) accepted() {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	if t := u.f.states[u.s.ID]; t != nil {
+		t.refusals = 0
+	}
+}
+
+// succeeded records that the server completed the request.
+func (u *reservation) succeeded() {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	if t := u.f.states[u.s.ID]; t != nil {
+		t.failures = 0
+	}
+}
+
+// release ends the use of the server.
+func (u *reservation) release() {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	u.f.states[u.s.ID].running--
+	u.f.signalCapacity()
+}
