--- a/pier/loadplan/loadplan.go
+++ b/pier/loadplan/loadplan.go
@@ -43,10 +43,15 @@
 	// MaxConcurrent is the maximum number of concurrent loads.
 	MaxConcurrent int
 	// Share determines the number of servers that load each version: it is a multiple of
-	// the number of servers divided by the number of models, rounded up.
+	// the number of servers divided by the number of models, rounded up. At least
+	// minServers load it.
 	Share float64
 }
 
+// minServers is the least number of servers that load each version, if there are as many: on
+// fewer, the loss of one server leaves a step with half of its capacity or less.
+const minServers = 3
+
 // Plan returns the loads to order now, given those in progress. Together they do not
 // exceed c.MaxConcurrent, and no server gets more than one. The model with the fewest
 // servers that can serve its next step comes first, and among equals the goal that is
@@ -63,6 +68,7 @@
 	}
 	blocked := make(map[string]bool)
 	share := int(math.Ceil(c.Share * float64(len(s)) / float64(max(len(models), 1))))
+	share = max(share, min(minServers, len(s)))
 	for len(loads) < c.MaxConcurrent {
 		g, ok := mostUrgent(s, goals, loads, share, blocked)
 		if !ok {
--- a/pier/loadplan/loadplan_test.go
+++ b/pier/loadplan/loadplan_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -75,6 +77,7 @@
 			1,
 		},
 		"no more than wanted":        {testConfig, fleet(9), goals, []Load{{"s0", "a", 2}, {"s1", "a", 2}, {"s2", "a", 2}}, 0},
+		"a small share, few servers": {Config{MaxConcurrent: 9, Share: 0.1}, fleet(9), goals, nil, minServers},
 		"one server":                 {testConfig, fleet(1), goals, nil, 1},
 		"no server":                  {testConfig, nil, goals, nil, 0},
 		"the server loads something": {testConfig, fleet(1), goals, []Load{{"s0", "b", 2}}, 0},
@@ -166,3 +169,62 @@
 	require.GreaterOrEqual(t, fewestServing(0), 2)
 	require.Less(t, fewestServing(500), fewestServing(0))
 }
+
+// namings is when trainers that lag behind named versions, in ms: a step is submitted with
+// each, and must not run on weights older than the version named before.
+var namings = map[string][]int{
+	"a": {0, 3300, 5500, 8100, 11100, 13400},
+	"b": {1000, 6400, 7900, 13200, 15100},
+	"c": {1000, 5200, 7800, 8900, 12900, 14100, 18100},
+}
+
+// waitsForServers plays the namings on servers of which some can load at once, and returns
+// the sum of the times that each step waits until enough servers can run it.
+func waitsForServers(servers, enough int, c Config) time.Duration {
+	const step, loadMs = 20, 1000
+	s := fleet(servers)
+	goals := []Goal{{"a", 1}, {"b", 1}, {"c", 1}}
+	type run struct {
+		l    Load
+		done int
+	}
+	var inProgress []run
+	var waited time.Duration
+	for now := 0; now < 20_000; now += step {
+		for g := range goals {
+			if slices.Contains(namings[goals[g].Model], now) {
+				goals[g].Version++
+			}
+		}
+		var loads []Load
+		rest := inProgress[:0]
+		for _, r := range inProgress {
+			if now < r.done {
+				rest = append(rest, r)
+				loads = append(loads, r.l)
+				continue
+			}
+			i := slices.IndexFunc(s, func(x Server) bool { return x.ID == r.l.Server })
+			s[i].Versions[r.l.Model] = r.l.Version
+		}
+		inProgress = rest
+		for _, l := range Plan(c, s, goals, loads) {
+			inProgress = append(inProgress, run{l, now + loadMs})
+		}
+		for _, g := range goals {
+			if serving(s, g.Model, g.Version-1) < enough {
+				waited += step * time.Millisecond
+			}
+		}
+	}
+	return waited
+}
+
+// Trainers that lag behind name versions in quick succession, while few servers can load at
+// once. If each version is loaded by nearly all servers that it may have, the loads of one
+// model delay those that another one's step waits for.
+func TestStepsOfLaggingTrainersWaitLessWithSmallerShares(t *testing.T) {
+	most := waitsForServers(36, 6, Config{MaxConcurrent: 7, Share: 0.8})
+	half := waitsForServers(36, 6, Config{MaxConcurrent: 7, Share: 0.5})
+	require.Less(t, half, most/2)
+}
