--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -61,6 +61,8 @@
 	paths *logpath.Chooser
 	// lastAsked holds when each peer with an open connection was last asked.
 	lastAsked map[netip.AddrPort]time.Duration
+	// turnedAway reports whether the direct path failed after the last direct call.
+	turnedAway bool
 	// answeredAt is when a direct call was last answered.
 	answeredAt time.Duration
 	// outage ends with the next outage of the direct path, by endOutage. Calls that were sent
@@ -168,11 +170,9 @@
 	})
 	defer stop()
 	a := q.make(callCtx, l.direct)
-	switch {
-	case a.answered() || ctx.Err() == nil && callCtx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
+	// A call that was given up, or whose caller no longer waits, tells nothing of the path.
+	if a.answered() || !errors.Is(callCtx.Err(), context.Canceled) {
 		l.observeDirect(a, sent)
-	default:
-		// The caller no longer waits, or the call was given up: neither tells of the path.
 	}
 	return a
 }
@@ -181,7 +181,10 @@
 func (l *peerLog) observeDirect(a *logAnswer, sent time.Duration) {
 	now := boottime.Now()
 	l.mu.Lock()
-	changed := l.paths.Direct(a.answered(), now)
+	l.paths.Direct(a.answered(), now)
+	fails := l.paths.DirectFails(now)
+	changed := fails != l.turnedAway
+	l.turnedAway = fails
 	if a.answered() {
 		if now-l.answeredAt > outageSilence {
 			l.lostBefore = sent
@@ -192,7 +195,7 @@
 	}
 	l.mu.Unlock()
 	switch {
-	case changed && a.answered():
+	case changed && !fails:
 		l.g.log.Info("log: answers this host again; calls no longer go through peers")
 	case changed:
 		l.g.log.Warn("log: turns this host away; calls go through peers", zap.Error(a.err()))
@@ -250,9 +253,6 @@
 	var a logAnswer
 	if err := l.g.peers.Call(ctx, p, kindLogCall, q, &a); err != nil {
 		a = logAnswer{Err: outcome.AsError(err)}
-		if !errors.Is(ctx.Err(), context.Canceled) {
-			l.g.peers.Disconnect(p)
-		}
 	}
 	if !a.answered() && errors.Is(ctx.Err(), context.Canceled) {
 		return &a
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -322,3 +322,29 @@
 	}
 	return r
 }
+
+// A peer that refuses one call must go on with the other calls that it carries for the same
+// host.
+func TestRefusedCallLeavesTheOthersAlone(t *testing.T) {
+	l := newLog()
+	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
+	b.listenPeers(t)
+	p := partitionlog.Partition{Topic: "x"}
+	waiting := make(chan *logAnswer, 1)
+	go func() {
+		waiting <- a.peerLog.askPeer(context.Background(), b.self.Peers, &logCall{
+			Read: &partitionlog.ReadRequest{Partition: p, MaxBytes: 1, Wait: 5 * time.Second},
+		})
+	}()
+	require.Eventually(t, func() bool { return len(b.peerLog.carrying) == 1 }, 5*time.Second, time.Millisecond)
+	for len(b.peerLog.carrying) < maxCarried {
+		b.peerLog.carrying <- struct{}{}
+	}
+	r := a.peerLog.askPeer(context.Background(), b.self.Peers, &logCall{Newest: "x"})
+	require.False(t, r.answered())
+	_, err := l.Functions().Append(context.Background(), partitionlog.AppendRequest{Partition: p, Records: [][]byte{{1}}, ExpectedEnd: partitionlog.NoCondition})
+	require.NoError(t, err)
+	r = <-waiting
+	require.NoError(t, r.err())
+	require.Len(t, r.Page.Records, 1)
+}
--- a/pier/logpath/logpath.go
+++ b/pier/logpath/logpath.go
@@ -93,16 +93,13 @@
 	return netip.AddrPort{}, false
 }
 
-// Direct records whether a direct call was answered, and reports whether that changed
-// DirectFails.
-func (c *Chooser) Direct(answered bool, now time.Duration) bool {
-	before := c.DirectFails(now)
+// Direct records whether a direct call was answered.
+func (c *Chooser) Direct(answered bool, now time.Duration) {
 	if answered {
 		c.failures, c.answeredAt = 0, now
-	} else {
-		c.failures++
+		return
 	}
-	return before != c.DirectFails(now)
+	c.failures++
 }
 
 // Via records whether a call through a peer was answered by the log.
