--- a/pier/logtrace/logtrace.go
+++ b/pier/logtrace/logtrace.go
@@ -155,6 +155,9 @@
 		}
 		s.hosts[l.Host] = true
 		s.servers[l.field("server")] = true
+		for _, n := range strings.FieldsFunc(l.field("at"), isSeparator) {
+			s.servers[n] = true
+		}
 		s.models[l.field("model")] = true
 	}
 	delete(s.servers, "")
@@ -163,6 +166,10 @@
 	return s
 }
 
+// isSeparator reports whether r ends a name in the field "at", which lists the servers that
+// were asked or says what failed.
+func isSeparator(r rune) bool { return r == ',' || r == ' ' }
+
 // matches reports whether a line is related.
 func (s *related) matches(l *Line) bool {
 	if l.At.Before(s.from) || l.At.After(s.to) {
--- a/pier/logtrace/logtrace_test.go
+++ b/pier/logtrace/logtrace_test.go
@@ -73,3 +73,20 @@
 		About(l, "s1", time.Second)
 	})
 }
+
+// TestServersThatWereAsked checks that a request without an answer is explained by the lines
+// about the servers that it was sent to, also if it was sent to several.
+func TestServersThatWereAsked(t *testing.T) {
+	const log = `
+a {"ts":"2026-05-26T11:37:04.300Z","msg":"servers: avoided","server":"d1","reason":"connection-silent"}
+a {"ts":"2026-05-26T11:37:04.400Z","msg":"servers: avoided","server":"d2","reason":"connection-silent"}
+a {"ts":"2026-05-26T11:37:04.400Z","msg":"servers: avoided","server":"d3","reason":"connection-silent"}
+a {"ts":"2026-05-26T11:37:04.500Z","msg":"request: not answered","id":"r1","reason":"deadline-exceeded","at":"d1,d2"}
+`
+	lines, _, err := Read(strings.NewReader(log), "stdin")
+	require.NoError(t, err)
+	got := About(lines, "r1", time.Second)
+	require.Equal(t, []string{"a servers: avoided", "a servers: avoided", "a request: not answered"}, messages(got))
+	require.Equal(t, "d1", got[0].field("server"))
+	require.Equal(t, "d2", got[1].field("server"))
+}
