--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -348,3 +349,27 @@
 	require.NoError(t, r.err())
 	require.Len(t, r.Page.Records, 1)
 }
+
+// The peer that carries a host's records is lost and never answers. The records must come
+// into the log through another peer, and each result must be listed once.
+func TestRecordsGoOnWhenTheCarryingPeerIsLost(t *testing.T) {
+	l := newLog()
+	var cut atomic.Bool
+	a, b := newHost(t, "a", disconnectableLog(l.Functions(), &cut, refuses)), newHost(t, "b", l.Functions())
+	e := startServer(t, "e1", "engines", oneEvent)
+	for _, g := range []*Gateway{a, b} {
+		g.table(nil)
+		g.listenPeers(t)
+	}
+	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 3)))
+	lost := unresponsiveListener(t)
+	a.peerLog.paths.SetPeers([]netip.AddrPort{lost, b.self.Peers})
+	a.peerLog.paths.Via(b.self.Peers, false, boottime.Now()) // so that the lost peer is asked first
+	cut.Store(true)
+	a.register(e.Server)
+	require.Eventually(t, func() bool {
+		n, err := b.Results(context.Background(), "s", 0, 0)
+		return err == nil && len(n.Results) == 3
+	}, 10*time.Second, 50*time.Millisecond)
+	require.Len(t, e.runs(), 3)
+}
