--- a/pier/logpath/logpath.go
+++ b/pier/logpath/logpath.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	// maxFailures is the number of direct calls in a row that must fail before others go
-	// through peers.
+	// maxFailures is the number of direct calls in a row that must fail, and minSilence the
+	// time for which none must have been answered, before others go through peers. The log
+	// may fail for some partitions only, which peers cannot help.
 	maxFailures = 2
+	minSilence  = 300 * time.Millisecond
 	// maxSilence is how long direct calls may get no answer, once one has failed, before
 	// others go through peers.
 	maxSilence = 800 * time.Millisecond
@@ -77,7 +79,8 @@
 // DirectFails reports whether the log turns this host away: calls should then go through a
 // peer, and this host must not carry calls of others.
 func (c *Chooser) DirectFails(now time.Duration) bool {
-	return c.failures >= maxFailures || c.failures > 0 && now-c.answeredAt > maxSilence
+	silence := now - c.answeredAt
+	return c.failures >= maxFailures && silence > minSilence || c.failures > 0 && silence > maxSilence
 }
 
 // Peer returns the peer to ask at now. ok is false if there is none.
