--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -365,8 +365,10 @@
 	}
 	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 3)))
 	lost := unresponsiveListener(t)
+	a.peerLog.mu.Lock()
 	a.peerLog.paths.SetPeers([]netip.AddrPort{lost, b.self.Peers})
 	a.peerLog.paths.Via(b.self.Peers, false, boottime.Now()) // so that the lost peer is asked first
+	a.peerLog.mu.Unlock()
 	cut.Store(true)
 	a.register(e.Server)
 	require.Eventually(t, func() bool {
