--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -16,8 +16,8 @@
 // registration was removed: live servers register again within about two seconds.
 const ReregisterGrace = 2 * time.Second
 
-// leavingMemory is how long an incarnation is remembered as leaving after it was last
-// registered. It may register again as ready after an outage of the log.
+// leavingMemory is how long an incarnation that is not registered is remembered as leaving
+// after it last said so. It may register again as ready after an outage of the log.
 const leavingMemory = 10 * time.Minute
 
 // Server is one incarnation of a backend server.
