Logs and metrics of the limits that servers state

Nothing showed that a server had stated a limit, nor how many requests a host sent to it afterwards, so the hypotheses of the incident could not be told apart. The pool now hands the header of every answer to a request with an id to package serverlimit, which checks the value (decimal, not negative, no exponent; a spoilt one keeps the limit known before, or a low one). A change is logged once with the requests sent since, by purpose; no request is sent differently.

--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -21,6 +21,9 @@
 	ServerStamp string
 	// Leaving is present in every answer of a server that is shutting down.
 	Leaving string
+	// Limit is present in every answer of a server that limits its requests, and carries the
+	// number of requests a second that it takes from all callers together.
+	Limit string
 	// Load carries the numbers of running requests, waiting requests and slots, separated
 	// by commas.
 	Load string
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -18,6 +19,24 @@
 // read. It fits into a socket's buffer, so the write cannot block for long.
 const inlineBodyBytes = 16 << 10
 
+// Purpose is why a request is sent to a server. It is also a label value of metrics.
+type Purpose string
+
+// The purposes.
+const (
+	// PurposeCall is a caller's request, PurposeScore a call to a scorer; both at the first
+	// server that is tried.
+	PurposeCall  Purpose = "call"
+	PurposeScore Purpose = "score"
+	// PurposeRetry is a further attempt at another server, PurposeHedge one that is made
+	// before the previous has ended.
+	PurposeRetry Purpose = "retry"
+	PurposeHedge Purpose = "hedge"
+	// PurposeSample is the run of a sample, PurposeResume its continuation.
+	PurposeSample Purpose = "sample"
+	PurposeResume Purpose = "resume"
+)
+
 // Request is a request to one incarnation of a server.
 type Request struct {
 	// Server is the id of the incarnation, Address the address that it listens on, and Born
@@ -37,6 +56,8 @@
 	// from values.
 	Header http.Header
 	Body   []byte
+	// Purpose is why the request is sent.
+	Purpose Purpose
 	// HeaderTimeout is the maximum wait for the header of the answer; 0 if only the context
 	// limits it.
 	HeaderTimeout time.Duration
@@ -91,6 +112,7 @@
 		}
 		return nil, outcome.Ambiguous(r, q.Server, err)
 	}
+	sentAt := boottime.Now()
 	sent, err := c.writeRequest(p.c.Dialect, q)
 	if err != nil {
 		return fail(outcome.ReasonConnectionLost, err)
@@ -106,8 +128,8 @@
 	if q.ID != "" && a.Header.Get(p.c.Dialect.RequestID) != q.ID {
 		return fail(outcome.ReasonCrossedAnswer, nil)
 	}
-	if a.Header.Get(p.c.Dialect.Leaving) != "" && a.StatusCode != http.StatusMisdirectedRequest {
-		p.c.OnLeaving(q.Server, q.Born)
+	if a.StatusCode != http.StatusMisdirectedRequest {
+		p.observe(&q, a.Header, sentAt)
 	}
 	if k := a.Header.Get("Keep-Alive"); k != "" {
 		c.idleTimeout = parseKeepAlive(k)
@@ -119,6 +141,16 @@
 	}, nil
 }
 
+// observe reports what a server states of itself in the header of an answer.
+func (p *Pool) observe(q *Request, h http.Header, sent time.Duration) {
+	if h.Get(p.c.Dialect.Leaving) != "" {
+		p.c.OnLeaving(q.Server, q.Born)
+	}
+	if q.ID != "" {
+		p.c.OnLimit(q, h[http.CanonicalHeaderKey(p.c.Dialect.Limit)], sent)
+	}
+}
+
 // errTooLarge is the error of a header that passes one of its bounds.
 var errTooLarge = errors.New("header of the answer is too large")
 
--- a/pier/backend/pool.go
+++ b/pier/backend/pool.go
@@ -35,6 +35,10 @@
 	// OnLeaving is called for each answer in which an incarnation of a server states that it
 	// leaves; it may be nil. An answer with status 421 comes from another incarnation.
 	OnLeaving func(server string, born time.Time)
+	// OnLimit is called for each answer of an incarnation of a server to a request with an
+	// id. limit holds the header fields that state a limit, none if the answer states none;
+	// sent is when the request was sent, a reading of package boottime's clock. It may be nil.
+	OnLimit func(q *Request, limit []string, sent time.Duration)
 }
 
 // Pool keeps the idle connections to backend servers for reuse. It is safe for concurrent
@@ -59,6 +63,9 @@
 	if c.OnLeaving == nil {
 		c.OnLeaving = func(string, time.Time) {}
 	}
+	if c.OnLimit == nil {
+		c.OnLimit = func(*Request, []string, time.Duration) {}
+	}
 	return &Pool{c: c, idle: make(map[string][]*conn)}
 }
 
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -30,7 +30,7 @@
 var testDialect = backend.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", ExpectedIncarnation: "Incarnation",
 	NotRun: "Not-Run", ServerStamp: "Signature",
-	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id", Leaving: "Leaving",
+	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id", Leaving: "Leaving", Limit: "Limit",
 }
 
 const testParts = 4
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -43,6 +43,8 @@
 	Body   []byte
 	// Deadline is the earlier of the caller's deadline and the route's timeout.
 	Deadline time.Time
+	// Purpose is PurposeCall or PurposeScore.
+	Purpose backend.Purpose
 }
 
 // Answer is a server's answer to a plain request.
@@ -112,7 +114,7 @@
 	s.last = outcome.Refuse(outcome.ReasonNoServer, s.service).After(unavailableRetryAfter)
 	s.hedge = time.NewTimer(time.Hour)
 	defer s.hedge.Stop()
-	s.send(ctx)
+	s.send(ctx, c.Purpose)
 	for s.pending > 0 {
 		select {
 		case t := <-s.endedAttempts:
@@ -123,11 +125,11 @@
 				return t.answer, nil
 			}
 			if s.mayRetry(t) {
-				s.send(ctx)
+				s.send(ctx, backend.PurposeRetry)
 			}
 		case <-s.hedge.C:
 			g.metrics.retries.WithLabelValues(reasonSlow).Inc()
-			s.send(ctx)
+			s.send(ctx, backend.PurposeHedge)
 		}
 	}
 	switch {
@@ -164,7 +166,7 @@
 func (s *plainDispatch) idempotent() bool { return s.c.Route.Kind == routetable.KindIdempotent }
 
 // send starts an attempt at a server that had none yet, if the route allows another.
-func (s *plainDispatch) send(ctx context.Context) {
+func (s *plainDispatch) send(ctx context.Context, p backend.Purpose) {
 	if ctx.Err() != nil || s.sent >= s.c.Route.Attempts {
 		return
 	}
@@ -178,9 +180,11 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	t := &serverAttempt{u: u, cancel: cancel}
 	s.attempts = append(s.attempts, t)
+	q := s.g.request(s.c, u)
+	q.Purpose = p
 	more := s.sent < s.c.Route.Attempts
 	go func() {
-		t.answer, t.err = s.g.attempt(attemptCtx, s.c, u, more)
+		t.answer, t.err = s.g.attempt(attemptCtx, s.c, q, u, more)
 		s.endedAttempts <- t
 	}()
 	if s.idempotent() && more && s.c.Route.LatencyObjective > 0 {
@@ -240,10 +244,11 @@
 	}()
 }
 
-// attempt sends the request to one server. more is set if another attempt may follow.
-func (g *Gateway) attempt(ctx context.Context, c Call, u *reservation, more bool) (*Answer, error) {
+// attempt sends a call to one server, as the request q. more is set if another attempt may
+// follow.
+func (g *Gateway) attempt(ctx context.Context, c Call, q backend.Request, u *reservation, more bool) (*Answer, error) {
 	idempotent := c.Route.Kind == routetable.KindIdempotent
-	r, err := g.pool.Do(ctx, g.request(c, u))
+	r, err := g.pool.Do(ctx, q)
 	if err != nil {
 		g.recordFailure(ctx, u, err)
 		u.release()
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -116,6 +116,7 @@
 
 	peerLog   *peerLog
 	tables    *tables
+	limits    *limits
 	fleet     *fleet
 	journal   *journal
 	steps     *steps
@@ -142,12 +143,14 @@
 	g.pool = backend.NewPool(backend.Config{
 		Dialect: c.Dialect, OnOpen: g.metrics.opened.Inc,
 		OnLeaving: func(server string, born time.Time) { g.fleet.leaving(server, born) },
+		OnLimit:   func(q *backend.Request, limit []string, sent time.Duration) { g.limits.observe(q, limit, sent) },
 	})
 	g.engines = c.EngineControl(g.pool)
 	g.peers = peer.NewClient(peer.ClientConfig{})
 	g.peerLog = newPeerLog(g, c.Log)
 	g.c.Log = g.peerLog.functions()
 	g.tables = newTables(g)
+	g.limits = newLimits(g)
 	g.fleet = newFleet(g)
 	g.journal = newJournal(g)
 	g.steps = newSteps(g)
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -20,6 +20,8 @@
 	bugs       *prometheus.CounterVec
 	viaPeers   *prometheus.CounterVec
 	carried    *prometheus.CounterVec
+	limits     *prometheus.CounterVec
+	limited    *prometheus.CounterVec
 	opened     prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
@@ -50,6 +52,8 @@
 	m.carried = counter("log_calls_carried_total", "Calls to the log that peers asked this host to make, by result.", "result")
 	m.unreadable = counter("unreadable_records_total", "Records that were skipped, by topic.", "topic")
 	m.bugs = counter("broken_invariants_total", "Invariants found broken.", "invariant")
+	m.limits = counter("server_limits_total", "What answers stated about their servers' limits.", "event")
+	m.limited = counter("limited_requests_total", "Requests sent to servers that had stated a limit, by purpose.", "purpose")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -278,12 +278,14 @@
 		h[k] = []string{v}
 	}
 	h[d.ExpectedIncarnation] = []string{u.s.ID}
+	purpose := backend.PurposeSample
 	if s.lastID > 0 {
+		purpose = backend.PurposeResume
 		h[d.ResumeAfter] = []string{strconv.FormatInt(s.lastID, 10)}
 	}
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: http.MethodPost, Target: s.item.Path,
-		Host: s.d.step.Host, ID: s.item.ID, Header: h, Body: s.item.Body,
+		Host: s.d.step.Host, ID: s.item.ID, Header: h, Body: s.item.Body, Purpose: purpose,
 	}
 }
 
@@ -371,7 +373,7 @@
 	}
 	a, err := s.d.g.Do(ctx, Call{
 		Route: r, Method: http.MethodPost, Target: q.Path, Host: q.Host, ID: q.ID, Body: q.Body,
-		Header: http.Header{}, Deadline: time.Now().Add(timeout),
+		Header: http.Header{}, Deadline: time.Now().Add(timeout), Purpose: backend.PurposeScore,
 	})
 	if err != nil {
 		return "", 0, max(r.Attempts, 1)
--- /dev/null
+++ b/pier/serverlimit/book.go
@@ -0,0 +1,116 @@
+package serverlimit
+
+import (
+	"time"
+)
+
+// fallbackPerSecond is the limit of a server whose first stated limit cannot be read.
+const fallbackPerSecond = 1
+
+// Server identifies an incarnation of a server.
+type Server struct {
+	// ID is the incarnation's id. Born is when it started, in nanoseconds since the Unix
+	// epoch, which differs if an id is used again.
+	ID   string
+	Born int64
+}
+
+// Limit is the limit that a server states.
+type Limit struct {
+	// PerSecond is the number of requests a second that the server takes from all hosts
+	// together; it is not negative.
+	PerSecond float64
+	// StatedAt is when the newest answer that stated the limit was received. It is a reading
+	// of package boottime's clock, like all points in time in this package.
+	StatedAt time.Duration
+}
+
+// Change is what an answer has changed in a Book.
+type Change string
+
+// The changes.
+const (
+	Unchanged Change = "unchanged"
+	Stated    Change = "stated"
+	Changed   Change = "changed"
+	Ended     Change = "ended"
+)
+
+// Book holds the limits that a host knows. It is not safe for concurrent use.
+type Book struct {
+	limits map[Server]*Limit
+}
+
+// NewBook returns a book without limits.
+func NewBook() *Book { return &Book{limits: make(map[Server]*Limit)} }
+
+// Limit returns the limit of a server. ok is false if it has none.
+func (b *Book) Limit(s Server) (l Limit, ok bool) {
+	p := b.limits[s]
+	if p == nil {
+		return Limit{}, false
+	}
+	return *p, true
+}
+
+// Len returns the number of limits.
+func (b *Book) Len() int { return len(b.limits) }
+
+// Retain forgets the servers for which keep returns false.
+func (b *Book) Retain(keep func(s Server) bool) {
+	for s := range b.limits {
+		if !keep(s) {
+			delete(b.limits, s)
+		}
+	}
+}
+
+// Observe applies an answer that states the limit with the given header fields; without
+// fields it states that there is none. The answer was received at now and belongs to a
+// request that was sent at sent. An answer ends a limit only if its request was sent after
+// the limit was last stated: answers on different connections may overtake each other.
+//
+// If the fields cannot be read, the error is an *outcome.Error, and the server keeps the
+// limit that it has, or gets a low one if it has none.
+func (b *Book) Observe(s Server, fields []string, sent, now time.Duration) (Change, error) {
+	if len(fields) == 0 {
+		return b.end(s, sent), nil
+	}
+	v, err := Parse(fields)
+	if err != nil {
+		v = fallbackPerSecond
+		if l := b.limits[s]; l != nil {
+			v = l.PerSecond
+		}
+	}
+	return b.state(s, Limit{PerSecond: v, StatedAt: now}), err
+}
+
+// Learn applies what another host knows of a limit, unless this host knows something newer.
+func (b *Book) Learn(s Server, l Limit) Change {
+	if p := b.limits[s]; p != nil && p.StatedAt >= l.StatedAt {
+		return Unchanged
+	}
+	return b.state(s, l)
+}
+
+func (b *Book) state(s Server, l Limit) Change {
+	p := b.limits[s]
+	b.limits[s] = &l
+	switch {
+	case p == nil:
+		return Stated
+	case p.PerSecond != l.PerSecond:
+		return Changed
+	}
+	return Unchanged
+}
+
+func (b *Book) end(s Server, sent time.Duration) Change {
+	p := b.limits[s]
+	if p == nil || sent <= p.StatedAt {
+		return Unchanged
+	}
+	delete(b.limits, s)
+	return Ended
+}
