A server's coordinator grants the requests to it, for all hosts together

Callers saw nothing; servers in need got up to seven times the requests a second that they had stated they take. Cause: nothing read the statement, and behind that, no host sees the total. Most hosts stay below such a limit on their own, so a limit kept by each host for itself would not hold either, and with few hosts sending most requests an even share a host would not fit.

Now one host grants the requests to a server with a limit, found by rendezvous hashing over the group's members; others ask it by a message before each send. All requests with an id pass the one check in backend.Pool. A permit lapses after half a second on a clock that counts suspension. Requests go to servers with room first; a call waits for a permit if it can be answered within its deadline, or else is refused as not-run with the time of the next permit.

--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -56,8 +56,14 @@
 	// from values.
 	Header http.Header
 	Body   []byte
+	// Deadline is when the caller stops waiting; the request states the time that is left
+	// when it is sent. Zero if it has none.
+	Deadline time.Time
 	// Purpose is why the request is sent.
 	Purpose Purpose
+	// LimitWait is how long the request may wait, before it is sent, for a server that limits
+	// its requests.
+	LimitWait time.Duration
 	// HeaderTimeout is the maximum wait for the header of the answer; 0 if only the context
 	// limits it.
 	HeaderTimeout time.Duration
@@ -90,19 +96,35 @@
 	if ctx.Err() != nil {
 		return nil, outcome.Refuse(outcome.ReasonOf(ctx), q.Server)
 	}
+	a, err := p.admit(ctx, &q)
+	if err != nil {
+		return nil, err
+	}
 	c := p.takeIdle(q.Server)
 	if c == nil {
-		var err error
 		if c, err = p.dial(ctx, q.Server, q.Address); err != nil {
 			return nil, err
 		}
 	}
-	return p.exchange(ctx, c, q)
+	if a.Limited && boottime.Now() > a.Until {
+		p.putIdle(c)
+		return nil, outcome.Refuse(outcome.ReasonPermitExpired, q.Server)
+	}
+	return p.exchange(ctx, c, q, a)
+}
+
+// admit asks whether the request may be sent. Requests without an id, which only control a
+// server or ask for its state, always may.
+func (p *Pool) admit(ctx context.Context, q *Request) (Admission, error) {
+	if q.ID == "" {
+		return Admission{}, nil
+	}
+	return p.c.Admit(ctx, q)
 }
 
 // exchange sends q on c and reads the header of the answer. If it fails, it closes c, and the
 // outcome of the request is unknown.
-func (p *Pool) exchange(ctx context.Context, c *conn, q Request) (*Response, error) {
+func (p *Pool) exchange(ctx context.Context, c *conn, q Request, m Admission) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	fail := func(r outcome.Reason, err error) (*Response, error) {
 		stop()
@@ -112,7 +134,6 @@
 		}
 		return nil, outcome.Ambiguous(r, q.Server, err)
 	}
-	sentAt := boottime.Now()
 	sent, err := c.writeRequest(p.c.Dialect, q)
 	if err != nil {
 		return fail(outcome.ReasonConnectionLost, err)
@@ -129,7 +150,7 @@
 		return fail(outcome.ReasonCrossedAnswer, nil)
 	}
 	if a.StatusCode != http.StatusMisdirectedRequest {
-		p.observe(&q, a.Header, sentAt)
+		p.observe(&q, m, a.Header)
 	}
 	if k := a.Header.Get("Keep-Alive"); k != "" {
 		c.idleTimeout = parseKeepAlive(k)
@@ -142,12 +163,12 @@
 }
 
 // observe reports what a server states of itself in the header of an answer.
-func (p *Pool) observe(q *Request, h http.Header, sent time.Duration) {
+func (p *Pool) observe(q *Request, m Admission, h http.Header) {
 	if h.Get(p.c.Dialect.Leaving) != "" {
 		p.c.OnLeaving(q.Server, q.Born)
 	}
 	if q.ID != "" {
-		p.c.OnLimit(q, h[http.CanonicalHeaderKey(p.c.Dialect.Limit)], sent)
+		p.c.OnLimit(q, m, h[http.CanonicalHeaderKey(p.c.Dialect.Limit)])
 	}
 }
 
@@ -216,6 +237,9 @@
 			b.WriteString(k + ": " + strings.NewReplacer("\r", "", "\n", "").Replace(v) + "\r\n")
 		}
 	}
+	if !q.Deadline.IsZero() {
+		b.WriteString(d.Deadline + ": " + strconv.FormatInt(max(time.Until(q.Deadline).Milliseconds(), 1), 10) + "\r\n")
+	}
 	if len(q.Body) > 0 || q.Method == http.MethodPost || q.Method == http.MethodPut {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
 	}
--- a/pier/backend/pool.go
+++ b/pier/backend/pool.go
@@ -35,10 +35,22 @@
 	// OnLeaving is called for each answer in which an incarnation of a server states that it
 	// leaves; it may be nil. An answer with status 421 comes from another incarnation.
 	OnLeaving func(server string, born time.Time)
+	// Admit is called before a request with an id is sent. Its error, an *outcome.Error with
+	// the outcome not-run, is returned to the caller. It may be nil.
+	Admit func(ctx context.Context, q *Request) (Admission, error)
 	// OnLimit is called for each answer of an incarnation of a server to a request with an
-	// id. limit holds the header fields that state a limit, none if the answer states none;
-	// sent is when the request was sent, a reading of package boottime's clock. It may be nil.
-	OnLimit func(q *Request, limit []string, sent time.Duration)
+	// id. limit holds the header fields that state a limit, none if the answer states none. It
+	// may be nil.
+	OnLimit func(q *Request, a Admission, limit []string)
+}
+
+// Admission is the permission to send a request. Its times are readings of package boottime's
+// clock.
+type Admission struct {
+	// Limited is set if the server was known to limit its requests; At is then a time before
+	// the request was sent, and Until the time after which it must not be sent.
+	Limited   bool
+	At, Until time.Duration
 }
 
 // Pool keeps the idle connections to backend servers for reuse. It is safe for concurrent
@@ -63,8 +75,11 @@
 	if c.OnLeaving == nil {
 		c.OnLeaving = func(string, time.Time) {}
 	}
+	if c.Admit == nil {
+		c.Admit = func(context.Context, *Request) (Admission, error) { return Admission{}, nil }
+	}
 	if c.OnLimit == nil {
-		c.OnLimit = func(*Request, []string, time.Duration) {}
+		c.OnLimit = func(*Request, Admission, []string) {}
 	}
 	return &Pool{c: c, idle: make(map[string][]*conn)}
 }
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -37,10 +37,16 @@
 
 // newHost returns a gateway over a log, without listeners.
 func newHost(t *testing.T, name string, l partitionlog.Log) *Gateway {
+	t.Helper()
+	return newHostAt(t, name, netip.MustParseAddrPort("127.0.0.1:1"), l)
+}
+
+// newHostAt returns a gateway without listeners whose peers reach it at an address.
+func newHostAt(t *testing.T, name string, peers netip.AddrPort, l partitionlog.Log) *Gateway {
 	t.Helper()
 	a := netip.MustParseAddrPort("127.0.0.1:1")
 	s := &Settings{
-		Name: name, Domain: "d1", ProcessorShare: 0.5, Listen: Listen{Callers: a, Health: a, Peers: a},
+		Name: name, Domain: "d1", ProcessorShare: 0.5, Listen: Listen{Callers: a, Health: a, Peers: peers},
 		Log: Log{
 			Address: a, Partitions: testParts, RecordBytes: 256 << 10, CallBytes: 2 << 20,
 			Retention: settings.Duration(time.Hour), MemberTTL: settings.Duration(time.Second),
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -49,8 +49,10 @@
 
 // serverState is what this host knows of a server beyond its registration.
 type serverState struct {
-	// running is the number of requests that this host has at the server.
+	// running is the number of requests that this host has at the server; permits is the
+	// number of those that may still have to wait for a permit of the server's limit.
 	running int
+	permits int
 	// load is the load that the server last stated, at loadAt; ownRunning is the value of
 	// running at that time.
 	load       backend.Load
@@ -154,6 +156,7 @@
 			delete(f.states, id)
 		}
 	}
+	f.g.limits.retain(known)
 	f.byService = l
 	f.signalCapacity()
 }
@@ -176,35 +179,56 @@
 func (f *fleet) pickEngine(service, model string, min int64, slots int) (*reservation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, at := f.eligibleEngines(service, model, slots, time.Now())
+	c, at := f.eligibleEngines(service, model, slots, time.Now(), f.admitsSample)
 	i := stepplan.PickEngine(c, min)
 	if i < 0 {
 		return nil, false
 	}
-	s := f.byService[service][at[i]]
+	return f.reserve(f.byService[service][at[i]]), true
+}
+
+// reserve adds a request of this host to a server. The caller holds mu.
+func (f *fleet) reserve(s directory.Server) *reservation {
 	f.states[s.ID].running++
-	return &reservation{f: f, s: s}, true
+	f.states[s.ID].permits++
+	return &reservation{f: f, s: s, permit: true}
 }
 
 // moves returns the indexes of at most limit runs that should move to another engine.
 func (f *fleet) moves(service, model string, slots int, runs []stepplan.Run, limit int) []int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, _ := f.eligibleEngines(service, model, slots, time.Now())
+	c, _ := f.eligibleEngines(service, model, slots, time.Now(), f.isUnlimited)
 	return stepplan.PlanMoves(c, runs, limit)
 }
 
+// isUnlimited reports whether a server has stated no limit. A sample does not move to a
+// server with a limit, where it may have to wait.
+func (f *fleet) isUnlimited(s directory.Server) bool {
+	limited, _ := f.g.limits.wait(s)
+	return !limited
+}
+
+// admitsSample reports whether a sample may ask for a permit of a server's limit: others of
+// this host do not ask already, and none was refused shortly before. The caller holds mu.
+func (f *fleet) admitsSample(s directory.Server) bool {
+	limited, wait := f.g.limits.wait(s)
+	return !limited || wait == 0 && f.states[s.ID].permits == 0
+}
+
 // eligibleEngines returns the engines that may take samples, and their indexes in the
-// service's list. slots applies to servers whose registrations state none. The caller holds
-// mu.
-func (f *fleet) eligibleEngines(service, model string, slots int, now time.Time) ([]stepplan.Engine, []int) {
+// service's list. slots applies to servers whose registrations state none; admits is asked
+// about each server's limit. The caller holds mu.
+func (f *fleet) eligibleEngines(
+	service, model string, slots int, now time.Time, admits func(s directory.Server) bool,
+) ([]stepplan.Engine, []int) {
 	l := f.byService[service]
 	c := make([]stepplan.Engine, 0, len(l))
 	at := make([]int, 0, len(l))
 	fastest := f.fastest(l, now)
 	for i, s := range l {
 		t := f.states[s.ID]
-		if s.Leaving || now.Before(t.avoidUntil) {
+		if s.Leaving || now.Before(t.avoidUntil) || !admits(s) {
 			continue
 		}
 		n := s.Slots
@@ -263,7 +287,7 @@
 }
 
 // pickServer picks a server for a plain request, other than those in tried. A server that is
-// avoided is picked only if there is no other.
+// avoided, or whose limit leaves no room for some time, is picked only if there is no other.
 func (f *fleet) pickServer(service string, tried map[string]bool) (*reservation, bool) {
 	now := time.Now()
 	f.mu.Lock()
@@ -282,6 +306,9 @@
 		if s.Domain != f.g.s.Domain {
 			c += remoteDomainCost
 		}
+		if _, wait := f.g.limits.wait(s); wait > 0 {
+			c += limitedCost * wait.Seconds()
+		}
 		if best < 0 || c < bestCost {
 			best, bestCost = i, c
 		}
@@ -289,13 +316,15 @@
 	if best < 0 {
 		return nil, false
 	}
-	f.states[l[best].ID].running++
-	return &reservation{f: f, s: l[best]}, true
+	return f.reserve(l[best]), true
 }
 
 const (
 	// avoidCost ranks a server that is avoided behind all others.
 	avoidCost = 100
+	// limitedCost is the cost of each second for which a server's limit leaves no room: a
+	// tenth of a second weighs as much as a server that is avoided.
+	limitedCost = 1000
 	// remoteDomainCost is the load per slot that offsets the longer round trip to another
 	// failure domain.
 	remoteDomainCost = 0.1
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -24,6 +23,8 @@
 	// hedgeFactor is the fraction of its route's objective after which an idempotent
 	// request without an answer is also sent to a second server.
 	hedgeFactor = 0.6
+	// scoreLimitWait is how long a call to a scorer waits for a server whose limit is used up.
+	scoreLimitWait = 100 * time.Millisecond
 	// busyRetryAfter is the Retry-After time given to callers when servers lack capacity.
 	busyRetryAfter = 200 * time.Millisecond
 	// unavailableRetryAfter is the Retry-After time given to callers by a host that cannot
@@ -47,6 +48,17 @@
 	Purpose backend.Purpose
 }
 
+// limitWait returns how long the call may wait for a server whose limit is used up: until
+// there is just time left for an answer. A call to a scorer waits only briefly and comes
+// again later, so that callers' requests find no long queue before them.
+func (c *Call) limitWait(now time.Time) time.Duration {
+	left := c.Deadline.Sub(now)
+	if c.Purpose == backend.PurposeScore {
+		return min(scoreLimitWait, left/2)
+	}
+	return max(left-max(c.Route.LatencyObjective, left/4), 0)
+}
+
 // Answer is a server's answer to a plain request.
 type Answer struct {
 	Status int
@@ -108,7 +120,7 @@
 func (g *Gateway) attempts(ctx context.Context, c Call) (*Answer, error) {
 	s := plainDispatch{
 		g: g, c: c, service: c.Route.PickService(xxhash.Sum64String(c.ID)),
-		tried: make(map[string]bool),
+		tried: make(map[string]bool), limited: make(map[string]bool),
 	}
 	s.endedAttempts = make(chan *serverAttempt, c.Route.Attempts+1)
 	s.last = outcome.Refuse(outcome.ReasonNoServer, s.service).After(unavailableRetryAfter)
@@ -146,10 +158,13 @@
 
 // plainDispatch is the state of a plain request that is sent to one server or several.
 type plainDispatch struct {
-	g        *Gateway
-	c        Call
-	service  string
-	tried    map[string]bool
+	g       *Gateway
+	c       Call
+	service string
+	tried   map[string]bool
+	// limited holds the servers whose limit left no room at once. Each is tried again, and
+	// may then make the request wait.
+	limited  map[string]bool
 	attempts []*serverAttempt
 	// pending is the number of attempts that have not ended; sent is the number that may
 	// have been executed.
@@ -174,14 +189,18 @@
 	if !ok {
 		return
 	}
+	q := s.g.request(s.c, u)
+	q.Purpose = p
+	if !s.mayWait(&q, u) {
+		u.release()
+		return
+	}
 	s.tried[u.s.ID] = true
 	s.sent++
 	s.pending++
 	attemptCtx, cancel := context.WithCancel(ctx)
 	t := &serverAttempt{u: u, cancel: cancel}
 	s.attempts = append(s.attempts, t)
-	q := s.g.request(s.c, u)
-	q.Purpose = p
 	more := s.sent < s.c.Route.Attempts
 	go func() {
 		t.answer, t.err = s.g.attempt(attemptCtx, s.c, q, u, more)
@@ -192,6 +211,18 @@
 	}
 }
 
+// mayWait sets how long the request may wait if the server's limit leaves no room. It returns
+// false if the request should not be sent there, as an attempt at another server is still in
+// progress: a permit that is not used in the end is lost to others.
+func (s *plainDispatch) mayWait(q *backend.Request, u *reservation) bool {
+	if !s.limited[u.s.ID] && !s.g.limits.full(u.s) {
+		return true
+	}
+	s.limited[u.s.ID] = true
+	q.LimitWait = s.c.limitWait(time.Now())
+	return s.pending == 0
+}
+
 // servers returns the servers that were asked, in order, separated by commas.
 func (s *plainDispatch) servers() string {
 	var l []string
@@ -204,21 +235,36 @@
 // mayRetry handles a failed attempt and reports whether another may follow.
 func (s *plainDispatch) mayRetry(t *serverAttempt) bool {
 	t.cancel()
-	s.last = outcome.AsError(t.err)
-	s.g.metrics.retries.WithLabelValues(string(s.last.Reason)).Inc()
+	s.setLast(outcome.AsError(t.err))
+	e := outcome.AsError(t.err)
+	s.g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
 	s.g.log.Debug("request: attempt failed", zap.String("id", s.c.ID),
-		zap.String("server", t.u.s.ID), zap.String("reason", string(s.last.Reason)))
-	if s.last.Outcome == outcome.NotRun {
+		zap.String("server", t.u.s.ID), zap.String("reason", string(e.Reason)))
+	if e.Outcome == outcome.NotRun {
 		s.sent--
+		if e.Reason == outcome.ReasonServerLimit && !s.limited[t.u.s.ID] {
+			s.limited[t.u.s.ID] = true
+			delete(s.tried, t.u.s.ID)
+		}
 		return true
 	}
-	s.failed = s.last
-	if s.last.Reason == outcome.ReasonServerError {
+	s.failed = e
+	if e.Reason == outcome.ReasonServerError {
 		s.errors++
 	}
 	return s.idempotent()
 }
 
+// setLast records the failure of an attempt. Of several servers whose limits are used up,
+// the one that takes a request first decides when the caller should return.
+func (s *plainDispatch) setLast(e *outcome.Error) {
+	p := s.last
+	if p.Reason == outcome.ReasonServerLimit && e.Reason == p.Reason && p.RetryAfter > 0 && p.RetryAfter < e.RetryAfter {
+		return
+	}
+	s.last = e
+}
+
 // cancelOthers ends all attempts but the one whose answer counts.
 func (s *plainDispatch) cancelOthers(winner *serverAttempt) {
 	for _, t := range s.attempts {
@@ -298,9 +344,9 @@
 }
 
 // recordFailure records a server's failure, unless the attempt was cancelled because the
-// caller is gone or another attempt was answered.
+// caller is gone or another attempt was answered, or there was no permit for it.
 func (g *Gateway) recordFailure(ctx context.Context, u *reservation, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) || withoutPermit(err) {
 		return
 	}
 	u.failed(string(outcome.AsError(err).Reason))
@@ -313,10 +359,10 @@
 		h = make(http.Header)
 	}
 	h[d.ExpectedIncarnation] = []string{u.s.ID}
-	h[d.Deadline] = []string{strconv.FormatInt(max(time.Until(c.Deadline).Milliseconds(), 1), 10)}
+	delete(h, http.CanonicalHeaderKey(d.Deadline))
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: c.Method, Target: c.Target, Host: c.Host,
-		ID: c.ID, Header: h, Body: c.Body,
+		ID: c.ID, Header: h, Body: c.Body, Deadline: c.Deadline,
 	}
 }
 
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -143,7 +143,10 @@
 	g.pool = backend.NewPool(backend.Config{
 		Dialect: c.Dialect, OnOpen: g.metrics.opened.Inc,
 		OnLeaving: func(server string, born time.Time) { g.fleet.leaving(server, born) },
-		OnLimit:   func(q *backend.Request, limit []string, sent time.Duration) { g.limits.observe(q, limit, sent) },
+		Admit: func(ctx context.Context, q *backend.Request) (backend.Admission, error) {
+			return g.limits.admit(ctx, q)
+		},
+		OnLimit: func(q *backend.Request, a backend.Admission, limit []string) { g.limits.observe(q, a, limit) },
 	})
 	g.engines = c.EngineControl(g.pool)
 	g.peers = peer.NewClient(peer.ClientConfig{})
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -22,6 +22,7 @@
 	carried    *prometheus.CounterVec
 	limits     *prometheus.CounterVec
 	limited    *prometheus.CounterVec
+	permits    *prometheus.CounterVec
 	opened     prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
@@ -54,6 +55,7 @@
 	m.bugs = counter("broken_invariants_total", "Invariants found broken.", "invariant")
 	m.limits = counter("server_limits_total", "What answers stated about their servers' limits.", "event")
 	m.limited = counter("limited_requests_total", "Requests sent to servers that had stated a limit, by purpose.", "purpose")
+	m.permits = counter("limit_permits_total", "Requests to servers with a limit, by what became of the permit to send them.", "result")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -325,6 +325,7 @@
 		l.g.log.Info("log: members of the group cannot be read; peers stay as known", zap.Error(a.err()))
 		return
 	}
+	l.g.limits.setHosts(a.Members)
 	var peers []netip.AddrPort
 	for _, m := range a.Members {
 		if p, ok := peerAddress(m); ok {
@@ -343,6 +344,14 @@
 	return a, err == nil
 }
 
+// keepOpen keeps the connection to a peer, to which this host sends other messages, open
+// until peerLinger after now.
+func (l *peerLog) keepOpen(a netip.AddrPort, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastAsked[a] = now
+}
+
 // closeIdle closes the connections to peers that were not asked for peerLinger.
 func (l *peerLog) closeIdle(now time.Duration) {
 	l.mu.Lock()
--- /dev/null
+++ b/pier/gateway/permits.go
@@ -0,0 +1,327 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/serverlimit"
+)
+
+// A server's limit holds for all hosts together, and no host sees the total. So before a
+// host sends a request to a server with a limit, it asks one host, the server's coordinator,
+// for a permit. Package serverlimit decides who that is and what it grants.
+
+const (
+	// permitLifetime is how long a permit may be used, from before it was asked for or, if
+	// the request had to wait, from the end of the wait. A host that was suspended in between
+	// does not send the request.
+	permitLifetime = 500 * time.Millisecond
+	// permitTimeout bounds the time for asking a coordinator.
+	permitTimeout = 250 * time.Millisecond
+	// coordinatorRetryDelay is how long a coordinator that did not answer is not asked.
+	coordinatorRetryDelay = time.Second
+	// noCoordinatorDelay is how long no request is sent to a server whose coordinator and
+	// deputy did not answer.
+	noCoordinatorDelay = 200 * time.Millisecond
+	// askingDelay is how long a request that may not wait for a permit keeps away from a
+	// server for which another request of this host is asking.
+	askingDelay = 10 * time.Millisecond
+	// rosterTimeout bounds the time for reading the list of hosts.
+	rosterTimeout = time.Second
+)
+
+// kindPermit is the kind of a message that asks for a permit.
+const kindPermit = kindLogCall + 1
+
+// permitRequest asks for a permit. Times are relative, since the clocks of hosts differ.
+type permitRequest struct {
+	Server    serverlimit.Server `msgpack:"s"`
+	PerSecond float64            `msgpack:"p"`
+	// StatedAgo is the time since the server stated the limit.
+	StatedAgo time.Duration `msgpack:"a"`
+	MaxWait   time.Duration `msgpack:"w"`
+}
+
+// permitAnswer is the answer to a permitRequest, with the fields of a serverlimit.Grant.
+type permitAnswer struct {
+	Granted bool          `msgpack:"g"`
+	Wait    time.Duration `msgpack:"w"`
+}
+
+// The results of asking for a permit, as label values.
+const (
+	permitGranted = "granted"
+	permitRefused = "refused"
+	// permitKnownFull counts requests for which no permit was asked, as one was refused
+	// shortly before; permitUnanswered those for which no coordinator answered.
+	permitKnownFull  = "known-full"
+	permitUnanswered = "unanswered"
+	// permitUnused counts granted permits whose request ended before it could be sent.
+	permitUnused = "unused"
+)
+
+// admit asks for a permit if the server of a request has a limit, and waits until the request
+// may be sent.
+func (l *limits) admit(ctx context.Context, q *backend.Request) (backend.Admission, error) {
+	if l.known.Load() == 0 {
+		return backend.Admission{}, nil
+	}
+	s := limitKey(q)
+	asked := boottime.Now()
+	limit, limited, full := l.startAsk(s, q.LimitWait, asked)
+	if !limited {
+		return backend.Admission{}, nil
+	}
+	if full > q.LimitWait {
+		l.g.metrics.permits.WithLabelValues(permitKnownFull).Inc()
+		return backend.Admission{}, outcome.Refuse(outcome.ReasonServerLimit, s.ID).After(full)
+	}
+	defer l.endAsk(s)
+	a, err := l.ask(ctx, serverlimit.Ask{Server: s, Limit: limit, MaxWait: q.LimitWait})
+	if err != nil {
+		l.g.metrics.permits.WithLabelValues(permitUnanswered).Inc()
+		l.g.log.Info("servers: no permit, no coordinator answered", zap.String("id", q.ID),
+			zap.String("server", s.ID), zap.Error(err))
+		return backend.Admission{}, l.refuse(s, noCoordinatorDelay)
+	}
+	if !a.Granted {
+		l.g.metrics.permits.WithLabelValues(permitRefused).Inc()
+		return backend.Admission{}, l.refuse(s, a.Wait)
+	}
+	l.g.metrics.permits.WithLabelValues(permitGranted).Inc()
+	if a.Wait > 0 && !backoff.Sleep(ctx, a.Wait) {
+		l.g.metrics.permits.WithLabelValues(permitUnused).Inc()
+		return backend.Admission{}, outcome.Refuse(outcome.ReasonOf(ctx), s.ID)
+	}
+	return backend.Admission{Limited: true, At: asked, Until: asked + a.Wait + permitLifetime}, nil
+}
+
+// startAsk returns the limit of a server, and for how long this host asks for no permit for
+// a request that may wait for maxWait. If that is not too long, endAsk must be called. Of
+// requests that may not wait, one at a time asks.
+func (l *limits) startAsk(s serverlimit.Server, maxWait, now time.Duration) (limit serverlimit.Limit, limited bool, full time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit, limited = l.book.Limit(s); !limited {
+		return limit, false, 0
+	}
+	full = l.book.Wait(s, now)
+	if maxWait == 0 && l.asking[s] > 0 {
+		full = max(full, askingDelay)
+	}
+	if full <= maxWait {
+		l.asking[s]++
+	}
+	return limit, true, full
+}
+
+// endAsk records that a request asks for a permit no more.
+func (l *limits) endAsk(s serverlimit.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asking[s]--; l.asking[s] == 0 {
+		delete(l.asking, s)
+	}
+}
+
+// withoutPermit reports whether a request was not sent because there was no permit for it,
+// which says nothing about the server.
+func withoutPermit(err error) bool {
+	return outcome.HasReason(err, outcome.ReasonServerLimit) || outcome.HasReason(err, outcome.ReasonPermitExpired)
+}
+
+// refuse records that no request to a server is granted for some time, and returns the error
+// of one that was not.
+func (l *limits) refuse(s serverlimit.Server, wait time.Duration) error {
+	l.mu.Lock()
+	l.book.SetFull(s, boottime.Now()+wait)
+	l.mu.Unlock()
+	return outcome.Refuse(outcome.ReasonServerLimit, s.ID).After(wait)
+}
+
+// ask asks the server's coordinator, or its deputy if that one does not answer.
+func (l *limits) ask(ctx context.Context, q serverlimit.Ask) (serverlimit.Grant, error) {
+	l.readRoster(ctx)
+	l.mu.Lock()
+	first, deputy := l.roster.Coordinators(q.Server.ID)
+	l.mu.Unlock()
+	err := error(outcome.Refuse(outcome.ReasonNotOwner, "no list of hosts"))
+	for _, h := range []string{first, deputy} {
+		if h == "" {
+			continue
+		}
+		var a serverlimit.Grant
+		if a, err = l.askHost(ctx, h, q); err == nil {
+			return a, nil
+		}
+	}
+	return serverlimit.Grant{}, err
+}
+
+// askHost asks one host, which may be this one.
+func (l *limits) askHost(ctx context.Context, host string, q serverlimit.Ask) (serverlimit.Grant, error) {
+	if host == l.g.hostID() {
+		return l.grant(q)
+	}
+	a, ok := peerAddress(host)
+	if !ok {
+		return serverlimit.Grant{}, outcome.Refuse(outcome.ReasonBadRequest, "name of a host")
+	}
+	now := boottime.Now()
+	if l.failing(a, now) {
+		return serverlimit.Grant{}, outcome.Refuse(outcome.ReasonUnreachable, "coordinator "+host)
+	}
+	l.g.peerLog.keepOpen(a, now)
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	m := permitRequest{Server: q.Server, PerSecond: q.Limit.PerSecond, StatedAgo: now - q.Limit.StatedAt, MaxWait: q.MaxWait}
+	var r permitAnswer
+	if err := l.g.peers.Call(ctx, a, kindPermit, &m, &r); err != nil {
+		e := outcome.AsError(err)
+		if !e.Remote && ctx.Err() != context.Canceled { //nolint:errorlint // Err returns the sentinel itself.
+			l.setFailing(a, now)
+		}
+		return serverlimit.Grant{}, e
+	}
+	return serverlimit.Grant{Granted: r.Granted, Wait: r.Wait}, nil
+}
+
+// failing reports whether a coordinator did not answer shortly before.
+func (l *limits) failing(a netip.AddrPort, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.failedAt[a]
+	return ok && now-t < coordinatorRetryDelay
+}
+
+func (l *limits) setFailing(a netip.AddrPort, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for x, t := range l.failedAt {
+		if now-t >= coordinatorRetryDelay {
+			delete(l.failedAt, x)
+		}
+	}
+	l.failedAt[a] = now
+}
+
+// answer answers a permitRequest of another host.
+func (l *limits) answer(r *peer.Request) (any, error) {
+	var m permitRequest
+	if err := peer.Decode(r.Body, &m); err != nil {
+		return nil, err
+	}
+	if !(m.PerSecond >= 0) {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, "limit")
+	}
+	q := serverlimit.Ask{
+		Server: m.Server, MaxWait: m.MaxWait,
+		Limit: serverlimit.Limit{PerSecond: m.PerSecond, StatedAt: boottime.Now() - max(m.StatedAgo, 0)},
+	}
+	l.learn(q.Server, q.Limit)
+	l.refreshRoster()
+	a, err := l.grant(q)
+	if err != nil {
+		return nil, err
+	}
+	return &permitAnswer{Granted: a.Granted, Wait: a.Wait}, nil
+}
+
+// learn applies what another host knows of a server's limit.
+func (l *limits) learn(s serverlimit.Server, limit serverlimit.Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, _ := l.book.Limit(s)
+	l.changed(s, l.book.Learn(s, limit), before)
+	l.known.Store(int64(l.book.Len()))
+}
+
+// grant decides as a coordinator. The error has the reason not-owner if this host is not one
+// of the server's.
+func (l *limits) grant(q serverlimit.Ask) (serverlimit.Grant, error) {
+	now := boottime.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share := l.roster.Share(q.Server.ID, now)
+	if share == 0 {
+		return serverlimit.Grant{}, outcome.Refuse(outcome.ReasonNotOwner, "limit of "+q.Server.ID)
+	}
+	l.logShare(q, share)
+	return l.buckets.Ask(q, share, now), nil
+}
+
+// logShare logs which part of a server's limit this host grants, when that changes. The
+// caller holds mu.
+func (l *limits) logShare(q serverlimit.Ask, share float64) {
+	if l.shares[q.Server] == share {
+		return
+	}
+	l.shares[q.Server] = share
+	l.g.log.Info("servers: this host grants the server's limit", zap.String("server", q.Server.ID),
+		zap.Float64("per-second", q.Limit.PerSecond), zap.Float64("share", share), zap.Int("hosts", l.roster.Len()))
+}
+
+// readRoster reads the list of hosts if there is none yet, and otherwise has it read while
+// the old one is used.
+func (l *limits) readRoster(ctx context.Context) {
+	done := l.refreshRoster()
+	l.mu.Lock()
+	known := l.roster.Len() > 0
+	l.mu.Unlock()
+	if known || done == nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// refreshRoster has the list of hosts read if that is due. It returns a channel that is
+// closed once it was read, nil if it is not due.
+func (l *limits) refreshRoster() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rosterRead != nil {
+		return l.rosterRead
+	}
+	if !l.roster.Due(boottime.Now()) {
+		return nil
+	}
+	done := make(chan struct{})
+	l.rosterRead = done
+	go func() {
+		defer close(done)
+		hosts, err := l.readHosts()
+		if err != nil {
+			l.g.log.Info("servers: list of hosts cannot be read; it stays as known", zap.Error(err))
+		} else {
+			l.setHosts(hosts)
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.rosterRead = nil
+	}()
+	return done
+}
+
+// setHosts sets the list of hosts, which was just read.
+func (l *limits) setHosts(hosts []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.roster.Set(hosts, boottime.Now())
+}
+
+func (l *limits) readHosts() ([]string, error) {
+	ctx, cancel := context.WithTimeout(l.g.ctx, rosterTimeout)
+	defer cancel()
+	return l.g.c.Log.Members(ctx, watchGroup)
+}
--- a/pier/gateway/reservation.go
+++ b/pier/gateway/reservation.go
@@ -16,6 +16,17 @@
 type reservation struct {
 	f *fleet
 	s directory.Server
+	// permit is set until the request was sent or needs no permit of the server's limit.
+	permit bool
+}
+
+// endPermit records that the request waits for no permit any more. The caller holds the
+// fleet's mu.
+func (u *reservation) endPermit() {
+	if t := u.f.states[u.s.ID]; t != nil && u.permit {
+		t.permits--
+	}
+	u.permit = false
 }
 
 // paced records a measurement of the time between two events of a generation.
@@ -38,11 +49,12 @@
 // observeLoad records the load that a server states in an answer.
 func (u *reservation) observeLoad(a *backend.Response) {
 	l, ok := a.Load()
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	u.endPermit()
 	if !ok {
 		return
 	}
-	u.f.mu.Lock()
-	defer u.f.mu.Unlock()
 	if t := u.f.states[u.s.ID]; t != nil {
 		t.load, t.loadAt, t.ownRunning = l, time.Now(), t.running
 	}
@@ -114,6 +126,7 @@
 func (u *reservation) release() {
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
+	u.endPermit()
 	u.f.states[u.s.ID].running--
 	u.f.signalCapacity()
 }
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -37,8 +37,10 @@
 	// after which another host continues the sample.
 	saveInterval      = 2 * time.Second
 	drainSaveInterval = 300 * time.Millisecond
-	// scoreRetryDelay is the delay before a call to a scorer is retried.
-	scoreRetryDelay = 50 * time.Millisecond
+	// scoreRetryDelay is the delay before a call to a scorer is retried. It doubles with each
+	// further retry, up to maxScoreRetryDelay.
+	scoreRetryDelay    = 50 * time.Millisecond
+	maxScoreRetryDelay = 400 * time.Millisecond
 	// defaultScoreTimeout is the deadline of a call to a scorer whose route has no timeout.
 	defaultScoreTimeout = 3 * time.Second
 )
@@ -114,6 +116,9 @@
 func (s *sample) failed(ctx context.Context, u *reservation, err error) {
 	e := outcome.AsError(err)
 	s.d.g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
+	if withoutPermit(err) {
+		return
+	}
 	s.d.g.log.Info("sample: run failed", zap.String("id", s.item.ID), zap.String("server", u.s.ID),
 		zap.String("reason", string(e.Reason)), zap.Int64("events", s.lastID),
 		zap.Int("failures", s.failures))
@@ -340,49 +345,65 @@
 // as its route allows, or that ctx ended.
 func (s *sample) scoreWithRetries(ctx context.Context) (string, bool) {
 	failures := 0
-	for ctx.Err() == nil {
-		score, failed, maxFailures := s.callScorer(ctx)
-		if score != "" {
-			return score, true
+	for i := 0; ctx.Err() == nil; i++ {
+		c := s.callScorer(ctx)
+		if c.score != "" {
+			return c.score, true
 		}
-		failures += failed
-		if failures >= maxFailures {
+		failures += c.failed
+		if failures >= c.maxFailures {
 			return "", false
 		}
-		backoff.Sleep(ctx, scoreRetryDelay)
+		backoff.Sleep(ctx, max(backoff.Exponential(scoreRetryDelay, maxScoreRetryDelay, i), c.retryAfter))
 	}
 	return "", false
 }
 
-// callScorer makes one call, which may be retried at other servers. score is empty if the
-// call failed; failed is the number of servers that answered with a server error, and
-// maxFailures is the number of such answers after which the sample is given up.
-func (s *sample) callScorer(ctx context.Context) (score string, failed, maxFailures int) {
+// scorerCall is the result of a call to a scorer, which may have been retried at other
+// servers.
+type scorerCall struct {
+	// score is empty if the call failed.
+	score string
+	// failed is the number of servers that answered with a server error, maxFailures the
+	// number of such answers after which the sample is given up.
+	failed, maxFailures int
+	// retryAfter is how long to wait before the next call; zero if no wait is requested.
+	retryAfter time.Duration
+}
+
+// callScorer makes one call.
+func (s *sample) callScorer(ctx context.Context) scorerCall {
 	q := s.item.Scorer
 	t := s.d.g.Table()
 	if t == nil {
-		return "", 0, 1
+		return scorerCall{maxFailures: 1}
 	}
 	r := t.Match(q.Host, q.Path)
 	if r == nil {
-		return "", 0, 1
+		return scorerCall{maxFailures: 1}
 	}
 	timeout := r.Timeout
 	if timeout <= 0 {
 		timeout = defaultScoreTimeout
 	}
+	c := scorerCall{maxFailures: max(r.Attempts, 1)}
 	a, err := s.d.g.Do(ctx, Call{
 		Route: r, Method: http.MethodPost, Target: q.Path, Host: q.Host, ID: q.ID, Body: q.Body,
 		Header: http.Header{}, Deadline: time.Now().Add(timeout), Purpose: backend.PurposeScore,
 	})
 	if err != nil {
-		return "", 0, max(r.Attempts, 1)
+		if e := outcome.AsError(err); e.Reason == outcome.ReasonServerLimit {
+			c.retryAfter = e.RetryAfter
+		}
+		return c
 	}
 	defer a.Close()
 	if a.Status/100 != 2 {
-		return "", a.ServerErrors, max(r.Attempts, 1)
+		c.failed = a.ServerErrors
+		return c
 	}
-	return a.Header.Get(s.d.g.c.Dialect.ServerStamp), 0, max(r.Attempts, 1)
+	c.score = a.Header.Get(s.d.g.c.Dialect.ServerStamp)
+	return c
 }
 
 // log logs how the sample ended and how long each phase took.
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -2,56 +2,108 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/netip"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/serverlimit"
 )
 
 // limits holds the limits that backend servers state in their answers. It is safe for
 // concurrent use.
 type limits struct {
-	g  *Gateway
-	mu sync.Mutex
+	g *Gateway
+	// known is the number of limits in book. It spares requests the lock while there is none.
+	known atomic.Int64
+	mu    sync.Mutex
 	// mu guards the fields below.
 	book *serverlimit.Book
 	// sent counts the requests that this host has sent to each server with a limit since the
 	// limit was stated, by purpose.
 	sent map[serverlimit.Server]map[backend.Purpose]int
+	// roster holds the hosts; rosterRead is closed when the reading of the list in progress
+	// has ended, nil if there is none.
+	roster     *serverlimit.Roster
+	rosterRead chan struct{}
+	// buckets grants the requests to the servers that this host coordinates; shares holds
+	// the last part of each server's limit that it granted.
+	buckets *serverlimit.Buckets
+	shares  map[serverlimit.Server]float64
+	// asking is the number of requests of this host that ask for a permit, by server.
+	asking map[serverlimit.Server]int
+	// failedAt holds when a coordinator last did not answer.
+	failedAt map[netip.AddrPort]time.Duration
 }
 
 func newLimits(g *Gateway) *limits {
 	return &limits{
 		g: g, book: serverlimit.NewBook(),
-		sent: make(map[serverlimit.Server]map[backend.Purpose]int),
+		sent: make(map[serverlimit.Server]map[backend.Purpose]int), roster: serverlimit.NewRoster(g.hostID()),
+		buckets: serverlimit.NewBuckets(), shares: make(map[serverlimit.Server]float64),
+		asking:   make(map[serverlimit.Server]int),
+		failedAt: make(map[netip.AddrPort]time.Duration),
 	}
 }
 
+// wait reports whether a server has a limit, and for how long no request to it is granted
+// as far as this host knows.
+func (l *limits) wait(s directory.Server) (limited bool, d time.Duration) {
+	if l.known.Load() == 0 {
+		return false, 0
+	}
+	k := serverlimit.Server{ID: s.ID, Born: s.Born.UnixNano()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, limited = l.book.Limit(k); !limited {
+		return false, 0
+	}
+	return true, l.book.Wait(k, boottime.Now())
+}
+
+// full reports whether no request to a server is granted at the moment.
+func (l *limits) full(s directory.Server) bool {
+	_, d := l.wait(s)
+	return d > 0
+}
+
+// retain forgets the limits of servers that are not in known, by ID.
+func (l *limits) retain(known map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Retain(func(s serverlimit.Server) bool { return known[s.ID] })
+	l.known.Store(int64(l.book.Len()))
+	maps.DeleteFunc(l.sent, func(s serverlimit.Server, _ map[backend.Purpose]int) bool { return !known[s.ID] })
+	maps.DeleteFunc(l.shares, func(s serverlimit.Server, _ float64) bool { return !known[s.ID] })
+}
+
 // limitKey returns the incarnation that a request is meant for.
 func limitKey(q *backend.Request) serverlimit.Server {
 	return serverlimit.Server{ID: q.Server, Born: q.Born.UnixNano()}
 }
 
-// observe applies an answer to a request that was sent at sent. fields holds the header
-// fields that state a limit.
-func (l *limits) observe(q *backend.Request, fields []string, sent time.Duration) {
+// observe applies an answer to a request. fields holds the header fields that state a limit.
+func (l *limits) observe(q *backend.Request, a backend.Admission, fields []string) {
+	if len(fields) == 0 && l.known.Load() == 0 {
+		return
+	}
 	s := limitKey(q)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(fields) == 0 && l.book.Len() == 0 {
-		return
-	}
-	before, known := l.book.Limit(s)
-	if known && sent > before.StatedAt {
+	before, _ := l.book.Limit(s)
+	if a.Limited {
 		l.count(s, q.Purpose)
 	}
-	c, err := l.book.Observe(s, fields, sent, boottime.Now())
+	c, err := l.book.Observe(s, fields, a.At, boottime.Now())
+	l.known.Store(int64(l.book.Len()))
 	if err != nil {
 		l.g.metrics.limits.WithLabelValues("malformed").Inc()
 		l.g.log.Warn("servers: stated limit cannot be read", zap.String("server", s.ID),
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/peer"
 )
@@ -23,8 +26,7 @@
 	for i := range n {
 		c, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		g := newHost(t, fmt.Sprint("host-", i), l)
-		g.s.Listen.Peers = netip.MustParseAddrPort(c.Addr().String())
+		g := newHostAt(t, fmt.Sprint("host-", i), netip.MustParseAddrPort(c.Addr().String()), l)
 		g.server = peer.NewServer(peer.ServerConfig{Listener: c, Handler: g.answerPeer})
 		_, err = l.Join(context.Background(), partitionlog.JoinRequest{Group: watchGroup, Member: g.hostID(), TTL: time.Minute})
 		require.NoError(t, err)
@@ -104,5 +106,134 @@
 	start := time.Now()
 	answered := callFor(t, hosts, settle+watched, 10*time.Millisecond)
 	require.LessOrEqual(t, got.since(start.Add(settle)), int(1.5*perSecond*watched.Seconds())+5)
+	require.Positive(t, got.since(start.Add(settle)), "the server is used within its limit")
 	require.Greater(t, answered, 300, "calls are served by the server that has room")
 }
+
+// limitedServer returns a server that states a limit, and a count of what it gets.
+func limitedServer(t *testing.T, id, service string, perSecond string) (*server, *arrivals) {
+	t.Helper()
+	got := &arrivals{}
+	s := startServer(t, id, service, func(_ *server, w http.ResponseWriter, _ *http.Request) {
+		got.add()
+		w.Header().Set(testDialect.Limit, perSecond)
+	})
+	return s, got
+}
+
+// All servers of a service have limits. A call that can be served within its deadline waits;
+// one that can't is refused at once, as not run, and told when to return.
+func TestCallWaitsOrIsRefusedAtOnceWhenAllServersHaveLimits(t *testing.T) {
+	hosts := startHosts(t, newLog().Functions(), 2)
+	g := hosts[0]
+	g.table(nil)
+	s, got := limitedServer(t, "s", "desk", "8")
+	g.register(s.Server)
+	callFor(t, hosts[:1], 50*time.Millisecond, 50*time.Millisecond)
+	var wg sync.WaitGroup
+	var served, refused atomic.Int64
+	for i := range 12 {
+		wg.Go(func() {
+			c := call(g)
+			c.ID = fmt.Sprint(i)
+			start := time.Now()
+			a, err := g.Do(context.Background(), c)
+			if err == nil {
+				a.Close()
+				served.Add(1)
+				return
+			}
+			e := outcome.AsError(err)
+			assert.Equal(t, outcome.ReasonServerLimit, e.Reason)
+			assert.Equal(t, outcome.NotRun, e.Outcome)
+			assert.Positive(t, e.RetryAfter)
+			assert.Less(t, time.Since(start), 250*time.Millisecond)
+			refused.Add(1)
+		})
+	}
+	wg.Wait()
+	require.Positive(t, served.Load())
+	require.Positive(t, refused.Load())
+	require.Equal(t, int(served.Load())+1, got.since(time.Time{}))
+}
+
+// The limit ends when an answer does not state it any more, and a server that is started
+// again at the address has none.
+func TestLimitEnds(t *testing.T) {
+	hosts := startHosts(t, newLog().Functions(), 1)
+	g := hosts[0]
+	g.table(nil)
+	var stated atomic.Bool
+	stated.Store(true)
+	s := startServer(t, "s", "desk", func(_ *server, w http.ResponseWriter, _ *http.Request) {
+		if stated.Load() {
+			w.Header().Set(testDialect.Limit, "4")
+		}
+	})
+	g.register(s.Server)
+	callFor(t, hosts, 300*time.Millisecond, 10*time.Millisecond)
+	limited, _ := g.limits.wait(s.Server)
+	require.True(t, limited)
+	again := s.Server
+	again.Born = s.Born.Add(time.Second)
+	limited, _ = g.limits.wait(again)
+	require.False(t, limited)
+	stated.Store(false)
+	require.Eventually(t, func() bool {
+		callFor(t, hosts, 10*time.Millisecond, 10*time.Millisecond)
+		limited, _ := g.limits.wait(s.Server)
+		return !limited
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+// A step is driven on an engine with a limit and one without. The limit holds for samples
+// too, and the step is finished.
+func TestSamplesKeepToAnEnginesLimit(t *testing.T) {
+	const perSecond = 2
+	hosts := startHosts(t, newLog().Functions(), 1)
+	g := hosts[0]
+	g.table(nil)
+	got := &arrivals{}
+	limited := startServer(t, "a-limited", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) {
+		got.add()
+		w.Header().Set(testDialect.Limit, fmt.Sprint(perSecond))
+		stream(w, r, 1, 2, 0)
+	})
+	free := startServer(t, "b-free", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		stream(w, r, 1, 2, 0)
+	})
+	g.register(limited.Server, free.Server)
+	start := time.Now()
+	require.NoError(t, g.Accept(context.Background(), route(g), newStep("s1", 60)))
+	waitResults(t, g, "s1", 60)
+	// Up to four samples start before the first answer states the limit.
+	allowed := 4 + perSecond*time.Since(start).Seconds() + 2
+	require.LessOrEqual(t, float64(got.since(start)), allowed)
+}
+
+// The coordinator of a server is gone. Its deputy grants a part of the limit.
+func TestDeputyGrantsWhenTheCoordinatorIsGone(t *testing.T) {
+	hosts := startHosts(t, newLog().Functions(), 3)
+	s, got := limitedServer(t, "s", "desk", "8")
+	for _, g := range hosts {
+		g.table(nil)
+		g.register(s.Server)
+	}
+	callFor(t, hosts, 300*time.Millisecond, 20*time.Millisecond)
+	hosts[0].limits.mu.Lock()
+	first, _ := hosts[0].limits.roster.Coordinators("s")
+	hosts[0].limits.mu.Unlock()
+	var left []*Gateway
+	for _, g := range hosts {
+		if g.hostID() == first {
+			g.server.Close()
+			continue
+		}
+		left = append(left, g)
+	}
+	start := time.Now()
+	callFor(t, left, 3*time.Second, 20*time.Millisecond)
+	require.Positive(t, got.since(start.Add(time.Second)))
+	require.LessOrEqual(t, got.since(start), int(1.5*8*3)+5)
+}
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -65,6 +65,8 @@
 		return g.answerStep(ctx, q)
 	case kindLogCall:
 		return g.peerLog.carry(ctx, q)
+	case kindPermit:
+		return g.limits.answer(q)
 	}
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -63,6 +63,8 @@
 	ReasonAnswerTooLarge  Reason = "answer-too-large"
 	ReasonTooManyRequests Reason = "too-many-requests"
 	ReasonStaleVersion    Reason = "stale-version"
+	ReasonServerLimit     Reason = "server-limit"
+	ReasonPermitExpired   Reason = "permit-expired"
 )
 
 // Error is the error of a request that ended without an answer.
--- a/pier/serverlimit/book.go
+++ b/pier/serverlimit/book.go
@@ -11,8 +11,8 @@
 type Server struct {
 	// ID is the incarnation's id. Born is when it started, in nanoseconds since the Unix
 	// epoch, which differs if an id is used again.
-	ID   string
-	Born int64
+	ID   string `msgpack:"i"`
+	Born int64  `msgpack:"b"`
 }
 
 // Limit is the limit that a server states.
@@ -38,11 +38,22 @@
 
 // Book holds the limits that a host knows. It is not safe for concurrent use.
 type Book struct {
-	limits map[Server]*Limit
+	limits map[Server]*entry
+	// ended holds when the newest request was sent whose answer stated no limit any more.
+	ended map[Server]time.Duration
+}
+
+// entry is a limit and what this host knows of its use.
+type entry struct {
+	Limit
+	// fullUntil is when the coordinator would grant the next request.
+	fullUntil time.Duration
 }
 
 // NewBook returns a book without limits.
-func NewBook() *Book { return &Book{limits: make(map[Server]*Limit)} }
+func NewBook() *Book {
+	return &Book{limits: make(map[Server]*entry), ended: make(map[Server]time.Duration)}
+}
 
 // Limit returns the limit of a server. ok is false if it has none.
 func (b *Book) Limit(s Server) (l Limit, ok bool) {
@@ -50,7 +61,23 @@
 	if p == nil {
 		return Limit{}, false
 	}
-	return *p, true
+	return p.Limit, true
+}
+
+// SetFull records that the coordinator grants no request to a server until a time.
+func (b *Book) SetFull(s Server, until time.Duration) {
+	if p := b.limits[s]; p != nil {
+		p.fullUntil = until
+	}
+}
+
+// Wait returns how long no request to a server is granted, as far as this host knows.
+func (b *Book) Wait(s Server, now time.Duration) time.Duration {
+	p := b.limits[s]
+	if p == nil {
+		return 0
+	}
+	return max(p.fullUntil-now, 0)
 }
 
 // Len returns the number of limits.
@@ -63,6 +90,11 @@
 			delete(b.limits, s)
 		}
 	}
+	for s := range b.ended {
+		if !keep(s) {
+			delete(b.ended, s)
+		}
+	}
 }
 
 // Observe applies an answer that states the limit with the given header fields; without
@@ -79,8 +111,8 @@
 	v, err := Parse(fields)
 	if err != nil {
 		v = fallbackPerSecond
-		if l := b.limits[s]; l != nil {
-			v = l.PerSecond
+		if p := b.limits[s]; p != nil {
+			v = p.PerSecond
 		}
 	}
 	return b.state(s, Limit{PerSecond: v, StatedAt: now}), err
@@ -91,16 +123,22 @@
 	if p := b.limits[s]; p != nil && p.StatedAt >= l.StatedAt {
 		return Unchanged
 	}
+	if t, ok := b.ended[s]; ok && t >= l.StatedAt {
+		return Unchanged
+	}
 	return b.state(s, l)
 }
 
 func (b *Book) state(s Server, l Limit) Change {
 	p := b.limits[s]
-	b.limits[s] = &l
-	switch {
-	case p == nil:
+	if p == nil {
+		b.limits[s] = &entry{Limit: l}
 		return Stated
-	case p.PerSecond != l.PerSecond:
+	}
+	changed := p.PerSecond != l.PerSecond
+	p.Limit = l
+	if changed {
+		p.fullUntil = 0
 		return Changed
 	}
 	return Unchanged
@@ -112,5 +150,6 @@
 		return Unchanged
 	}
 	delete(b.limits, s)
+	b.ended[s] = sent
 	return Ended
 }
