Samples leave a slow engine also when it states a limit

An engine with a limit was left out of the search for moves altogether, so its samples stayed when it became slow (TestSamplesMoveFromAnEngineWithALimitButNotToOne failed for the first case). It now counts as an engine without free slots. A list of hosts that cannot be read makes one log line, not one each two seconds.

--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -217,8 +217,8 @@
 }
 
 // eligibleEngines returns the engines that may take samples, and their indexes in the
-// service's list. slots applies to servers whose registrations state none; admits is asked
-// about each server's limit. The caller holds mu.
+// service's list. slots applies to servers whose registrations state none. An engine that
+// admits returns false for has no slots; its samples may still move away. The caller holds mu.
 func (f *fleet) eligibleEngines(
 	service, model string, slots int, now time.Time, admits func(s directory.Server) bool,
 ) ([]stepplan.Engine, []int) {
@@ -228,13 +228,16 @@
 	fastest := f.fastest(l, now)
 	for i, s := range l {
 		t := f.states[s.ID]
-		if s.Leaving || now.Before(t.avoidUntil) || !admits(s) {
+		if s.Leaving || now.Before(t.avoidUntil) {
 			continue
 		}
 		n := s.Slots
 		if n == 0 {
 			n = slots
 		}
+		if !admits(s) {
+			n = 0
+		}
 		at = append(at, i)
 		c = append(c, stepplan.Engine{
 			ID: s.ID, Version: t.version(s, model, now), Slots: n,
--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -302,14 +302,16 @@
 	go func() {
 		defer close(done)
 		hosts, err := l.readHosts()
-		if err != nil {
-			l.g.log.Info("servers: list of hosts cannot be read; it stays as known", zap.Error(err))
-		} else {
+		if err == nil {
 			l.setHosts(hosts)
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.rosterRead = nil
+		if err != nil && !l.rosterFails {
+			l.g.log.Info("servers: list of hosts cannot be read; it stays as known", zap.Error(err))
+		}
+		l.rosterFails = err != nil
 	}()
 	return done
 }
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -34,6 +34,8 @@
 	// has ended, nil if there is none.
 	roster     *serverlimit.Roster
 	rosterRead chan struct{}
+	// rosterFails is set if the list could not be read the last time.
+	rosterFails bool
 	// buckets grants the requests to the servers that this host coordinates; shares holds
 	// the last part of each server's limit that it granted.
 	buckets *serverlimit.Buckets
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -14,10 +14,13 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/stepplan"
 )
 
 // startHosts returns n hosts that listen for peers and are members of the group of hosts.
@@ -259,3 +262,28 @@
 	limited, _ := hosts[1].limits.wait(s.Server)
 	require.True(t, limited)
 }
+
+// An engine with a limit became slow. Its samples move away, but none moves to an engine with
+// a limit, where it might have to wait.
+func TestSamplesMoveFromAnEngineWithALimitButNotToOne(t *testing.T) {
+	tests := map[string]struct {
+		limited string
+		want    []int
+	}{
+		"the slow one has a limit": {limited: "slow", want: []int{0}},
+		"the fast one has a limit": {limited: "fast", want: nil},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newHost(t, "a", newLog().Functions())
+			g.table(nil)
+			for id, pace := range map[string]time.Duration{"slow": 50 * time.Millisecond, "fast": 5 * time.Millisecond} {
+				g.register(directory.Server{ID: id, Service: "engines", Slots: 4, Versions: map[string]int64{"m": 1}})
+				g.fleet.states[id].pace, g.fleet.states[id].paced = pace, time.Now()
+			}
+			q := &backend.Request{Server: c.limited}
+			g.limits.observe(q, backend.Admission{}, []string{"2"})
+			require.Equal(t, c.want, g.fleet.moves("engines", "m", 4, []stepplan.Run{{Server: "slow", MinVersion: 1}}, 4))
+		})
+	}
+}
