--- /dev/null
+++ b/pier/gateway/dispatch.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
+)
+
+// serverAttempt is one request to one server.
+type serverAttempt struct {
+	u      *reservation
+	answer *Answer
+	err    error
+	cancel context.CancelFunc
+}
+
+// attempts tries one server after another. An idempotent request that is slow at one server
+// is hedged: it is sent to a second one as well, and the first answer counts.
+func (g *Gateway) attempts(ctx context.Context, c Call) (*Answer, error) {
+	s := plainDispatch{
+		g: g, c: c, service: c.Route.PickService(xxhash.Sum64String(c.ID)),
+		tried: make(map[string]bool), limited: make(map[string]bool),
+	}
+	s.endedAttempts = make(chan *serverAttempt, c.Route.Attempts+1)
+	s.last = outcome.Refuse(outcome.ReasonNoServer, s.service).After(unavailableRetryAfter)
+	s.hedge = time.NewTimer(time.Hour)
+	defer s.hedge.Stop()
+	s.send(ctx, c.Purpose)
+	for s.pending > 0 {
+		select {
+		case t := <-s.endedAttempts:
+			s.pending--
+			if t.err == nil {
+				s.cancelOthers(t)
+				t.answer.ServerErrors += s.errors
+				return t.answer, nil
+			}
+			if s.mayRetry(t) {
+				s.send(ctx, backend.PurposeRetry)
+			}
+		case <-s.hedge.C:
+			g.metrics.retries.WithLabelValues(reasonSlow).Inc()
+			s.send(ctx, backend.PurposeHedge)
+		}
+	}
+	switch {
+	case s.failed == nil:
+		return nil, s.last
+	case ctx.Err() != nil:
+		return nil, outcome.Ambiguous(outcome.ReasonOf(ctx), s.servers(), ctx.Err())
+	}
+	return nil, s.failed
+}
+
+// reasonSlow labels the requests that were hedged.
+const reasonSlow = "slow"
+
+// plainDispatch is the state of a plain request that is sent to one server or several.
+type plainDispatch struct {
+	g       *Gateway
+	c       Call
+	service string
+	tried   map[string]bool
+	// limited holds the servers whose limit left no room at once. Each is tried again, and
+	// may then make the request wait.
+	limited  map[string]bool
+	attempts []*serverAttempt
+	// pending is the number of attempts that have not ended; sent is the number that may
+	// have been executed.
+	pending, sent int
+	// errors is the number of servers that answered with a server error.
+	errors        int
+	endedAttempts chan *serverAttempt
+	hedge         *time.Timer
+	// failed is the newest failure of an attempt that may have been executed, last that of
+	// any attempt.
+	failed, last *outcome.Error
+}
+
+func (s *plainDispatch) idempotent() bool { return s.c.Route.Kind == routetable.KindIdempotent }
+
+// send starts an attempt at a server that had none yet, if the route allows another.
+func (s *plainDispatch) send(ctx context.Context, p backend.Purpose) {
+	if ctx.Err() != nil || s.sent >= s.c.Route.Attempts {
+		return
+	}
+	u, ok := s.g.fleet.pickServer(s.service, s.tried)
+	if !ok {
+		return
+	}
+	q := s.g.request(s.c, u)
+	q.Purpose = p
+	if !s.mayWait(&q, u) {
+		u.release()
+		return
+	}
+	s.tried[u.s.ID] = true
+	s.sent++
+	s.pending++
+	attemptCtx, cancel := context.WithCancel(ctx)
+	t := &serverAttempt{u: u, cancel: cancel}
+	s.attempts = append(s.attempts, t)
+	more := s.sent < s.c.Route.Attempts
+	go func() {
+		t.answer, t.err = s.g.attempt(attemptCtx, s.c, q, u, more)
+		s.endedAttempts <- t
+	}()
+	if s.idempotent() && more && s.c.Route.LatencyObjective > 0 {
+		s.hedge.Reset(time.Duration(hedgeFactor * float64(s.c.Route.LatencyObjective)))
+	}
+}
+
+// mayWait sets how long the request may wait if the server's limit leaves no room. It returns
+// false if the request should not be sent there, as an attempt at another server is still in
+// progress: a permit that is not used in the end is lost to others.
+func (s *plainDispatch) mayWait(q *backend.Request, u *reservation) bool {
+	if !s.limited[u.s.ID] && !s.g.limits.full(u.s) {
+		return true
+	}
+	s.limited[u.s.ID] = true
+	q.LimitWait = s.c.limitWait(time.Now())
+	return s.pending == 0
+}
+
+// servers returns the servers that were asked, in order, separated by commas.
+func (s *plainDispatch) servers() string {
+	var l []string
+	for _, t := range s.attempts {
+		l = append(l, t.u.s.ID)
+	}
+	return strings.Join(l, ",")
+}
+
+// mayRetry handles a failed attempt and reports whether another may follow.
+func (s *plainDispatch) mayRetry(t *serverAttempt) bool {
+	t.cancel()
+	s.setLast(outcome.AsError(t.err))
+	e := outcome.AsError(t.err)
+	s.g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
+	s.g.log.Debug("request: attempt failed", zap.String("id", s.c.ID),
+		zap.String("server", t.u.s.ID), zap.String("reason", string(e.Reason)))
+	if e.Outcome == outcome.NotRun {
+		s.sent--
+		if e.Reason == outcome.ReasonServerLimit && !s.limited[t.u.s.ID] {
+			s.limited[t.u.s.ID] = true
+			delete(s.tried, t.u.s.ID)
+		}
+		return true
+	}
+	s.failed = e
+	if e.Reason == outcome.ReasonServerError {
+		s.errors++
+	}
+	return s.idempotent()
+}
+
+// setLast records the failure of an attempt. Of several servers whose limits are used up,
+// the one that takes a request first decides when the caller should return.
+func (s *plainDispatch) setLast(e *outcome.Error) {
+	p := s.last
+	if p.Reason == outcome.ReasonServerLimit && e.Reason == p.Reason && p.RetryAfter > 0 && p.RetryAfter < e.RetryAfter {
+		return
+	}
+	s.last = e
+}
+
+// cancelOthers ends all attempts but the one whose answer counts.
+func (s *plainDispatch) cancelOthers(winner *serverAttempt) {
+	for _, t := range s.attempts {
+		if t != winner {
+			t.cancel()
+		}
+	}
+	done := winner.answer.close
+	winner.answer.close = func() {
+		done()
+		winner.cancel()
+	}
+	n := s.pending
+	if n == 0 {
+		return
+	}
+	go func() {
+		for range n {
+			if t := <-s.endedAttempts; t.err == nil {
+				t.answer.Close()
+			}
+		}
+	}()
+}
--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -34,8 +34,6 @@
 	// askingDelay is how long a request that may not wait for a permit keeps away from a
 	// server for which another request of this host is asking.
 	askingDelay = 10 * time.Millisecond
-	// rosterTimeout bounds the time for reading the list of hosts.
-	rosterTimeout = time.Second
 )
 
 // kindPermit is the kind of a message that asks for a permit.
@@ -269,62 +267,3 @@
 	l.g.log.Info("servers: this host grants the server's limit", zap.String("server", q.Server.ID),
 		zap.Float64("per-second", q.Limit.PerSecond), zap.Float64("share", share), zap.Int("hosts", l.roster.Len()))
 }
-
-// readRoster reads the list of hosts if there is none yet, and otherwise has it read while
-// the old one is used.
-func (l *limits) readRoster(ctx context.Context) {
-	done := l.refreshRoster()
-	l.mu.Lock()
-	known := l.roster.Len() > 0
-	l.mu.Unlock()
-	if known || done == nil {
-		return
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-// refreshRoster has the list of hosts read if that is due. It returns a channel that is
-// closed once it was read, nil if it is not due.
-func (l *limits) refreshRoster() <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.rosterRead != nil {
-		return l.rosterRead
-	}
-	if !l.roster.Due(boottime.Now()) {
-		return nil
-	}
-	done := make(chan struct{})
-	l.rosterRead = done
-	go func() {
-		defer close(done)
-		hosts, err := l.readHosts()
-		if err == nil {
-			l.setHosts(hosts)
-		}
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.rosterRead = nil
-		if err != nil && !l.rosterFails {
-			l.g.log.Info("servers: list of hosts cannot be read; it stays as known", zap.Error(err))
-		}
-		l.rosterFails = err != nil
-	}()
-	return done
-}
-
-// setHosts sets the list of hosts, which was just read.
-func (l *limits) setHosts(hosts []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.roster.Set(hosts, boottime.Now())
-}
-
-func (l *limits) readHosts() ([]string, error) {
-	ctx, cancel := context.WithTimeout(l.g.ctx, rosterTimeout)
-	defer cancel()
-	return l.g.c.Log.Members(ctx, watchGroup)
-}
--- /dev/null
+++ b/pier/gateway/placement.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"time"
+
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/stepplan"
+)
+
+// pickEngine picks an engine with version min or newer for a sample and reserves a slot
+// there. ok is false if none has a free slot.
+func (f *fleet) pickEngine(service, model string, min int64, slots int) (*reservation, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, at := f.eligibleEngines(service, model, slots, time.Now(), f.admitsSample)
+	i := stepplan.PickEngine(c, min)
+	if i < 0 {
+		return nil, false
+	}
+	return f.reserve(f.byService[service][at[i]]), true
+}
+
+// reserve adds a request of this host to a server. The caller holds mu.
+func (f *fleet) reserve(s directory.Server) *reservation {
+	f.states[s.ID].running++
+	f.states[s.ID].permits++
+	return &reservation{f: f, s: s, permit: true}
+}
+
+// moves returns the indexes of at most limit runs that should move to another engine.
+func (f *fleet) moves(service, model string, slots int, runs []stepplan.Run, limit int) []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, _ := f.eligibleEngines(service, model, slots, time.Now(), f.isUnlimited)
+	return stepplan.PlanMoves(c, runs, limit)
+}
+
+// isUnlimited reports whether a server has stated no limit. A sample does not move to a
+// server with a limit, where it may have to wait.
+func (f *fleet) isUnlimited(s directory.Server) bool {
+	limited, _ := f.g.limits.wait(s)
+	return !limited
+}
+
+// admitsSample reports whether a sample may ask for a permit of a server's limit: others of
+// this host do not ask already, and none was refused shortly before. The caller holds mu.
+func (f *fleet) admitsSample(s directory.Server) bool {
+	limited, wait := f.g.limits.wait(s)
+	return !limited || wait == 0 && f.states[s.ID].permits == 0
+}
+
+// eligibleEngines returns the engines that may take samples, and their indexes in the
+// service's list. slots applies to servers whose registrations state none. An engine that
+// admits returns false for has no slots; its samples may still move away. The caller holds mu.
+func (f *fleet) eligibleEngines(
+	service, model string, slots int, now time.Time, admits func(s directory.Server) bool,
+) ([]stepplan.Engine, []int) {
+	l := f.byService[service]
+	c := make([]stepplan.Engine, 0, len(l))
+	at := make([]int, 0, len(l))
+	fastest := f.fastest(l, now)
+	for i, s := range l {
+		t := f.states[s.ID]
+		if s.Leaving || now.Before(t.avoidUntil) {
+			continue
+		}
+		n := s.Slots
+		if n == 0 {
+			n = slots
+		}
+		if !admits(s) {
+			n = 0
+		}
+		at = append(at, i)
+		c = append(c, stepplan.Engine{
+			ID: s.ID, Version: t.version(s, model, now), Slots: n,
+			Running: t.estimatedRunning(now), SameDomain: s.Domain == f.g.s.Domain,
+			RelativeTokenTime: t.relativeTokenTime(fastest, now),
+		})
+	}
+	return c, at
+}
+
+// fastest returns the pace of the fastest server, or 0 if none was measured recently. The
+// caller holds mu.
+func (f *fleet) fastest(l []directory.Server, now time.Time) time.Duration {
+	var r time.Duration
+	for _, s := range l {
+		t := f.states[s.ID]
+		if t.pace > 0 && now.Sub(t.paced) < paceMaxAge && (r == 0 || t.pace < r) {
+			r = t.pace
+		}
+	}
+	return r
+}
+
+// relativeTokenTime returns the server's pace as a multiple of the fastest one's, or 1 if
+// it was not measured recently.
+func (t *serverState) relativeTokenTime(fastest time.Duration, now time.Time) float64 {
+	if fastest == 0 || t.pace == 0 || now.Sub(t.paced) >= paceMaxAge {
+		return 1
+	}
+	return float64(t.pace) / float64(fastest)
+}
+
+// version returns the version of a model that the server is expected to have.
+func (t *serverState) version(s directory.Server, model string, now time.Time) int64 {
+	v := s.Versions[model]
+	if o, ok := t.ordered[model]; ok && !now.Before(o.ready) {
+		v = max(v, o.version)
+	}
+	return v
+}
+
+// estimatedRunning returns the estimated number of requests at the server: those of this
+// host, plus those of others as of the load that the server last stated.
+func (t *serverState) estimatedRunning(now time.Time) int {
+	n := t.running
+	if now.Sub(t.loadAt) < loadMaxAge {
+		n += max(t.load.Running+t.load.Waiting-t.ownRunning, 0)
+	}
+	return n
+}
+
+// pickServer picks a server for a plain request, other than those in tried. A server that is
+// avoided, or whose limit leaves no room for some time, is picked only if there is no other.
+func (f *fleet) pickServer(service string, tried map[string]bool) (*reservation, bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best, bestCost := -1, 0.0
+	l := f.byService[service]
+	for i, s := range l {
+		t := f.states[s.ID]
+		if s.Leaving || tried[s.ID] {
+			continue
+		}
+		c := float64(t.estimatedRunning(now)) / float64(max(s.Slots, 1))
+		if now.Before(t.avoidUntil) {
+			c += avoidCost
+		}
+		if s.Domain != f.g.s.Domain {
+			c += remoteDomainCost
+		}
+		if _, wait := f.g.limits.wait(s); wait > 0 {
+			c += limitedCost * wait.Seconds()
+		}
+		if best < 0 || c < bestCost {
+			best, bestCost = i, c
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	return f.reserve(l[best]), true
+}
+
+const (
+	// avoidCost ranks a server that is avoided behind all others.
+	avoidCost = 100
+	// limitedCost is the cost of each second for which a server's limit leaves no room: a
+	// tenth of a second weighs as much as a server that is avoided.
+	limitedCost = 1000
+	// remoteDomainCost is the load per slot that offsets the longer round trip to another
+	// failure domain.
+	remoteDomainCost = 0.1
+)
