Idle connections of all hosts together keep to what a server accepts

Found while looking for the cause of the incident elsewhere: the configuration says how many connections a server accepts from all callers together, and nothing read it. Each host kept up to 12 idle ones a server, so 91 hosts could keep 1,092 where 550 are accepted; further connections are reset. A host now keeps an even share, by the list of hosts, at most 12 and none if there are more hosts than connections: 546 in that case. TestIdleConnectionsOfAllHostsTogether and TestIdleConnectionsKeepToTheShare fail without it.

--- a/pier/backend/conn.go
+++ b/pier/backend/conn.go
@@ -38,6 +38,8 @@
 	server string
 	// idleTimeout is how long the connection may be idle, as last stated by its server.
 	idleTimeout time.Duration
+	// maxIdle is the number of idle connections to its server up to which it is kept.
+	maxIdle int
 	// expires is the time from which the idle connection must not be used.
 	expires time.Time
 }
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -61,6 +61,9 @@
 	Deadline time.Time
 	// Purpose is why the request is sent.
 	Purpose Purpose
+	// MaxIdle is the number of idle connections to the server up to which its connection is
+	// kept afterwards: 0 if there is no limit of the server's, negative to keep none.
+	MaxIdle int
 	// LimitWait is how long the request may wait, before it is sent, for a server that limits
 	// its requests.
 	LimitWait time.Duration
@@ -69,6 +72,14 @@
 	HeaderTimeout time.Duration
 }
 
+// maxIdle returns how many idle connections to the server are kept.
+func (q *Request) maxIdle() int {
+	if q.MaxIdle == 0 {
+		return maxIdlePerServer
+	}
+	return min(max(q.MaxIdle, 0), maxIdlePerServer)
+}
+
 // Response is the answer to a request. The caller must call Close.
 type Response struct {
 	Status int
@@ -106,6 +117,7 @@
 			return nil, err
 		}
 	}
+	c.maxIdle = q.maxIdle()
 	if a.Limited && boottime.Now() > a.Until {
 		p.putIdle(c)
 		return nil, outcome.Refuse(outcome.ReasonPermitExpired, q.Server)
--- a/pier/backend/limit_test.go
+++ b/pier/backend/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -85,3 +86,33 @@
 	_, err = p.Do(context.Background(), Request{Server: "s", Address: a, Method: "GET", Target: "/", Host: "h", ID: "1"})
 	require.True(t, outcome.HasReason(err, outcome.ReasonServerLimit))
 }
+
+// A server accepts few connections from all hosts together. A host keeps only its share of
+// them while they are idle.
+func TestIdleConnectionsKeepToTheShare(t *testing.T) {
+	tests := map[string]struct{ maxIdle, kept int }{
+		"no limit of the server's": {0, maxIdlePerServer},
+		"a share of two":           {2, 2},
+		"more hosts than it takes": {-1, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, _ := startServer(t, answerOK)
+			p := NewPool(Config{Dialect: dialect})
+			var open []*Response
+			for range maxIdlePerServer + 2 {
+				r, err := p.Do(context.Background(), Request{
+					Server: "s", Address: a, Method: "GET", Target: "/", Host: "h", ID: "1", MaxIdle: c.maxIdle,
+				})
+				require.NoError(t, err)
+				open = append(open, r)
+			}
+			for _, r := range open {
+				_, err := io.ReadAll(r)
+				require.NoError(t, err)
+				r.Close()
+			}
+			require.Len(t, p.idle["s"], c.kept)
+		})
+	}
+}
--- a/pier/backend/pool.go
+++ b/pier/backend/pool.go
@@ -15,7 +15,8 @@
 	// and servers takes a few milliseconds. A lost SYN is retransmitted only after one
 	// second, which is too long to wait for.
 	dialTimeout = 400 * time.Millisecond
-	// maxIdlePerServer is the maximum number of idle connections to one server.
+	// maxIdlePerServer is the maximum number of idle connections to one server, unless a
+	// request allows fewer.
 	maxIdlePerServer = 12
 	// sweepInterval is the minimum time between two searches for expired idle connections.
 	sweepInterval = time.Second
@@ -125,7 +126,7 @@
 	now := time.Now()
 	c.expires = now.Add(c.idleTimeout)
 	p.mu.Lock()
-	full := len(p.idle[c.server]) >= maxIdlePerServer
+	full := len(p.idle[c.server]) >= c.maxIdle
 	if !full {
 		p.idle[c.server] = append(p.idle[c.server], c)
 	}
--- a/pier/gateway/fleet_test.go
+++ b/pier/gateway/fleet_test.go
@@ -58,3 +58,24 @@
 	g.fleet.put("s", []byte{'y', 8}, 8)
 	require.Equal(t, 1, count())
 }
+
+// A service's servers accept a number of connections from all hosts together, and no host
+// knows how many the others keep.
+func TestIdleConnectionsOfAllHostsTogether(t *testing.T) {
+	tests := map[string]struct{ accepted, hosts, want int }{
+		"not stated":               {0, 12, 0},
+		"even share":               {150, 12, 12},
+		"many hosts":               {550, 195, 2},
+		"more hosts than it takes": {550, 680, -1},
+		"hosts not known yet":      {150, 0, 150},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newHost(t, "a", newLog().Functions())
+			g.table(nil)
+			g.Table().Services["desk"].MaxConns = c.accepted
+			g.limits.setHosts(make([]string, c.hosts))
+			require.Equal(t, c.want, g.maxIdle("desk"))
+		})
+	}
+}
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -177,10 +177,24 @@
 	delete(h, http.CanonicalHeaderKey(d.Deadline))
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: c.Method, Target: c.Target, Host: c.Host,
-		ID: c.ID, Header: h, Body: c.Body, Deadline: c.Deadline,
+		ID: c.ID, Header: h, Body: c.Body, Deadline: c.Deadline, MaxIdle: g.maxIdle(u.s.Service),
 	}
 }
 
+// maxIdle returns how many idle connections this host keeps to a server of a service, as
+// backend.Request.MaxIdle: an even share of what the server accepts from all hosts together.
+func (g *Gateway) maxIdle(service string) int {
+	t := g.Table()
+	if t == nil || t.Services[service] == nil || t.Services[service].MaxConns <= 0 {
+		return 0
+	}
+	share := t.Services[service].MaxConns / max(int(g.limits.hosts.Load()), 1)
+	if share == 0 {
+		return -1
+	}
+	return share
+}
+
 // readAnswer reads an answer into memory. Of a stream nothing is read, and of a long answer
 // only the beginning; Rest yields the remainder.
 func readAnswer(c Call, r *backend.Response) (*Answer, error) {
--- a/pier/gateway/roster.go
+++ b/pier/gateway/roster.go
@@ -63,6 +63,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.roster.Set(hosts, boottime.Now())
+	l.hosts.Store(int64(l.roster.Len()))
 }
 
 func (l *limits) readHosts() ([]string, error) {
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -24,6 +24,8 @@
 	g *Gateway
 	// known is the number of limits in book. It spares requests the lock while there is none.
 	known atomic.Int64
+	// hosts is the number of hosts in roster.
+	hosts atomic.Int64
 	mu    sync.Mutex
 	// mu guards the fields below.
 	book *serverlimit.Book
