An append to the orders' topic that gets no answer is read back

Appends are numbered, so that a late record of an earlier append is not taken for the new one, which would let the lease end later than others count. The lease still counts from before the sending.

TestAppendWithoutAnswerIsReadBack failed before.

--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -41,6 +41,8 @@
 	limiter *loadplan.Limiter
 	// notices holds what the next record tells all hosts of servers' limits.
 	notices *limitNotices
+	// appends is the number of records that this incarnation has sent.
+	appends int64
 	// sent is the time since boot at which this host last sent a record that was appended.
 	sent time.Duration
 }
@@ -147,21 +149,14 @@
 // whether the record was appended.
 func (o *orders) append(l *orderlease.Load) bool {
 	sent := boottime.Now()
-	r := orderlease.Record{Holder: o.g.self.Host, HostID: o.g.hostID(), Load: l, Limits: o.notices.next(sent)}
+	o.appends++
+	r := orderlease.Record{
+		Holder: o.g.self.Host, HostID: o.g.hostID(), Append: o.appends, Load: l, Limits: o.notices.next(sent),
+	}
 	if o.lease.Holds(sent) {
 		r.Fence = o.lease.Fence()
 	}
-	b, err := r.Encode()
-	if err != nil {
-		o.g.log.Error("orders: lease record cannot be encoded; not appended", zap.Error(err))
-		return false
-	}
-	ctx, cancel := context.WithTimeout(o.g.ctx, readSlack)
-	defer cancel()
-	a, err := o.g.c.Log.Append(ctx, partitionlog.AppendRequest{
-		Partition: partitionlog.Partition{Topic: orderlease.Topic}, Records: [][]byte{b},
-		ExpectedEnd: o.lease.NextOffset(),
-	})
+	offset, err := o.appendRecord(&r)
 	if err != nil {
 		o.g.log.Info("orders: append to take or renew the lease failed", zap.Error(err))
 		if o.g.ctx.Err() == nil {
@@ -171,7 +166,7 @@
 	}
 	o.g.logHealth.answered(orderlease.Topic)
 	held := o.lease.Holds(sent)
-	o.lease.AppendSucceeded(a.First, sent)
+	o.lease.AppendSucceeded(offset, sent)
 	o.sent = sent
 	o.notices.setHolder(o.g.hostID())
 	o.notices.done(len(r.Limits))
--- a/pier/gateway/orders_test.go
+++ b/pier/gateway/orders_test.go
@@ -14,6 +14,7 @@
 	"mulberrypier.example/pier/loadplan"
 	"mulberrypier.example/pier/orderlease"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
 )
 
 // fakeEngines implements the control calls of engines. An order takes effect at once,
@@ -181,3 +182,48 @@
 		})
 	}
 }
+
+// An append to the orders' topic is made, but its answer is lost. The holder of the lease
+// must not wait for it: its record shows that it was made. A record of an earlier append that
+// was made late shows nothing.
+func TestAppendWithoutAnswerIsReadBack(t *testing.T) {
+	tests := map[string]struct {
+		// made returns the records that reach the log in place of the one that is sent.
+		made func(r orderlease.Record) *orderlease.Record
+		want bool
+	}{
+		"made":                     {func(r orderlease.Record) *orderlease.Record { return &r }, true},
+		"not made":                 {func(orderlease.Record) *orderlease.Record { return nil }, false},
+		"an earlier one made late": {func(r orderlease.Record) *orderlease.Record { r.Append--; return &r }, false},
+		"another host's": {
+			func(r orderlease.Record) *orderlease.Record { r.Holder, r.HostID = "b", "b"; return &r }, false,
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLog().Functions()
+			lost := l
+			lost.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+				r, err := orderlease.Decode(q.Records[0])
+				require.NoError(t, err)
+				if m := c.made(*r); m != nil {
+					b, err := m.Encode()
+					require.NoError(t, err)
+					q.Records = [][]byte{b}
+					_, err = l.Append(ctx, q)
+					require.NoError(t, err)
+				}
+				<-ctx.Done()
+				return partitionlog.AppendResult{}, outcome.Ambiguous(outcome.ReasonSilent, "append", nil)
+			}
+			g := newHost(t, "a", lost)
+			g.table(nil)
+			start := time.Now()
+			require.Equal(t, c.want, g.orders.append(nil))
+			require.Equal(t, c.want, g.orders.lease.Holds(boottime.Now()))
+			if c.want {
+				require.Less(t, time.Since(start), 500*time.Millisecond)
+			}
+		})
+	}
+}
--- a/pier/orderlease/orderlease.go
+++ b/pier/orderlease/orderlease.go
@@ -52,6 +52,9 @@
 	Holder string `msgpack:"h"`
 	// HostID identifies the host itself; all of its incarnations have the same one.
 	HostID string `msgpack:"n,omitempty"`
+	// Append numbers the appends of an incarnation. An append without an answer may be made
+	// late, when the incarnation has already sent the next one.
+	Append int64 `msgpack:"a,omitempty"`
 	// Fence is the fencing token of the term, 0 in the term's first record.
 	Fence int64 `msgpack:"f,omitempty"`
 	Load  *Load `msgpack:"l,omitempty"`
@@ -59,6 +62,11 @@
 	Limits []Limit `msgpack:"x,omitempty"`
 }
 
+// SameAppend reports whether both records are that of one append.
+func (r *Record) SameAppend(x *Record) bool {
+	return r.Holder == x.Holder && r.Append == x.Append && r.Append != 0
+}
+
 // Encode returns the encoded record. An error is an *outcome.Error.
 func (r *Record) Encode() ([]byte, error) {
 	b, err := msgpack.Marshal(r)
