A preferred driver asks the log before it refuses a hand-off

TestHandOffRightAfterAnOutageIsAccepted failed before. TestHostCutOffDrivesNothing set only the time of the last answer, while its log answered; its log now does not answer, so it checks what its comment says, as strictly.

--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -278,7 +278,7 @@
 
 // acceptHandOff accepts a step that another host hands off to this one. If the step names a
 // previous incarnation of this host as its driver, it first takes the step over.
-func (p *steps) acceptHandOff(q *peer.Request) (any, error) {
+func (p *steps) acceptHandOff(ctx context.Context, q *peer.Request) (any, error) {
 	var m handOffRequest
 	if err := peer.Decode(q.Body, &m); err != nil {
 		return nil, err
@@ -287,7 +287,7 @@
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, "step")
 	}
 	s := m.Step
-	if !incarnation.IsOf(m.Host, p.g.s.Name) || p.g.drain.leaving() || p.g.logHealth.silence() > driveMaxLogSilence {
+	if !incarnation.IsOf(m.Host, p.g.s.Name) || p.g.drain.leaving() || !p.reachesLog(ctx) {
 		return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
 	}
 	t := p.g.Table()
@@ -302,6 +302,18 @@
 	return nil, nil
 }
 
+// reachesLog reports whether the log answers this host. If it has not for some time it is
+// asked: right after an outage, other hosts may be ahead of this one.
+func (p *steps) reachesLog(ctx context.Context) bool {
+	if p.g.logHealth.silence() <= driveMaxLogSilence {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOffTimeout/2)
+	defer cancel()
+	_, err := p.g.c.Log.Members(ctx, watchGroup)
+	return err == nil
+}
+
 // driveHandedOff drives a step whose record names an incarnation of this host as its driver,
 // unless another record of the step came first or another host took it over.
 func (p *steps) driveHandedOff(r *routetable.Route, s *stepjournal.Step, host string) {
--- a/pier/gateway/preferreddriver_test.go
+++ b/pier/gateway/preferreddriver_test.go
@@ -11,6 +11,7 @@
 
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/memlog"
+	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/stepjournal"
 )
 
@@ -71,7 +72,12 @@
 // A preferred driver that cannot reach the log must refuse a hand-off and not drive the
 // step.
 func TestHostCutOffDrivesNothing(t *testing.T) {
-	a, b := newHost(t, "a", newLog().Functions()), newHost(t, "b", newLog().Functions())
+	l := newLog().Functions()
+	l.Members = func(ctx context.Context, _ string) ([]string, error) {
+		<-ctx.Done()
+		return nil, outcome.Ambiguous(outcome.ReasonSilent, "log", ctx.Err())
+	}
+	a, b := newHost(t, "a", l), newHost(t, "b", newLog().Functions())
 	a.table(nil)
 	a.listenPeers(t)
 	a.logHealth.answerAt.Store(int64(boottime.Now() - time.Minute))
@@ -81,6 +87,18 @@
 	require.Zero(t, a.steps.count())
 }
 
+// An outage of the log is over, and no call of the preferred driver has been answered yet. It
+// must take a step that another host could already store.
+func TestHandOffRightAfterAnOutageIsAccepted(t *testing.T) {
+	a, b := newHost(t, "a", newLog().Functions()), newHost(t, "b", newLog().Functions())
+	a.table(nil)
+	a.listenPeers(t)
+	a.logHealth.answerAt.Store(int64(boottime.Now() - 2*driveMaxLogSilence))
+	err := b.peers.Call(context.Background(), a.self.Peers, kindHandOff,
+		&handOffRequest{Host: a.self.Host, Step: newStep("s", 1)}, nil)
+	require.NoError(t, err)
+}
+
 // A host that does not follow the step's partition gets results and bodies from the
 // preferred driver. Once that host is gone, it reads the log itself.
 func TestListsComeFromTheHome(t *testing.T) {
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -60,7 +60,7 @@
 	case kindDrivingQuery:
 		return g.answerDriving(q)
 	case kindHandOff:
-		return g.steps.acceptHandOff(q)
+		return g.steps.acceptHandOff(ctx, q)
 	case kindStepQuery:
 		return g.answerStep(ctx, q)
 	case kindLogCall:
