A limit that a server states again later is announced again

The coordinator remembered what it had told all hosts and did not see the limit end, as it may never call the server itself. The next time that the server stated the same limit, hosts were not told. After 5 s without a question for permits a limit now counts as new. TestLimitThatIsStatedAgainIsAnnouncedAgain failed before. Found by reading.

--- a/pier/gateway/limitnotices.go
+++ b/pier/gateway/limitnotices.go
@@ -29,6 +29,9 @@
 	// noticeChange is the change of a limit, as a fraction of the value that was told last,
 	// from which on the hosts are told again.
 	noticeChange = 0.2
+	// noticeLifetime is the time without a question for permits after which a limit counts as
+	// a new one.
+	noticeLifetime = 5 * time.Second
 	// maxNotices bounds the notices in one record, maxWaitingNotices those that wait.
 	maxNotices        = 500
 	maxWaitingNotices = 20000
@@ -40,14 +43,24 @@
 // server's limit. Its body is an orderlease.Limit.
 const kindLimitNotice = kindPermit + 1
 
-// announce has all hosts told of a limit, if it is new or changed a lot. The caller holds mu.
-func (l *limits) announce(q serverlimit.Ask) {
-	told, ok := l.announced[q.Server]
-	if ok && math.Abs(told-q.Limit.PerSecond) <= noticeChange*told {
-		return
+// announcement is the last notice of a server's limit.
+type announcement struct {
+	perSecond float64
+	// askedAt is when a host last asked for a permit of the server.
+	askedAt time.Duration
+}
+
+// announce has all hosts told of a limit for which a host asks, if it is new or changed a
+// lot. The caller holds mu.
+func (l *limits) announce(q serverlimit.Ask, now time.Duration) {
+	a, ok := l.announced[q.Server]
+	known := ok && now-a.askedAt < noticeLifetime && math.Abs(a.perSecond-q.Limit.PerSecond) <= noticeChange*a.perSecond
+	if !known {
+		a.perSecond = q.Limit.PerSecond
+		go l.sendNotice(q.Server, q.Limit)
 	}
-	l.announced[q.Server] = q.Limit.PerSecond
-	go l.sendNotice(q.Server, q.Limit)
+	a.askedAt = now
+	l.announced[q.Server] = a
 }
 
 // sendNotice tells the holder of the order lease of a limit.
@@ -100,7 +113,7 @@
 
 // learnNotice applies a notice that was read at now.
 func (l *limits) learnNotice(n orderlease.Limit, now time.Duration) {
-	if !(n.PerSecond >= 0) {
+	if !isLimit(n.PerSecond) {
 		l.g.metrics.limits.WithLabelValues("malformed").Inc()
 		l.g.log.Warn("servers: limit in a record cannot be read", zap.String("server", n.Server))
 		return
@@ -109,6 +122,9 @@
 		serverlimit.Limit{PerSecond: n.PerSecond, StatedAt: now - max(n.StatedAgo, 0)})
 }
 
+// isLimit reports whether a value in a message can be a limit.
+func isLimit(perSecond float64) bool { return !math.IsNaN(perSecond) && perSecond >= 0 }
+
 // limitNotices holds the notices of limits that wait for the next record of the order lease.
 // It is safe for concurrent use.
 type limitNotices struct {
--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -217,7 +217,7 @@
 	if err := peer.Decode(r.Body, &m); err != nil {
 		return nil, err
 	}
-	if !(m.PerSecond >= 0) {
+	if !isLimit(m.PerSecond) {
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, "limit")
 	}
 	q := serverlimit.Ask{
@@ -253,7 +253,7 @@
 		return serverlimit.Grant{}, outcome.Refuse(outcome.ReasonNotOwner, "limit of "+q.Server.ID)
 	}
 	l.logShare(q, share)
-	l.announce(q)
+	l.announce(q, now)
 	return l.buckets.Ask(q, share, now), nil
 }
 
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -42,9 +42,8 @@
 	// the last part of each server's limit that it granted.
 	buckets *serverlimit.Buckets
 	shares  map[serverlimit.Server]float64
-	// announced holds the last value of each server's limit of which this host had all hosts
-	// told.
-	announced map[serverlimit.Server]float64
+	// announced holds the last notice of each server's limit that this host had sent.
+	announced map[serverlimit.Server]announcement
 	// asking is the number of requests of this host that ask for a permit, by server.
 	asking map[serverlimit.Server]int
 	// failedAt holds when a coordinator last did not answer.
@@ -57,7 +56,7 @@
 		sent: make(map[serverlimit.Server]map[backend.Purpose]int), roster: serverlimit.NewRoster(g.hostID()),
 		buckets: serverlimit.NewBuckets(), shares: make(map[serverlimit.Server]float64),
 		asking:    make(map[serverlimit.Server]int),
-		announced: make(map[serverlimit.Server]float64),
+		announced: make(map[serverlimit.Server]announcement),
 		failedAt:  make(map[netip.AddrPort]time.Duration),
 	}
 }
@@ -90,9 +89,8 @@
 	l.book.Retain(func(s serverlimit.Server) bool { return known[s.ID] })
 	l.known.Store(int64(l.book.Len()))
 	maps.DeleteFunc(l.sent, func(s serverlimit.Server, _ map[backend.Purpose]int) bool { return !known[s.ID] })
-	unknown := func(s serverlimit.Server, _ float64) bool { return !known[s.ID] }
-	maps.DeleteFunc(l.shares, unknown)
-	maps.DeleteFunc(l.announced, unknown)
+	maps.DeleteFunc(l.shares, func(s serverlimit.Server, _ float64) bool { return !known[s.ID] })
+	maps.DeleteFunc(l.announced, func(s serverlimit.Server, _ announcement) bool { return !known[s.ID] })
 }
 
 // limitKey returns the incarnation that a request is meant for.
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -20,6 +20,7 @@
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/serverlimit"
 	"mulberrypier.example/pier/stepplan"
 )
 
@@ -287,3 +288,22 @@
 		})
 	}
 }
+
+// A server states a limit, ends it and later states the same one again. All hosts are told
+// both times; while hosts keep asking they are told once.
+func TestLimitThatIsStatedAgainIsAnnouncedAgain(t *testing.T) {
+	g := startHosts(t, newLog().Functions(), 1)[0]
+	require.True(t, g.orders.append(nil))
+	q := serverlimit.Ask{Server: serverlimit.Server{ID: "s"}, Limit: serverlimit.Limit{PerSecond: 4}}
+	announce := func(now time.Duration) int {
+		g.limits.mu.Lock()
+		g.limits.announce(q, now)
+		g.limits.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		return len(g.orders.notices.next(0))
+	}
+	for i := range 20 {
+		require.Equal(t, 1, announce(time.Duration(i)*time.Second))
+	}
+	require.Equal(t, 2, announce(time.Minute))
+}
