Calls to scorers leave a full server alone

Where most servers of a service had no room, by their limits or otherwise, each sample that waited for its score called the last one again after 50 ms, however often it had refused: an avoided server is picked when there is no other. Its refusals make one log line a sample, not one an attempt.

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -91,8 +91,9 @@
 	if ctx.Err() != nil || s.sent >= s.c.Route.Attempts {
 		return
 	}
-	u, ok := s.g.fleet.pickServer(s.service, s.tried)
+	u, ok := s.g.fleet.pickServer(s.service, s.tried, s.c.deferrable())
 	if !ok {
+		s.noServer()
 		return
 	}
 	q := s.g.request(s.c, u)
@@ -117,6 +118,13 @@
 	}
 }
 
+// noServer sets the error of a request for which no server was picked, if none was before.
+func (s *plainDispatch) noServer() {
+	if s.c.deferrable() && s.last.Reason == outcome.ReasonNoServer && s.g.fleet.hasServers(s.service) {
+		s.last = outcome.Refuse(outcome.ReasonQueueFull, s.service).After(busyRetryAfter)
+	}
+}
+
 // mayWait sets how long the request may wait if the server's limit leaves no room. It returns
 // false if the request should not be sent there, as an attempt at another server is still in
 // progress: a permit that is not used in the end is lost to others.
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -231,6 +232,13 @@
 	return l
 }
 
+// hasServers reports whether a service has servers that do not leave.
+func (f *fleet) hasServers(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.byService[service], func(s directory.Server) bool { return !s.Leaving })
+}
+
 // server returns a registered server.
 func (f *fleet) server(id string) (directory.Server, bool) {
 	f.mu.Lock()
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -46,12 +46,16 @@
 	Purpose backend.Purpose
 }
 
+// deferrable reports whether the call can come again later: a sample waits for its score, but
+// no caller does.
+func (c *Call) deferrable() bool { return c.Purpose == backend.PurposeScore }
+
 // limitWait returns how long the call may wait for a server whose limit is used up: until
 // there is just time left for an answer. A call to a scorer waits only briefly and comes
 // again later, so that callers' requests find no long queue before them.
 func (c *Call) limitWait(now time.Time) time.Duration {
 	left := c.Deadline.Sub(now)
-	if c.Purpose == backend.PurposeScore {
+	if c.deferrable() {
 		return min(scoreLimitWait, left/2)
 	}
 	return max(left-max(c.Route.LatencyObjective, left/4), 0)
@@ -89,7 +93,11 @@
 		cancel()
 		e := outcome.AsError(err)
 		g.metrics.refusals.WithLabelValues(string(e.Reason)).Inc()
-		g.log.Info("request: not answered", zap.String("id", c.ID), zap.String("route", c.Route.Name),
+		level := zap.InfoLevel
+		if c.deferrable() && e.Outcome == outcome.NotRun {
+			level = zap.DebugLevel
+		}
+		g.log.Log(level, "request: not answered", zap.String("id", c.ID), zap.String("route", c.Route.Name),
 			zap.String("reason", string(e.Reason)), zap.String("outcome", string(e.Outcome)),
 			zap.String("at", e.Detail), zap.Duration("after", time.Since(start)))
 		return nil, e
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -124,7 +124,10 @@
 
 // pickServer picks a server for a plain request, other than those in tried. A server that is
 // avoided, or whose limit leaves no room for some time, is picked only if there is no other.
-func (f *fleet) pickServer(service string, tried map[string]bool) (*reservation, bool) {
+//
+// A deferrable request, which comes again later, gets no server that is full: one that has
+// refused this host a request shortly before, or has as many requests waiting as running.
+func (f *fleet) pickServer(service string, tried map[string]bool, deferrable bool) (*reservation, bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -135,6 +138,9 @@
 		if s.Leaving || tried[s.ID] {
 			continue
 		}
+		if deferrable && t.isFull(s, now) {
+			continue
+		}
 		c := float64(t.estimatedRunning(now)) / float64(max(s.Slots, 1))
 		if now.Before(t.avoidUntil) {
 			c += avoidCost
@@ -155,7 +161,18 @@
 	return f.reserve(l[best]), true
 }
 
+// isFull reports whether a server has no room for a deferrable request.
+func (t *serverState) isFull(s directory.Server, now time.Time) bool {
+	if t.refusals > 0 && now.Before(t.avoidUntil) {
+		return true
+	}
+	return s.Slots > 0 && t.estimatedRunning(now) >= fullAtSlots*s.Slots
+}
+
 const (
+	// fullAtSlots is the number of requests at a server, as a multiple of its slots, from
+	// which on it gets no deferrable ones.
+	fullAtSlots = 2
 	// avoidCost ranks a server that is avoided behind all others.
 	avoidCost = 100
 	// limitedCost is the cost of each second for which a server's limit leaves no room: a
--- a/pier/gateway/scoring.go
+++ b/pier/gateway/scoring.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/bug"
@@ -59,6 +61,10 @@
 		if c.score != "" {
 			return c.score, true
 		}
+		if i == 0 && c.refused != "" {
+			s.d.g.log.Info("sample: scorer has no room; it is asked again", zap.String("id", s.item.ID),
+				zap.String("scorer-id", s.item.Scorer.ID), zap.String("reason", string(c.refused)))
+		}
 		failures += c.failed
 		if failures >= c.maxFailures {
 			return "", false
@@ -76,6 +82,8 @@
 	// failed is the number of servers that answered with a server error, maxFailures the
 	// number of such answers after which the sample is given up.
 	failed, maxFailures int
+	// refused is why the call was not run, empty if it may have been.
+	refused outcome.Reason
 	// retryAfter is how long to wait before the next call; zero if no wait is requested.
 	retryAfter time.Duration
 }
@@ -101,7 +109,11 @@
 		Header: http.Header{}, Deadline: time.Now().Add(timeout), Purpose: backend.PurposeScore,
 	})
 	if err != nil {
-		if e := outcome.AsError(err); e.Reason == outcome.ReasonServerLimit {
+		e := outcome.AsError(err)
+		if e.Outcome == outcome.NotRun {
+			c.refused = e.Reason
+		}
+		if e.Reason == outcome.ReasonServerLimit {
 			c.retryAfter = e.RetryAfter
 		}
 		return c
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -21,6 +21,7 @@
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/serverlimit"
+	"mulberrypier.example/pier/stepjournal"
 	"mulberrypier.example/pier/stepplan"
 )
 
@@ -307,3 +308,28 @@
 	}
 	require.Equal(t, 2, announce(time.Minute))
 }
+
+// All but one server of a service have no room for more, and the samples of a step wait for
+// their scores. The last server refuses for lack of capacity. It must not be pressed by every
+// sample again and again.
+func TestScorerCallsDoNotPressAFullServer(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	g.table(nil)
+	e := startServer(t, "e", "engines", oneEvent)
+	got := &arrivals{}
+	full := startServer(t, "s", "desk", func(_ *server, w http.ResponseWriter, _ *http.Request) {
+		got.add()
+		time.Sleep(5 * time.Millisecond)
+		w.Header().Set(testDialect.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	g.register(e.Server, full.Server)
+	s := newStep("s1", 60)
+	for i := range s.Items {
+		s.Items[i].Scorer = &stepjournal.Call{Host: "h", Path: "/plain/x", ID: fmt.Sprint("score-", i)}
+	}
+	require.NoError(t, g.Accept(context.Background(), route(g), s))
+	time.Sleep(2 * time.Second)
+	require.Less(t, got.since(time.Time{}), 60)
+	require.Positive(t, got.since(time.Time{}))
+}
