A request that waits with its permit no longer counts as asking for one

While it waited, for up to 1.5 s, other requests of the host that may not wait were refused without a question. And a request whose own deadline ended during the question made the coordinator count as not answering.

--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -82,8 +82,8 @@
 		l.g.metrics.permits.WithLabelValues(permitKnownFull).Inc()
 		return backend.Admission{}, outcome.Refuse(outcome.ReasonServerLimit, s.ID).After(full)
 	}
-	defer l.endAsk(s)
 	a, err := l.ask(ctx, serverlimit.Ask{Server: s, Limit: limit, MaxWait: q.LimitWait})
+	l.endAsk(s)
 	if err != nil {
 		l.g.metrics.permits.WithLabelValues(permitUnanswered).Inc()
 		l.g.log.Info("servers: no permit, no coordinator answered", zap.String("id", q.ID),
@@ -184,7 +184,8 @@
 	var r permitAnswer
 	if err := l.g.peers.Call(ctx, a, kindPermit, &m, &r); err != nil {
 		e := outcome.AsError(err)
-		if !e.Remote && ctx.Err() != context.Canceled { //nolint:errorlint // Err returns the sentinel itself.
+		requestEnded := ctx.Err() != nil && boottime.Now()-now < permitTimeout
+		if !e.Remote && !requestEnded {
 			l.setFailing(a, now)
 		}
 		return serverlimit.Grant{}, e
