The list of hosts names only those that hold partitions; what follows from that

Read in logs of the larger sites: the list has 48 hosts of 67 to 195, as many as the group's topic has partitions. Coordinators come from among these, which is all that permits need. No logic changed.

--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -191,6 +191,8 @@
 
 // maxIdle returns how many idle connections this host keeps to a server of a service, as
 // backend.Request.MaxIdle: an even share of what the server accepts from all hosts together.
+// Only hosts that hold partitions are counted. With more hosts than partitions, all shares
+// together can be more than the server accepts.
 func (g *Gateway) maxIdle(service string) int {
 	t := g.Table()
 	if t == nil || t.Services[service] == nil || t.Services[service].MaxConns <= 0 {
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -24,7 +24,7 @@
 	g *Gateway
 	// known is the number of limits in book. It spares requests the lock while there is none.
 	known atomic.Int64
-	// hosts is the number of hosts in roster.
+	// hosts is the number of hosts in roster: those that hold partitions.
 	hosts atomic.Int64
 	mu    sync.Mutex
 	// mu guards the fields below.
@@ -32,7 +32,8 @@
 	// sent counts the requests that this host has sent to each server with a limit since the
 	// limit was stated, by purpose.
 	sent map[serverlimit.Server]map[backend.Purpose]int
-	// roster holds the hosts; rosterRead is closed when the reading of the list in progress
+	// roster holds the hosts that hold partitions, from among which the coordinators come;
+	// rosterRead is closed when the reading of the list in progress
 	// has ended, nil if there is none.
 	roster     *serverlimit.Roster
 	rosterRead chan struct{}
--- a/pier/serverlimit/roster.go
+++ b/pier/serverlimit/roster.go
@@ -23,7 +23,7 @@
 	deputyShare = 0.25
 )
 
-// Roster holds the hosts that take part, and says which of them grants the requests to a
+// Roster holds the hosts that may grant requests, and says which of them grants the requests to a
 // server: the coordinator grants up to the server's limit, and its deputy a small part of it
 // to hosts that cannot reach the coordinator. Hosts whose lists differ may each consider
 // themselves the coordinator; the shares and times allow for that. It is not safe for
