Test listener that never answers keeps its connections open

The stand-in read one byte and dropped its reference to the connection, which the garbage collector then closed, so the server was not silent. The check is unchanged.

--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -188,19 +187,31 @@
 	return r
 }
 
-// unresponsiveListener accepts connections and never answers.
+// unresponsiveListener accepts connections, keeps them open until the test ends, and never
+// answers. A connection that nothing refers to is closed by the garbage collector.
 func unresponsiveListener(t *testing.T) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
+	var mu sync.Mutex
+	var open []net.Conn
+	t.Cleanup(func() {
+		_ = l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			_ = c.Close()
+		}
+	})
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go func() { _, _ = bufio.NewReader(c).ReadByte() }()
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
 		}
 	}()
 	return netip.MustParseAddrPort(l.Addr().String())
