One type identifies an incarnation of a server

serverlimit had its own; what is to be known of servers that end needs the same, so it is directory.Incarnation now. No change of behaviour: tests of serverlimit, directory and backend pass.

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -207,3 +207,16 @@
 func (d *Directory) inGracePeriod(now time.Time) bool {
 	return d.logDown || (!d.outageEnd.IsZero() && now.Sub(d.outageEnd) < ReregisterGrace)
 }
+
+// Incarnation identifies one start of a server. It has the same value at all hosts.
+type Incarnation struct {
+	ID string `msgpack:"i"`
+	// Born is when it started, in nanoseconds since the Unix epoch, which differs if an id is
+	// used again.
+	Born int64 `msgpack:"b"`
+}
+
+// Incarnation returns what identifies the server among all that ever start.
+func (s *Server) Incarnation() Incarnation {
+	return Incarnation{ID: s.ID, Born: s.Born.UnixNano()}
+}
--- a/pier/gateway/limitnotices.go
+++ b/pier/gateway/limitnotices.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"mulberrypier.example/pier/directory"
+
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backoff"
@@ -64,7 +66,7 @@
 }
 
 // sendNotice tells the holder of the order lease of a limit.
-func (l *limits) sendNotice(s serverlimit.Server, limit serverlimit.Limit) {
+func (l *limits) sendNotice(s directory.Incarnation, limit serverlimit.Limit) {
 	var err error
 	for range noticeAttempts {
 		n := orderlease.Limit{
@@ -118,7 +120,7 @@
 		l.g.log.Warn("servers: limit in a record cannot be read", zap.String("server", n.Server))
 		return
 	}
-	l.learn(serverlimit.Server{ID: n.Server, Born: n.Born},
+	l.learn(directory.Incarnation{ID: n.Server, Born: n.Born},
 		serverlimit.Limit{PerSecond: n.PerSecond, StatedAt: now - max(n.StatedAgo, 0)})
 }
 
--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"mulberrypier.example/pier/directory"
+
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
@@ -41,8 +43,8 @@
 
 // permitRequest asks for a permit. Times are relative, since the clocks of hosts differ.
 type permitRequest struct {
-	Server    serverlimit.Server `msgpack:"s"`
-	PerSecond float64            `msgpack:"p"`
+	Server    directory.Incarnation `msgpack:"s"`
+	PerSecond float64               `msgpack:"p"`
 	// StatedAgo is the time since the server stated the limit.
 	StatedAgo time.Duration `msgpack:"a"`
 	MaxWait   time.Duration `msgpack:"w"`
@@ -105,7 +107,7 @@
 // startAsk returns the limit of a server, and for how long this host asks for no permit for
 // a request that may wait for maxWait. If that is not too long, endAsk must be called. Of
 // requests that may not wait, one at a time asks.
-func (l *limits) startAsk(s serverlimit.Server, maxWait, now time.Duration) (limit serverlimit.Limit, limited bool, full time.Duration) {
+func (l *limits) startAsk(s directory.Incarnation, maxWait, now time.Duration) (limit serverlimit.Limit, limited bool, full time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if limit, limited = l.book.Limit(s); !limited {
@@ -122,7 +124,7 @@
 }
 
 // endAsk records that a request asks for a permit no more.
-func (l *limits) endAsk(s serverlimit.Server) {
+func (l *limits) endAsk(s directory.Incarnation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.asking[s]--; l.asking[s] == 0 {
@@ -138,7 +140,7 @@
 
 // refuse records that no request to a server is granted for some time, and returns the error
 // of one that was not.
-func (l *limits) refuse(s serverlimit.Server, wait time.Duration) error {
+func (l *limits) refuse(s directory.Incarnation, wait time.Duration) error {
 	l.mu.Lock()
 	l.book.SetFull(s, boottime.Now()+wait)
 	l.mu.Unlock()
@@ -235,7 +237,7 @@
 }
 
 // learn applies what another host knows of a server's limit.
-func (l *limits) learn(s serverlimit.Server, limit serverlimit.Limit) {
+func (l *limits) learn(s directory.Incarnation, limit serverlimit.Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before, _ := l.book.Limit(s)
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -31,7 +31,7 @@
 	book *serverlimit.Book
 	// sent counts the requests that this host has sent to each server with a limit since the
 	// limit was stated, by purpose.
-	sent map[serverlimit.Server]map[backend.Purpose]int
+	sent map[directory.Incarnation]map[backend.Purpose]int
 	// roster holds the hosts that hold partitions, from among which the coordinators come;
 	// rosterRead is closed when the reading of the list in progress
 	// has ended, nil if there is none.
@@ -42,11 +42,11 @@
 	// buckets grants the requests to the servers that this host coordinates; shares holds
 	// the last part of each server's limit that it granted.
 	buckets *serverlimit.Buckets
-	shares  map[serverlimit.Server]float64
+	shares  map[directory.Incarnation]float64
 	// announced holds the last notice of each server's limit that this host had sent.
-	announced map[serverlimit.Server]announcement
+	announced map[directory.Incarnation]announcement
 	// asking is the number of requests of this host that ask for a permit, by server.
-	asking map[serverlimit.Server]int
+	asking map[directory.Incarnation]int
 	// failedAt holds when a coordinator last did not answer.
 	failedAt map[netip.AddrPort]time.Duration
 }
@@ -54,10 +54,10 @@
 func newLimits(g *Gateway) *limits {
 	return &limits{
 		g: g, book: serverlimit.NewBook(),
-		sent: make(map[serverlimit.Server]map[backend.Purpose]int), roster: serverlimit.NewRoster(g.hostID()),
-		buckets: serverlimit.NewBuckets(), shares: make(map[serverlimit.Server]float64),
-		asking:    make(map[serverlimit.Server]int),
-		announced: make(map[serverlimit.Server]announcement),
+		sent: make(map[directory.Incarnation]map[backend.Purpose]int), roster: serverlimit.NewRoster(g.hostID()),
+		buckets: serverlimit.NewBuckets(), shares: make(map[directory.Incarnation]float64),
+		asking:    make(map[directory.Incarnation]int),
+		announced: make(map[directory.Incarnation]announcement),
 		failedAt:  make(map[netip.AddrPort]time.Duration),
 	}
 }
@@ -68,7 +68,7 @@
 	if l.known.Load() == 0 {
 		return false, 0
 	}
-	k := serverlimit.Server{ID: s.ID, Born: s.Born.UnixNano()}
+	k := s.Incarnation()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, limited = l.book.Limit(k); !limited {
@@ -87,16 +87,16 @@
 func (l *limits) retain(known map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.Retain(func(s serverlimit.Server) bool { return known[s.ID] })
+	l.book.Retain(func(s directory.Incarnation) bool { return known[s.ID] })
 	l.known.Store(int64(l.book.Len()))
-	maps.DeleteFunc(l.sent, func(s serverlimit.Server, _ map[backend.Purpose]int) bool { return !known[s.ID] })
-	maps.DeleteFunc(l.shares, func(s serverlimit.Server, _ float64) bool { return !known[s.ID] })
-	maps.DeleteFunc(l.announced, func(s serverlimit.Server, _ announcement) bool { return !known[s.ID] })
+	maps.DeleteFunc(l.sent, func(s directory.Incarnation, _ map[backend.Purpose]int) bool { return !known[s.ID] })
+	maps.DeleteFunc(l.shares, func(s directory.Incarnation, _ float64) bool { return !known[s.ID] })
+	maps.DeleteFunc(l.announced, func(s directory.Incarnation, _ announcement) bool { return !known[s.ID] })
 }
 
 // limitKey returns the incarnation that a request is meant for.
-func limitKey(q *backend.Request) serverlimit.Server {
-	return serverlimit.Server{ID: q.Server, Born: q.Born.UnixNano()}
+func limitKey(q *backend.Request) directory.Incarnation {
+	return directory.Incarnation{ID: q.Server, Born: q.Born.UnixNano()}
 }
 
 // observe applies an answer to a request. fields holds the header fields that state a limit.
@@ -123,7 +123,7 @@
 
 // count counts a request that was sent to a server after it had stated a limit. The caller
 // holds mu.
-func (l *limits) count(s serverlimit.Server, p backend.Purpose) {
+func (l *limits) count(s directory.Incarnation, p backend.Purpose) {
 	if l.sent[s] == nil {
 		l.sent[s] = make(map[backend.Purpose]int)
 	}
@@ -132,7 +132,7 @@
 }
 
 // changed logs a change of a server's limit. The caller holds mu.
-func (l *limits) changed(s serverlimit.Server, c serverlimit.Change, before serverlimit.Limit) {
+func (l *limits) changed(s directory.Incarnation, c serverlimit.Change, before serverlimit.Limit) {
 	if c == serverlimit.Unchanged {
 		return
 	}
@@ -148,7 +148,7 @@
 
 // sentText returns the numbers of requests sent to a server since its limit was stated, as
 // purpose=number, separated by spaces. The caller holds mu.
-func (l *limits) sentText(s serverlimit.Server) string {
+func (l *limits) sentText(s directory.Incarnation) string {
 	var r []string
 	for p, n := range l.sent[s] {
 		r = append(r, fmt.Sprintf("%s=%d", p, n))
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -295,7 +295,7 @@
 func TestLimitThatIsStatedAgainIsAnnouncedAgain(t *testing.T) {
 	g := startHosts(t, newLog().Functions(), 1)[0]
 	require.True(t, g.orders.append(nil))
-	q := serverlimit.Ask{Server: serverlimit.Server{ID: "s"}, Limit: serverlimit.Limit{PerSecond: 4}}
+	q := serverlimit.Ask{Server: directory.Incarnation{ID: "s"}, Limit: serverlimit.Limit{PerSecond: 4}}
 	announce := func(now time.Duration) int {
 		g.limits.mu.Lock()
 		g.limits.announce(q, now)
--- a/pier/serverlimit/book.go
+++ b/pier/serverlimit/book.go
@@ -2,19 +2,13 @@
 
 import (
 	"time"
+
+	"mulberrypier.example/pier/directory"
 )
 
 // fallbackPerSecond is the limit of a server whose first stated limit cannot be read.
 const fallbackPerSecond = 1
 
-// Server identifies an incarnation of a server.
-type Server struct {
-	// ID is the incarnation's id. Born is when it started, in nanoseconds since the Unix
-	// epoch, which differs if an id is used again.
-	ID   string `msgpack:"i"`
-	Born int64  `msgpack:"b"`
-}
-
 // Limit is the limit that a server states.
 type Limit struct {
 	// PerSecond is the number of requests a second that the server takes from all hosts
@@ -38,9 +32,9 @@
 
 // Book holds the limits that a host knows. It is not safe for concurrent use.
 type Book struct {
-	limits map[Server]*entry
+	limits map[directory.Incarnation]*entry
 	// ended holds when the newest request was sent whose answer stated no limit any more.
-	ended map[Server]time.Duration
+	ended map[directory.Incarnation]time.Duration
 }
 
 // entry is a limit and what this host knows of its use.
@@ -52,11 +46,11 @@
 
 // NewBook returns a book without limits.
 func NewBook() *Book {
-	return &Book{limits: make(map[Server]*entry), ended: make(map[Server]time.Duration)}
+	return &Book{limits: make(map[directory.Incarnation]*entry), ended: make(map[directory.Incarnation]time.Duration)}
 }
 
 // Limit returns the limit of a server. ok is false if it has none.
-func (b *Book) Limit(s Server) (l Limit, ok bool) {
+func (b *Book) Limit(s directory.Incarnation) (l Limit, ok bool) {
 	p := b.limits[s]
 	if p == nil {
 		return Limit{}, false
@@ -65,14 +59,14 @@
 }
 
 // SetFull records that the coordinator grants no request to a server until a time.
-func (b *Book) SetFull(s Server, until time.Duration) {
+func (b *Book) SetFull(s directory.Incarnation, until time.Duration) {
 	if p := b.limits[s]; p != nil {
 		p.fullUntil = until
 	}
 }
 
 // Wait returns how long no request to a server is granted, as far as this host knows.
-func (b *Book) Wait(s Server, now time.Duration) time.Duration {
+func (b *Book) Wait(s directory.Incarnation, now time.Duration) time.Duration {
 	p := b.limits[s]
 	if p == nil {
 		return 0
@@ -84,7 +78,7 @@
 func (b *Book) Len() int { return len(b.limits) }
 
 // Retain forgets the servers for which keep returns false.
-func (b *Book) Retain(keep func(s Server) bool) {
+func (b *Book) Retain(keep func(s directory.Incarnation) bool) {
 	for s := range b.limits {
 		if !keep(s) {
 			delete(b.limits, s)
@@ -104,7 +98,7 @@
 //
 // If the fields cannot be read, the error is an *outcome.Error, and the server keeps the
 // limit that it has, or gets a low one if it has none.
-func (b *Book) Observe(s Server, fields []string, sent, now time.Duration) (Change, error) {
+func (b *Book) Observe(s directory.Incarnation, fields []string, sent, now time.Duration) (Change, error) {
 	if len(fields) == 0 {
 		return b.end(s, sent), nil
 	}
@@ -119,7 +113,7 @@
 }
 
 // Learn applies what another host knows of a limit, unless this host knows something newer.
-func (b *Book) Learn(s Server, l Limit) Change {
+func (b *Book) Learn(s directory.Incarnation, l Limit) Change {
 	if p := b.limits[s]; p != nil && p.StatedAt >= l.StatedAt {
 		return Unchanged
 	}
@@ -129,7 +123,7 @@
 	return b.state(s, l)
 }
 
-func (b *Book) state(s Server, l Limit) Change {
+func (b *Book) state(s directory.Incarnation, l Limit) Change {
 	p := b.limits[s]
 	if p == nil {
 		b.limits[s] = &entry{Limit: l}
@@ -144,7 +138,7 @@
 	return Unchanged
 }
 
-func (b *Book) end(s Server, sent time.Duration) Change {
+func (b *Book) end(s directory.Incarnation, sent time.Duration) Change {
 	p := b.limits[s]
 	if p == nil || sent <= p.StatedAt {
 		return Unchanged
--- a/pier/serverlimit/book_test.go
+++ b/pier/serverlimit/book_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"mulberrypier.example/pier/directory"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -37,7 +39,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := NewBook()
-			s := Server{ID: "s", Born: 1}
+			s := directory.Incarnation{ID: "s", Born: 1}
 			for i, a := range c.answers {
 				sent := time.Duration(a.sent) * time.Millisecond
 				got, _ := b.Observe(s, a.fields, sent, sent+10*time.Millisecond)
@@ -46,7 +48,7 @@
 			l, ok := b.Limit(s)
 			require.Equal(t, c.limited, ok)
 			require.Equal(t, c.limit, l.PerSecond)
-			_, ok = b.Limit(Server{ID: "s", Born: 2})
+			_, ok = b.Limit(directory.Incarnation{ID: "s", Born: 2})
 			require.False(t, ok, "another incarnation has no limit")
 		})
 	}
--- a/pier/serverlimit/bucket.go
+++ b/pier/serverlimit/bucket.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"mulberrypier.example/pier/directory"
 )
 
 const (
@@ -18,7 +20,7 @@
 
 // Ask is a host's question whether it may send a request to a server with a limit.
 type Ask struct {
-	Server Server
+	Server directory.Incarnation
 	// Limit is the limit that the host knows.
 	Limit Limit
 	// MaxWait is how long the request may wait before it is sent.
@@ -36,7 +38,7 @@
 // Buckets grants the requests of all hosts to the servers that this host coordinates. It is
 // not safe for concurrent use.
 type Buckets struct {
-	buckets map[Server]*bucket
+	buckets map[directory.Incarnation]*bucket
 }
 
 // bucket is the token bucket of one server.
@@ -51,7 +53,7 @@
 }
 
 // NewBuckets returns an empty set of buckets.
-func NewBuckets() *Buckets { return &Buckets{buckets: make(map[Server]*bucket)} }
+func NewBuckets() *Buckets { return &Buckets{buckets: make(map[directory.Incarnation]*bucket)} }
 
 // Ask answers a host. share is the part of the limit that this host may grant, as
 // Roster.Share returns it.
--- a/pier/serverlimit/bucket_test.go
+++ b/pier/serverlimit/bucket_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"mulberrypier.example/pier/directory"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -20,7 +22,7 @@
 func (d demand) sends(l *Buckets, from, until time.Duration) []time.Duration {
 	var r []time.Duration
 	for now := from; now < until; now += d.interval / time.Duration(d.hosts) {
-		g := l.Ask(Ask{Server: Server{ID: "s"}, Limit: Limit{PerSecond: d.perSecond, StatedAt: from}, MaxWait: d.maxWait}, d.share, now)
+		g := l.Ask(Ask{Server: directory.Incarnation{ID: "s"}, Limit: Limit{PerSecond: d.perSecond, StatedAt: from}, MaxWait: d.maxWait}, d.share, now)
 		if g.Granted {
 			r = append(r, now+g.Wait)
 		}
@@ -75,7 +77,7 @@
 // A server takes more again. Nobody waits for the long intervals of the low limit.
 func TestBucketFollowsAHigherLimit(t *testing.T) {
 	l := NewBuckets()
-	s := Server{ID: "s"}
+	s := directory.Incarnation{ID: "s"}
 	ask := func(perSecond float64, at time.Duration) Grant {
 		return l.Ask(Ask{Server: s, Limit: Limit{PerSecond: perSecond, StatedAt: at}}, 1, at)
 	}
@@ -90,7 +92,7 @@
 // Hosts know different values, as answers overtake each other. The one stated last counts.
 func TestBucketTakesTheNewestLimit(t *testing.T) {
 	l := NewBuckets()
-	s := Server{ID: "s"}
+	s := directory.Incarnation{ID: "s"}
 	now := 10 * time.Second
 	l.Ask(Ask{Server: s, Limit: Limit{PerSecond: 1, StatedAt: 9 * time.Second}}, 1, now)
 	g := l.Ask(Ask{Server: s, Limit: Limit{PerSecond: 100, StatedAt: 5 * time.Second}}, 1, now+300*time.Millisecond)
