Logs and metrics tell a server that ended from a lost connection

When a request loses its connection while a server runs it, the host now tries to connect once more: if nothing listens at the address, the server has ended. The log line names the request by a key that stays the same when it comes again under another id. Counter lost_connections_total, by evidence. No decision uses it yet.

--- a/pier/backend/pool.go
+++ b/pier/backend/pool.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"mulberrypier.example/pier/outcome"
@@ -177,3 +179,19 @@
 	p.c.OnOpen()
 	return newConn(n, server), nil
 }
+
+// Listening tries to open a connection and reports whether something listens at an address. An
+// error, which is an *outcome.Error, means that this is not known.
+func (p *Pool) Listening(ctx context.Context, a netip.AddrPort) (bool, error) {
+	n, err := p.c.Dial(ctx, a)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, nil
+	}
+	if err != nil {
+		return false, outcome.RefuseWithCause(outcome.ReasonUnreachable, a.String(), err)
+	}
+	p.c.OnOpen()
+	// Nothing was sent on the connection, so nothing is lost if closing it fails.
+	_ = n.Close()
+	return true, nil
+}
--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -111,6 +111,9 @@
 	more := s.sent < s.c.Route.Attempts
 	go func() {
 		t.answer, t.err = s.g.attempt(attemptCtx, s.c, q, u, more)
+		if mayShowEnd(t.err) && !s.c.deferrable() {
+			s.g.ends.check(&s.c, u.s, t.err)
+		}
 		s.endedAttempts <- t
 	}()
 	if s.idempotent() && more && s.c.Route.LatencyObjective > 0 {
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -40,6 +40,8 @@
 	ID     string
 	Header http.Header
 	Body   []byte
+	// Caller is the credential that the caller presented, empty if there is none.
+	Caller string
 	// Deadline is the earlier of the caller's deadline and the route's timeout.
 	Deadline time.Time
 	// Purpose is PurposeCall or PurposeScore.
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -118,6 +118,7 @@
 	tables    *tables
 	limits    *limits
 	fleet     *fleet
+	ends      *serverEnds
 	journal   *journal
 	steps     *steps
 	preferred *preferred
@@ -155,6 +156,7 @@
 	g.tables = newTables(g)
 	g.limits = newLimits(g)
 	g.fleet = newFleet(g)
+	g.ends = newServerEnds(g)
 	g.journal = newJournal(g)
 	g.steps = newSteps(g)
 	g.preferred = newPreferred(g)
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -23,6 +23,7 @@
 	limits     *prometheus.CounterVec
 	limited    *prometheus.CounterVec
 	permits    *prometheus.CounterVec
+	serverEnds *prometheus.CounterVec
 	opened     prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
@@ -56,6 +57,7 @@
 	m.limits = counter("server_limits_total", "What answers stated about their servers' limits.", "event")
 	m.limited = counter("limited_requests_total", "Requests sent to servers that had stated a limit, by purpose.", "purpose")
 	m.permits = counter("limit_permits_total", "Requests to servers with a limit, by what became of the permit to send them.", "result")
+	m.serverEnds = counter("lost_connections_total", "Requests whose connection was lost while a server ran them, by what shows whether the server ended.", "evidence")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
