Failing tests: a request that crashes servers reaches one after the other

Four hosts, six servers that end when they run a certain request and are back after 0.5 s: 44 (idempotent), 30 (at most once) and 81 (three at once) requests reached servers later than 1 s after the third end, where three are allowed. Of the other callers 244 of 868 were served.

--- /dev/null
+++ b/pier/gateway/quarantine_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
+)
+
+const (
+	// crashBody is the body of the requests that end the servers that run them.
+	crashBody = "crash"
+	// crashRunTime is how long such a request runs before its server ends.
+	crashRunTime = 20 * time.Millisecond
+)
+
+// crashServer is a fake server that ends when it runs a request whose body begins with
+// crashBody, and starts again at the same address as a new incarnation.
+type crashServer struct {
+	t     *testing.T
+	name  string
+	hosts []*Gateway
+	// down is how long the server is away after it ended.
+	down    time.Duration
+	address netip.AddrPort
+	// ends counts how often it ended.
+	ends atomic.Int64
+	// bodies receives the body of each request that it runs.
+	bodies func(body string)
+	// answer, if set, answers the requests that do not end it.
+	answer http.HandlerFunc
+
+	mu   sync.Mutex
+	http *http.Server
+	gone bool
+}
+
+// startCrashServer starts a server and registers it at hosts.
+func startCrashServer(t *testing.T, name string, hosts []*Gateway, down time.Duration, bodies func(body string)) *crashServer {
+	t.Helper()
+	s := &crashServer{t: t, name: name, hosts: hosts, down: down, bodies: bodies}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = netip.MustParseAddrPort(l.Addr().String())
+	s.serve(l)
+	t.Cleanup(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.gone = true
+		_ = s.http.Close()
+	})
+	return s
+}
+
+func (s *crashServer) id() string { return fmt.Sprint(s.name, "-", s.ends.Load()) }
+
+func (s *crashServer) serve(l net.Listener) {
+	s.http = &http.Server{Handler: http.HandlerFunc(s.run)}
+	go func() { _ = s.http.Serve(l) }()
+	for _, g := range s.hosts {
+		g.register(directory.Server{ID: s.id(), Service: "desk", Domain: "d1", Slots: 6, Address: s.address, Born: time.Now()})
+	}
+}
+
+func (s *crashServer) run(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set(testDialect.RequestID, r.Header.Get(testDialect.RequestID))
+	if e := r.Header.Get(testDialect.ExpectedIncarnation); e != s.id() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.bodies(string(b))
+	if len(b) >= len(crashBody) && string(b[:len(crashBody)]) == crashBody {
+		time.Sleep(crashRunTime)
+		s.end()
+		return
+	}
+	if s.answer != nil {
+		s.answer(w, r)
+		return
+	}
+	time.Sleep(crashRunTime / 2)
+	_, _ = w.Write(b)
+}
+
+// end ends the server with all its connections, and has it start again.
+func (s *crashServer) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return
+	}
+	s.gone = true
+	old := s.id()
+	s.ends.Add(1)
+	_ = s.http.Close()
+	time.AfterFunc(s.down, func() { s.restart(old) })
+}
+
+func (s *crashServer) restart(old string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.t.Context().Err() != nil {
+		return
+	}
+	l, err := net.Listen("tcp", s.address.String())
+	if err != nil {
+		return
+	}
+	for _, g := range s.hosts {
+		g.fleet.mu.Lock()
+		g.fleet.dir.Unregister(old, time.Now())
+		g.fleet.mu.Unlock()
+	}
+	s.gone = false
+	s.serve(l)
+}
+
+// sendLog records when which bodies reached servers.
+type sendLog struct {
+	mu sync.Mutex
+	at map[string][]time.Time
+}
+
+func (l *sendLog) add(body string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.at == nil {
+		l.at = make(map[string][]time.Time)
+	}
+	l.at[body] = append(l.at[body], time.Now())
+}
+
+func (l *sendLog) count(body string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.at[body])
+}
+
+// after returns how often a body reached a server later than d after it did for the nth time.
+func (l *sendLog) after(body string, n int, d time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.at[body]
+	if len(t) < n {
+		return 0
+	}
+	count := 0
+	for _, x := range t {
+		if x.After(t[n-1].Add(d)) {
+			count++
+		}
+	}
+	return count
+}
+
+// crashCall returns a call of a route to the service of crashing servers.
+func crashCall(g *Gateway, id, body string) Call {
+	c := call(g)
+	c.ID, c.Body = id, []byte(body)
+	return c
+}
+
+// newCrashDeployment returns hosts and servers of a service that end at requests with
+// crashBody and are back after down.
+func newCrashDeployment(t *testing.T, hosts, servers int, down time.Duration) ([]*Gateway, []*crashServer, *sendLog) {
+	t.Helper()
+	l := newLog().Functions()
+	h := startHosts(t, l, hosts)
+	for _, g := range h {
+		g.table(nil)
+	}
+	var sent sendLog
+	var s []*crashServer
+	for i := range servers {
+		s = append(s, startCrashServer(t, fmt.Sprint("s", i), h, down, sent.add))
+	}
+	return h, s, &sent
+}
+
+// repeatCall makes the same call at one host after the other until the time is over, and
+// returns the errors.
+func repeatCall(hosts []*Gateway, body string, interval, d time.Duration) []error {
+	var errs []error
+	end := time.Now().Add(d)
+	for i := 0; time.Now().Before(end); i++ {
+		g := hosts[i%len(hosts)]
+		a, err := g.Do(context.Background(), crashCall(g, fmt.Sprint(body, i), body))
+		if err == nil {
+			a.Close()
+		}
+		errs = append(errs, err)
+		time.Sleep(interval)
+	}
+	return errs
+}
+
+// A request ends each server that runs it and comes again at any host. Once three servers have
+// ended under it, it must reach at most three more, from all hosts together.
+func TestRequestThatCrashesServersIsQuarantinedAtAllHosts(t *testing.T) {
+	const settle = time.Second
+	tests := map[string]struct {
+		kind   routetable.Kind
+		atOnce int
+	}{
+		"idempotent":             {routetable.KindIdempotent, 1},
+		"at most once":           {routetable.KindOnce, 1},
+		"three at the same time": {routetable.KindIdempotent, 3},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			hosts, servers, sent := newCrashDeployment(t, 4, 6, 500*time.Millisecond)
+			for _, g := range hosts {
+				g.table(func(_, plain *routetable.Route) { plain.Kind = c.kind })
+			}
+			var w sync.WaitGroup
+			last := make([]error, c.atOnce)
+			for i := range c.atOnce {
+				w.Go(func() {
+					errs := repeatCall(hosts[i:], crashBody, 100*time.Millisecond, 5*time.Second)
+					last[i] = errs[len(errs)-1]
+				})
+			}
+			w.Wait()
+			var ends int64
+			for _, s := range servers {
+				ends += s.ends.Load()
+			}
+			require.LessOrEqual(t, sent.after(crashBody, 3, settle), 3, "%d sent", sent.count(crashBody))
+			require.GreaterOrEqual(t, ends, int64(3))
+			for _, err := range last {
+				e := outcome.AsError(err)
+				require.Equal(t, outcome.NotRun, e.Outcome)
+				require.Positive(t, e.RetryAfter)
+			}
+		})
+	}
+}
+
+// Callers beside a request that ends servers are served again, nine in ten, once that request
+// has been recognised.
+func TestCallersBesideACrashingRequestAreServed(t *testing.T) {
+	const settle = 2 * time.Second
+	hosts, _, _ := newCrashDeployment(t, 4, 6, time.Second)
+	start := time.Now()
+	var w sync.WaitGroup
+	w.Go(func() { repeatCall(hosts, crashBody, 200*time.Millisecond, 5*time.Second) })
+	var served, all atomic.Int64
+	for i, g := range hosts {
+		w.Go(func() {
+			for n := 0; time.Since(start) < 5*time.Second; n++ {
+				body := fmt.Sprint("sound-", i, "-", n)
+				began := time.Now()
+				a, err := g.Do(context.Background(), crashCall(g, body, body))
+				if err == nil {
+					a.Close()
+				}
+				if began.Sub(start) > settle {
+					all.Add(1)
+					if err == nil {
+						served.Add(1)
+					}
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	w.Wait()
+	require.Greater(t, all.Load(), int64(100))
+	require.GreaterOrEqual(t, served.Load()*10, all.Load()*9, "%d of %d served", served.Load(), all.Load())
+}
