A request that crashes servers is held back at all hosts

Cause: a harm that each host sees once and nobody adds up. A failed attempt said nothing to the next request, to another host, or to the same host a second later.

Change: a host that finds a server ended under a call (connection lost, a new one refused; or the registration removed soon after the call was given up) appends that to the topic "suspects", with a key of host, method, target, caller and body. All hosts fold the topic into a quarantine.Ledger. After one server the request is not hedged; after two it is sent in trials only, one at a time for all hosts, at a server that gets no other work meanwhile; the order of the claims in the log decides who has a trial. Three trials at most, after 0, 1 and 30 s. An answer clears the request. Once two trials ended their servers, the ends are no longer held against the requests that ran beside it. Calls to scorers and samples are never suspects.

--- a/pier/backend/request.go
+++ b/pier/backend/request.go
@@ -26,6 +26,8 @@
 	// before the previous has ended.
 	PurposeRetry Purpose = "retry"
 	PurposeHedge Purpose = "hedge"
+	// PurposeTrial is a caller's request under which servers have ended, tried at one server.
+	PurposeTrial Purpose = "trial"
 	// PurposeSample is the run of a sample, PurposeResume its continuation.
 	PurposeSample Purpose = "sample"
 	PurposeResume Purpose = "resume"
--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -5,11 +5,11 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/quarantine"
 	"mulberrypier.example/pier/routetable"
 )
 
@@ -18,14 +18,17 @@
 	u      *reservation
 	answer *Answer
 	err    error
-	cancel context.CancelFunc
+	// serverEnded is set if the server ended while it ran the request.
+	serverEnded bool
+	cancel      context.CancelFunc
 }
 
-// attempts tries one server after another. An idempotent request that is slow at one server
-// is hedged: it is sent to a second one as well, and the first answer counts.
-func (g *Gateway) attempts(ctx context.Context, c Call) (*Answer, error) {
+// dispatch tries one server after another. An idempotent request that is slow at one server
+// is hedged: it is sent to a second one as well, and the first answer counts. A careful one is
+// not, as a server has ended under it.
+func (g *Gateway) dispatch(ctx context.Context, c *plainCall, careful bool) (*Answer, error) {
 	s := plainDispatch{
-		g: g, c: c, service: c.Route.PickService(xxhash.Sum64String(c.ID)),
+		g: g, c: c, service: c.service(), careful: careful,
 		tried: make(map[string]bool), limited: make(map[string]bool),
 	}
 	s.endedAttempts = make(chan *serverAttempt, c.Route.Attempts+1)
@@ -40,6 +43,7 @@
 			if t.err == nil {
 				s.cancelOthers(t)
 				t.answer.ServerErrors += s.errors
+				g.watchAnswer(ctx, c, t.u, t.answer, quarantine.Event{})
 				return t.answer, nil
 			}
 			if s.mayRetry(t) {
@@ -65,8 +69,10 @@
 // plainDispatch is the state of a plain request that is sent to one server or several.
 type plainDispatch struct {
 	g       *Gateway
-	c       Call
+	c       *plainCall
 	service string
+	// careful is set for a request under which a server has ended.
+	careful bool
 	tried   map[string]bool
 	// limited holds the servers whose limit left no room at once. Each is tried again, and
 	// may then make the request wait.
@@ -96,7 +102,7 @@
 		s.noServer()
 		return
 	}
-	q := s.g.request(s.c, u)
+	q := s.g.request(s.c.Call, u)
 	q.Purpose = p
 	if !s.mayWait(&q, u) {
 		u.release()
@@ -110,13 +116,11 @@
 	s.attempts = append(s.attempts, t)
 	more := s.sent < s.c.Route.Attempts
 	go func() {
-		t.answer, t.err = s.g.attempt(attemptCtx, s.c, q, u, more)
-		if mayShowEnd(t.err) && !s.c.deferrable() {
-			s.g.ends.check(&s.c, u.s, t.err)
-		}
+		t.answer, t.err = s.g.attempt(attemptCtx, s.c.Call, q, u, more)
+		t.serverEnded = s.g.observeEnd(s.c, u, t.err)
 		s.endedAttempts <- t
 	}()
-	if s.idempotent() && more && s.c.Route.LatencyObjective > 0 {
+	if s.idempotent() && more && !s.careful && s.c.Route.LatencyObjective > 0 {
 		s.hedge.Reset(time.Duration(hedgeFactor * float64(s.c.Route.LatencyObjective)))
 	}
 }
@@ -169,9 +173,19 @@
 	if e.Reason == outcome.ReasonServerError {
 		s.errors++
 	}
+	if t.serverEnded && s.isSuspect() {
+		return false
+	}
 	return s.idempotent()
 }
 
+// isSuspect reports whether servers have ended under the request so often that it may be sent in
+// trials only.
+func (s *plainDispatch) isSuspect() bool {
+	d, _ := s.g.suspects.decide(s.c)
+	return d.Action != quarantine.Send && d.Action != quarantine.SendCarefully
+}
+
 // setLast records the failure of an attempt. Of several servers whose limits are used up,
 // the one that takes a request first decides when the caller should return.
 func (s *plainDispatch) setLast(e *outcome.Error) {
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -157,10 +157,33 @@
 		}
 	}
 	f.g.limits.retain(known)
+	if f.g.ends.hasDoubts() {
+		f.g.ends.gone(f.removed(l)...)
+	}
 	f.byService = l
 	f.signalCapacity()
 }
 
+// removed returns the servers that are not in the new lists l, other than those that were known
+// to be leaving. The caller holds mu.
+func (f *fleet) removed(l map[string][]directory.Server) []directory.Server {
+	kept := make(map[directory.Incarnation]bool)
+	for _, servers := range l {
+		for _, s := range servers {
+			kept[s.Incarnation()] = true
+		}
+	}
+	var r []directory.Server
+	for _, servers := range f.byService {
+		for _, s := range servers {
+			if !s.Leaving && !kept[s.Incarnation()] {
+				r = append(r, s)
+			}
+		}
+	}
+	return r
+}
+
 // signalCapacity wakes those that wait for free capacity. The caller holds mu.
 func (f *fleet) signalCapacity() {
 	close(f.changed)
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
@@ -52,6 +53,9 @@
 // no caller does.
 func (c *Call) deferrable() bool { return c.Purpose == backend.PurposeScore }
 
+// service returns the service that the call goes to.
+func (c *Call) service() string { return c.Route.PickService(xxhash.Sum64String(c.ID)) }
+
 // limitWait returns how long the call may wait for a server whose limit is used up: until
 // there is just time left for an answer. A call to a scorer waits only briefly and comes
 // again later, so that callers' requests find no long queue before them.
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -119,6 +119,7 @@
 	limits    *limits
 	fleet     *fleet
 	ends      *serverEnds
+	suspects  *suspects
 	journal   *journal
 	steps     *steps
 	preferred *preferred
@@ -157,6 +158,7 @@
 	g.limits = newLimits(g)
 	g.fleet = newFleet(g)
 	g.ends = newServerEnds(g)
+	g.suspects = newSuspects(g)
 	g.journal = newJournal(g)
 	g.steps = newSteps(g)
 	g.preferred = newPreferred(g)
@@ -194,7 +196,7 @@
 			return err
 		}
 	}
-	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run} {
+	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run, g.suspects.run} {
 		g.wg.Go(f)
 	}
 	g.log.Info("host: started", zap.String("host", g.self.Host), zap.String("domain", g.s.Domain))
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -24,6 +24,7 @@
 	limited    *prometheus.CounterVec
 	permits    *prometheus.CounterVec
 	serverEnds *prometheus.CounterVec
+	suspects   *prometheus.CounterVec
 	opened     prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
@@ -58,6 +59,7 @@
 	m.limited = counter("limited_requests_total", "Requests sent to servers that had stated a limit, by purpose.", "purpose")
 	m.permits = counter("limit_permits_total", "Requests to servers with a limit, by what became of the permit to send them.", "result")
 	m.serverEnds = counter("lost_connections_total", "Requests whose connection was lost while a server ran them, by what shows whether the server ended.", "evidence")
+	m.suspects = counter("suspect_request_events_total", "What this host has told others of requests under which servers ended.", "event")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -68,7 +68,7 @@
 		if n == 0 {
 			n = slots
 		}
-		if !admits(s) {
+		if !admits(s) || f.g.suspects.inTrial(&s) {
 			n = 0
 		}
 		at = append(at, i)
@@ -123,7 +123,8 @@
 }
 
 // pickServer picks a server for a plain request, other than those in tried. A server that is
-// avoided, or whose limit leaves no room for some time, is picked only if there is no other.
+// avoided, at which a suspect request is tried, or whose limit leaves no room for some time, is
+// picked only if there is no other.
 //
 // A deferrable request, which comes again later, gets no server that is full: one that has
 // refused this host a request shortly before, or has as many requests waiting as running.
@@ -138,11 +139,12 @@
 		if s.Leaving || tried[s.ID] {
 			continue
 		}
-		if deferrable && t.isFull(s, now) {
+		inTrial := f.g.suspects.inTrial(&s)
+		if deferrable && (inTrial || t.isFull(s, now)) {
 			continue
 		}
 		c := float64(t.estimatedRunning(now)) / float64(max(s.Slots, 1))
-		if now.Before(t.avoidUntil) {
+		if inTrial || now.Before(t.avoidUntil) {
 			c += avoidCost
 		}
 		if s.Domain != f.g.s.Domain {
--- a/pier/gateway/quarantine_test.go
+++ b/pier/gateway/quarantine_test.go
@@ -14,8 +14,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/quarantine"
 	"mulberrypier.example/pier/routetable"
 )
 
@@ -39,8 +41,8 @@
 	ends atomic.Int64
 	// bodies receives the body of each request that it runs.
 	bodies func(body string)
-	// answer, if set, answers the requests that do not end it.
-	answer http.HandlerFunc
+	// streams is set if it begins its answer before it runs the request.
+	streams bool
 
 	mu   sync.Mutex
 	http *http.Server
@@ -85,15 +87,15 @@
 		return
 	}
 	s.bodies(string(b))
+	if s.streams {
+		_, _ = io.WriteString(w, "id: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+	}
 	if len(b) >= len(crashBody) && string(b[:len(crashBody)]) == crashBody {
 		time.Sleep(crashRunTime)
 		s.end()
 		return
 	}
-	if s.answer != nil {
-		s.answer(w, r)
-		return
-	}
 	time.Sleep(crashRunTime / 2)
 	_, _ = w.Write(b)
 }
@@ -184,6 +186,7 @@
 	h := startHosts(t, l, hosts)
 	for _, g := range h {
 		g.table(nil)
+		g.wg.Go(g.suspects.run)
 	}
 	var sent sendLog
 	var s []*crashServer
@@ -232,7 +235,7 @@
 			last := make([]error, c.atOnce)
 			for i := range c.atOnce {
 				w.Go(func() {
-					errs := repeatCall(hosts[i:], crashBody, 100*time.Millisecond, 5*time.Second)
+					errs := repeatCall(hosts[i:], crashBody, 100*time.Millisecond, 3500*time.Millisecond)
 					last[i] = errs[len(errs)-1]
 				})
 			}
@@ -284,3 +287,182 @@
 	require.Greater(t, all.Load(), int64(100))
 	require.GreaterOrEqual(t, served.Load()*10, all.Load()*9, "%d of %d served", served.Load(), all.Load())
 }
+
+// quarantined reports whether a request was refused because servers ended under it.
+func quarantined(err error) bool { return outcome.HasReason(err, outcome.ReasonQuarantined) }
+
+// Sound requests run beside one that ends servers: each once, and one that many callers send in
+// the same form, so that it is in flight on most servers whenever one ends. None is refused as
+// if it were the cause.
+func TestSoundRequestsAreNotQuarantinedForANeighboursCrash(t *testing.T) {
+	hosts, _, _ := newCrashDeployment(t, 4, 6, 400*time.Millisecond)
+	var w sync.WaitGroup
+	w.Go(func() { repeatCall(hosts, crashBody, 100*time.Millisecond, 4*time.Second) })
+	var refused, all atomic.Int64
+	for i := range hosts {
+		for _, popular := range []bool{true, false} {
+			w.Go(func() {
+				for n := range 200 {
+					body := "popular"
+					if !popular {
+						body = fmt.Sprint("sound-", i, "-", n)
+					}
+					for _, err := range repeatCall(hosts[i:i+1], body, 20*time.Millisecond, time.Millisecond) {
+						all.Add(1)
+						if quarantined(err) {
+							refused.Add(1)
+						}
+					}
+				}
+			})
+		}
+	}
+	w.Wait()
+	require.Zero(t, refused.Load(), "of %d", all.Load())
+}
+
+// All servers end at the same time, again and again, for a reason of their own. Requests that
+// were in flight are not refused for that.
+func TestSoundRequestsAreNotQuarantinedWhenAllServersEnd(t *testing.T) {
+	hosts, servers, _ := newCrashDeployment(t, 4, 6, 200*time.Millisecond)
+	var w sync.WaitGroup
+	w.Go(func() {
+		for range 4 {
+			time.Sleep(600 * time.Millisecond)
+			for _, s := range servers {
+				s.end()
+			}
+		}
+	})
+	var refused, served atomic.Int64
+	for i := range hosts {
+		w.Go(func() {
+			for _, err := range repeatCall(hosts[i:i+1], "popular", 5*time.Millisecond, 3*time.Second) {
+				switch {
+				case quarantined(err):
+					refused.Add(1)
+				case err == nil:
+					served.Add(1)
+				}
+			}
+		})
+	}
+	w.Wait()
+	require.Zero(t, refused.Load())
+	require.Greater(t, served.Load(), int64(200))
+}
+
+// A host that starts later knows the requests that end servers, and sends none of them.
+func TestHostThatStartsLaterKnowsTheQuarantine(t *testing.T) {
+	l := newLog().Functions()
+	hosts := startHosts(t, l, 2)
+	var sent sendLog
+	for _, g := range hosts {
+		g.table(nil)
+		g.wg.Go(g.suspects.run)
+	}
+	for i := range 6 {
+		startCrashServer(t, fmt.Sprint("s", i), hosts, 400*time.Millisecond, sent.add)
+	}
+	require.Eventually(t, func() bool {
+		repeatCall(hosts, crashBody, 100*time.Millisecond, time.Millisecond)
+		d, _ := hosts[0].suspects.decide(newPlainCall(crashCall(hosts[0], "", crashBody)))
+		return d.Action == quarantine.Refuse && d.After > 5*time.Second
+	}, 15*time.Second, time.Millisecond)
+	late := newHost(t, "late", l)
+	late.table(nil)
+	late.wg.Go(late.suspects.run)
+	hosts[0].fleet.mu.Lock()
+	servers := hosts[0].fleet.byService["desk"]
+	hosts[0].fleet.mu.Unlock()
+	late.register(servers...)
+	require.Eventually(t, func() bool { return late.suspects.known.Load() > 0 }, time.Second, time.Millisecond)
+	before := sent.count(crashBody)
+	_, err := late.Do(context.Background(), crashCall(late, "late", crashBody))
+	require.True(t, quarantined(err), "%v", err)
+	require.Equal(t, before, sent.count(crashBody))
+}
+
+// The log is away when servers end. Each host keeps to what it knows by itself; once the log is
+// back, all hosts add up.
+func TestHostsAddUpOnceTheLogIsBack(t *testing.T) {
+	l := newLog()
+	hosts := startHosts(t, l.Functions(), 3)
+	var sent sendLog
+	for _, g := range hosts {
+		g.table(nil)
+		g.wg.Go(g.suspects.run)
+	}
+	for i := range 6 {
+		startCrashServer(t, fmt.Sprint("s", i), hosts, 300*time.Millisecond, sent.add)
+	}
+	l.SetDown(true)
+	repeatCall(hosts, crashBody, 100*time.Millisecond, 2*time.Second)
+	away := sent.count(crashBody)
+	require.LessOrEqual(t, away, 2*len(hosts))
+	l.SetDown(false)
+	repeatCall(hosts, crashBody, 100*time.Millisecond, 3*time.Second)
+	require.LessOrEqual(t, sent.count(crashBody), away+3)
+}
+
+// A scorer is called for a sample, which is owed. Such calls are never suspects, also if servers
+// end under them.
+func TestScorerCallsAreNeverQuarantined(t *testing.T) {
+	hosts, _, sent := newCrashDeployment(t, 1, 2, 50*time.Millisecond)
+	for range 8 {
+		c := crashCall(hosts[0], "score", crashBody)
+		c.Purpose = backend.PurposeScore
+		_, err := hosts[0].Do(context.Background(), c)
+		require.False(t, quarantined(err), "%v", err)
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, sent.count(crashBody), 8)
+	require.Zero(t, hosts[0].suspects.known.Load())
+}
+
+// A stream begins with its first events and ends with its server. The request is recognised by
+// that, and one whose stream is whole is not.
+func TestStreamThatEndsWithItsServerIsQuarantined(t *testing.T) {
+	const settle = time.Second
+	hosts, servers, sent := newCrashDeployment(t, 3, 6, 400*time.Millisecond)
+	for _, g := range hosts {
+		g.table(func(_, plain *routetable.Route) { plain.Kind = routetable.KindStream })
+	}
+	for _, s := range servers {
+		s.streams = true
+	}
+	end := time.Now().Add(3 * time.Second)
+	read := func(i int, body string) error {
+		g := hosts[i%len(hosts)]
+		a, err := g.Do(context.Background(), crashCall(g, fmt.Sprint(body, i), body))
+		if err != nil {
+			return err
+		}
+		defer a.Close()
+		_, err = io.Copy(io.Discard, a.Rest)
+		return err
+	}
+	var last error
+	for i := 0; time.Now().Before(end); i++ {
+		last = read(i, crashBody)
+		require.False(t, quarantined(read(i, "sound")))
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.True(t, quarantined(last), "%v", last)
+	require.LessOrEqual(t, sent.after(crashBody, 3, settle), 3)
+}
+
+// The callers leave before the servers end. The ends are put down to the request all the same.
+func TestRequestIsRecognisedThoughItsCallersLeave(t *testing.T) {
+	hosts, _, sent := newCrashDeployment(t, 3, 6, 400*time.Millisecond)
+	var last error
+	for i := range 30 {
+		g := hosts[i%len(hosts)]
+		ctx, cancel := context.WithTimeout(context.Background(), crashRunTime/2)
+		_, last = g.Do(ctx, crashCall(g, fmt.Sprint(i), crashBody))
+		cancel()
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.True(t, quarantined(last), "%v", last)
+	require.LessOrEqual(t, sent.count(crashBody), 12)
+}
--- a/pier/gateway/serverend.go
+++ b/pier/gateway/serverend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,11 @@
 	// endCheckMaxAge is how long the result of a check is used. A server needs longer to
 	// start again.
 	endCheckMaxAge = 300 * time.Millisecond
+	// doubtTime is how long after a call was given up at a server an end of the server may be
+	// due to it: the registration of a server that ended is removed after some seconds.
+	doubtTime = 6 * time.Second
+	// maxDoubts bounds the calls that are remembered for that; the oldest are dropped.
+	maxDoubts = 1000
 )
 
 // evidence is what a check of a server after a lost connection has shown. It is also a label
@@ -45,6 +51,16 @@
 	mu sync.Mutex
 	// checks holds the newest check of each incarnation.
 	checks map[directory.Incarnation]*endCheck
+	// doubts holds the calls that were given up while a server ran them, the oldest first.
+	doubts []doubt
+}
+
+// doubt is a call that got no answer from a server, of which it is not known whether it ended.
+type doubt struct {
+	id     string
+	key    quarantine.Key
+	server directory.Server
+	at     time.Duration
 }
 
 // endCheck is one check, which all requests share that lost their connections at that time.
@@ -61,13 +77,16 @@
 
 // check reports what shows whether a server has ended, and logs it for a request that lost its
 // connection there.
-func (e *serverEnds) check(c *Call, s directory.Server, err error) evidence {
+func (e *serverEnds) check(c *plainCall, s directory.Server, err error) evidence {
 	began := boottime.Now()
 	v := e.evidence(s)
 	e.g.metrics.serverEnds.WithLabelValues(string(v)).Inc()
 	e.g.log.Info("request: connection lost while a server ran it", zap.String("id", c.ID),
 		zap.Stringer("request-key", c.key()), zap.String("server", s.ID), zap.String("evidence", string(v)),
 		zap.String("reason", string(outcome.AsError(err).Reason)), zap.Duration("checked-in", boottime.Now()-began))
+	if v == evidenceRefused {
+		e.gone(s)
+	}
 	return v
 }
 
@@ -112,18 +131,57 @@
 	return evidenceRefused
 }
 
-// mayShowEnd reports whether the reason of a failed attempt can mean that the server ended.
-func mayShowEnd(err error) bool {
-	if err == nil {
-		return false
+// remember has the end of a server put down to a call if the server is found to have ended soon.
+func (e *serverEnds) remember(c *plainCall, s directory.Server) {
+	k := c.key()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.doubts) >= maxDoubts {
+		e.doubts = e.doubts[1:]
 	}
-	e := outcome.AsError(err)
-	return e.Outcome == outcome.Unknown && (e.Reason == outcome.ReasonConnectionLost || e.Reason == outcome.ReasonShortAnswer)
+	e.doubts = append(e.doubts, doubt{id: c.ID, key: k, server: s, at: boottime.Now()})
+}
+
+// hasDoubts reports whether calls are remembered.
+func (e *serverEnds) hasDoubts() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.doubts) > 0
 }
 
-// key returns what identifies the request when it comes again.
-func (c *Call) key() quarantine.Key {
-	return quarantine.KeyOf(quarantine.Identity{
-		Host: c.Host, Method: c.Method, Target: c.Target, Caller: c.Caller, Body: c.Body,
+// gone records that servers have ended, and tells all hosts of the calls that were given up
+// there shortly before.
+func (e *serverEnds) gone(servers ...directory.Server) {
+	ended := make(map[directory.Incarnation]bool)
+	for _, s := range servers {
+		ended[s.Incarnation()] = true
+	}
+	for _, d := range e.takeDoubts(ended) {
+		e.g.suspects.tellEnd(d.key, d.server)
+		e.g.log.Info("request: server ended after the request was given up there", zap.String("id", d.id),
+			zap.Stringer("request-key", d.key), zap.String("server", d.server.ID), zap.Duration("age", boottime.Now()-d.at))
+	}
+}
+
+// takeDoubts removes and returns the calls that were given up at servers that have ended, and
+// drops those that are too old.
+func (e *serverEnds) takeDoubts(ended map[directory.Incarnation]bool) []doubt {
+	now := boottime.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var taken []doubt
+	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool {
+		old := now-d.at >= doubtTime
+		if !old && ended[d.server.Incarnation()] {
+			taken = append(taken, d)
+		}
+		return old || ended[d.server.Incarnation()]
 	})
+	return taken
+}
+
+// mayShowEnd reports whether the reason of a failed attempt can mean that the server ended.
+func mayShowEnd(err error) bool {
+	e := outcome.AsError(err)
+	return err != nil && e.Outcome == outcome.Unknown && (e.Reason == outcome.ReasonConnectionLost || e.Reason == outcome.ReasonShortAnswer)
 }
--- /dev/null
+++ b/pier/gateway/suspects.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/quarantine"
+)
+
+// A request may end each server that runs it and come again at any host. The hosts tell each
+// other through a topic of the log under which requests servers ended, and who may try such
+// a request once more. Package quarantine decides what follows from that.
+
+const (
+	// suspectsReadWait is how long a read of the topic waits for an event.
+	suspectsReadWait = 2500 * time.Millisecond
+	// claimTimeout bounds the time to ask for a trial.
+	claimTimeout = 500 * time.Millisecond
+	// maxWaitingEvents bounds the events that wait for their append; the oldest are dropped.
+	// maxEventsAppended bounds those of one append.
+	maxWaitingEvents  = 2000
+	maxEventsAppended = 500
+	// maxHeldRetryAfter bounds the Retry-After time of a request that could not wait for the
+	// end of a trial, most of which are short.
+	maxHeldRetryAfter = time.Second
+)
+
+// suspects holds what this host knows of requests under which servers ended. It is safe for
+// concurrent use.
+type suspects struct {
+	g *Gateway
+	// known is the number of requests in ledger. It spares calls the lock while there is none.
+	known atomic.Int64
+	// claims is the number of trials that this host has asked for.
+	claims atomic.Int64
+
+	mu     sync.Mutex
+	ledger *quarantine.Ledger
+	// next is the offset of the topic to read from.
+	next int64
+	// changed is closed and replaced after events were applied.
+	changed chan struct{}
+	// waiting holds the events that are to be appended; appending is set while that goes on.
+	waiting   []quarantine.Event
+	appending bool
+}
+
+func newSuspects(g *Gateway) *suspects {
+	return &suspects{g: g, ledger: quarantine.NewLedger(g.s.Log.Retention.D()), changed: make(chan struct{})}
+}
+
+func suspectsPartition() partitionlog.Partition {
+	return partitionlog.Partition{Topic: quarantine.Topic}
+}
+
+// run reads the events of all hosts.
+func (s *suspects) run() {
+	for s.g.ctx.Err() == nil {
+		if err := s.read(); err != nil {
+			if s.g.ctx.Err() == nil {
+				s.g.logHealth.failed(quarantine.Topic, quarantine.Topic, err)
+			}
+			backoff.Sleep(s.g.ctx, logRetryDelay)
+			continue
+		}
+		s.g.logHealth.answered(quarantine.Topic)
+	}
+}
+
+func (s *suspects) read() error {
+	ctx, cancel := context.WithTimeout(s.g.ctx, suspectsReadWait+readSlack)
+	defer cancel()
+	s.mu.Lock()
+	from := s.next
+	s.mu.Unlock()
+	p, err := s.g.c.Log.Read(ctx, partitionlog.ReadRequest{
+		Partition: suspectsPartition(), From: from, MaxBytes: maxReadBytes, Wait: suspectsReadWait,
+	})
+	if outcome.HasReason(err, partitionlog.ReasonExpired) {
+		s.mu.Lock()
+		s.next = max(p.First, from+1)
+		s.mu.Unlock()
+		return nil
+	}
+	if err != nil || len(p.Records) == 0 {
+		return err
+	}
+	var l []quarantine.Event
+	for i, b := range p.Records {
+		e, err := quarantine.Decode(b)
+		if err != nil {
+			s.g.metrics.unreadable.WithLabelValues(quarantine.Topic).Inc()
+			s.g.log.Warn("request: events cannot be decoded; skipped", zap.Int64("offset", p.From+int64(i)), zap.Error(err))
+			continue
+		}
+		l = append(l, e...)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(l)
+	s.next = p.From + int64(len(p.Records))
+	return nil
+}
+
+// apply applies events to the ledger and wakes those that wait for a change. The caller holds mu.
+func (s *suspects) apply(l []quarantine.Event) {
+	now := boottime.Now()
+	for _, e := range l {
+		s.ledger.Apply(e, now)
+	}
+	s.known.Store(int64(s.ledger.Len()))
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// decide returns what may be done with a call, and a channel that is closed when that may have
+// changed.
+func (s *suspects) decide(c *plainCall) (quarantine.Decision, <-chan struct{}) {
+	if s.known.Load() == 0 || c.deferrable() {
+		return quarantine.Decision{Action: quarantine.Send}, nil
+	}
+	k, now := c.key(), boottime.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.ledger.Decide(k, now)
+	if e, ok := s.ledger.Kept(k, now); ok && d.Action == quarantine.Refuse {
+		s.queue(e)
+	}
+	return d, s.changed
+}
+
+// inTrial reports whether a trial is in progress at a server.
+func (s *suspects) inTrial(x *directory.Server) bool {
+	if s.known.Load() == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.InTrial(x.Incarnation(), boottime.Now())
+}
+
+// tell has an event appended, so that all hosts learn of it. One that belongs to no trial is
+// applied at once; which trials there are depends on the order of the events in the log.
+func (s *suspects) tell(e quarantine.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.Trial == 0 {
+		s.apply([]quarantine.Event{e})
+	}
+	s.queue(e)
+}
+
+// tellEnd tells all hosts that a server ended under a request.
+func (s *suspects) tellEnd(k quarantine.Key, x directory.Server) {
+	s.tell(quarantine.Event{
+		Kind: quarantine.KindEnded, Key: k, Service: x.Service, Server: x.Incarnation(),
+	})
+}
+
+// queue has an event appended. The caller holds mu.
+func (s *suspects) queue(e quarantine.Event) {
+	s.g.metrics.suspects.WithLabelValues(string(e.Kind)).Inc()
+	if len(s.waiting) >= maxWaitingEvents {
+		s.waiting = s.waiting[1:]
+		s.g.metrics.suspects.WithLabelValues("dropped").Inc()
+	}
+	s.waiting = append(s.waiting, e)
+	if !s.appending {
+		s.appending = true
+		s.g.wg.Go(s.appendWaiting)
+	}
+}
+
+// appendWaiting appends the waiting events until there are none. An event may be appended
+// twice, which changes nothing.
+func (s *suspects) appendWaiting() {
+	for s.g.ctx.Err() == nil {
+		s.mu.Lock()
+		l := append([]quarantine.Event(nil), s.waiting[:min(len(s.waiting), maxEventsAppended)]...)
+		s.waiting = s.waiting[len(l):]
+		s.appending = len(l) > 0
+		s.mu.Unlock()
+		if len(l) == 0 {
+			return
+		}
+		for s.g.ctx.Err() == nil {
+			if _, err := s.append(s.g.ctx, l); err == nil {
+				break
+			}
+			backoff.Sleep(s.g.ctx, logRetryDelay)
+		}
+	}
+}
+
+func (s *suspects) append(ctx context.Context, l []quarantine.Event) (int64, error) {
+	b, err := quarantine.Encode(l)
+	if err != nil {
+		s.g.log.Error("request: events cannot be encoded; dropped", zap.Error(err))
+		return 0, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	a, err := s.g.c.Log.Append(ctx, partitionlog.AppendRequest{
+		Partition: suspectsPartition(), Records: [][]byte{b}, ExpectedEnd: partitionlog.NoCondition,
+	})
+	if err != nil {
+		s.g.logHealth.failed(quarantine.Topic, quarantine.Topic, err)
+		return 0, err
+	}
+	return a.First, nil
+}
+
+// newClaim returns a name of a claim that no other has.
+func (s *suspects) newClaim() string {
+	return fmt.Sprintf("%s/%d", s.g.self.Host, s.claims.Add(1))
+}
+
+// claim asks for a trial of a request and reports whether this host has it. An error means that
+// the log did not tell in time.
+func (s *suspects) claim(ctx context.Context, e quarantine.Event) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	offset, err := s.append(ctx, []quarantine.Event{e})
+	for err == nil {
+		s.mu.Lock()
+		read, has, changed := s.next > offset, s.ledger.HasTrial(e.Key, e.Claim), s.changed
+		s.mu.Unlock()
+		if read {
+			return has, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
+	// The event may have been appended, or may be yet.
+	e.Kind = quarantine.KindUnused
+	s.tell(e)
+	return false, outcome.RefuseWithCause(outcome.ReasonLogDown, "trial of request "+e.Key.String(), err).After(unavailableRetryAfter)
+}
--- /dev/null
+++ b/pier/gateway/trial.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/quarantine"
+)
+
+// trialMargin is how long a trial may last beyond the call's deadline, for its result to be
+// read by all hosts.
+const trialMargin = time.Second
+
+// plainCall is a call with the key under which it is known when it comes again.
+type plainCall struct {
+	Call
+	// key returns the key, which is computed when it is first needed.
+	key func() quarantine.Key
+}
+
+func newPlainCall(c Call) *plainCall {
+	return &plainCall{Call: c, key: sync.OnceValue(func() quarantine.Key {
+		return quarantine.KeyOf(quarantine.Identity{
+			Host: c.Host, Method: c.Method, Target: c.Target, Caller: c.Caller, Body: c.Body,
+		})
+	})}
+}
+
+// attempts sends a call to servers as far as what is known of it allows: at once, in a trial
+// that no other host makes at the same time, or not at all.
+func (g *Gateway) attempts(ctx context.Context, call Call) (*Answer, error) {
+	c := newPlainCall(call)
+	tried := make(map[string]bool)
+	for {
+		d, changed := g.suspects.decide(c)
+		switch d.Action {
+		case quarantine.Refuse:
+			if d.After > c.limitWait(time.Now()) || !waitForTrial(ctx, c, changed, d.After) {
+				return nil, g.refuseSuspect(c, d, d.After)
+			}
+		case quarantine.Wait:
+			if !waitForTrial(ctx, c, changed, d.After) {
+				return nil, g.refuseSuspect(c, d, min(d.After, maxHeldRetryAfter))
+			}
+		case quarantine.Try:
+			if a, done, err := g.try(ctx, c, d, tried); done {
+				return a, err
+			}
+		default:
+			return g.dispatch(ctx, c, d.Action == quarantine.SendCarefully)
+		}
+	}
+}
+
+// waitForTrial waits until something has become known of requests under which servers ended, or
+// the given time is over. It returns false if the call has no time left then.
+func waitForTrial(ctx context.Context, c *plainCall, changed <-chan struct{}, most time.Duration) bool {
+	t := time.NewTimer(min(most, c.limitWait(time.Now())))
+	defer t.Stop()
+	select {
+	case <-changed:
+		return c.limitWait(time.Now()) > 0
+	case <-t.C:
+		return c.limitWait(time.Now()) > 0
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *Gateway) refuseSuspect(c *plainCall, d quarantine.Decision, retryAfter time.Duration) error {
+	g.log.Info("request: refused, servers ended under it", zap.String("id", c.ID), zap.Stringer("request-key", c.key()),
+		zap.String("action", string(d.Action)), zap.Int("ends", d.Ends), zap.Duration("age", d.Age),
+		zap.Duration("retry-after", retryAfter))
+	return outcome.Refuse(outcome.ReasonQuarantined, fmt.Sprintf("%d servers ended", d.Ends)).After(retryAfter)
+}
+
+// try makes a trial of a call: it sends it to one server, if this host gets the trial. done is
+// false if what is known of the call has changed, or another server is to be tried.
+func (g *Gateway) try(ctx context.Context, c *plainCall, d quarantine.Decision, tried map[string]bool) (a *Answer, done bool, err error) {
+	service := c.service()
+	u, ok := g.fleet.pickServer(service, tried, false)
+	if !ok {
+		return nil, true, outcome.Refuse(outcome.ReasonNoServer, service).After(unavailableRetryAfter)
+	}
+	e := quarantine.Event{
+		Kind: quarantine.KindTrial, Key: c.key(), Service: service, Server: u.s.Incarnation(), Claim: g.suspects.newClaim(),
+		Trial: d.Trial, Lasts: time.Until(c.Deadline) + trialMargin,
+	}
+	has, err := g.suspects.claim(ctx, e)
+	if !has {
+		u.release()
+		return nil, err != nil, err
+	}
+	tried[u.s.ID] = true
+	a, err = g.runTrial(ctx, c, u, e, d)
+	other := outcome.HasReason(err, outcome.ReasonUnreachable) || outcome.HasReason(err, outcome.ReasonQueueFull)
+	return a, !other, err
+}
+
+// runTrial sends a call in the trial e and tells all hosts of the result.
+func (g *Gateway) runTrial(ctx context.Context, c *plainCall, u *reservation, e quarantine.Event, d quarantine.Decision) (*Answer, error) {
+	q := g.request(c.Call, u)
+	q.Purpose, q.LimitWait = backend.PurposeTrial, c.limitWait(time.Now())
+	a, err := g.attempt(ctx, c.Call, q, u, false)
+	if err == nil {
+		g.watchAnswer(ctx, c, u, a, e)
+		return a, nil
+	}
+	e.Kind = g.trialResult(c, u, err)
+	g.suspects.tell(e)
+	g.log.Info("request: trial failed", zap.String("id", c.ID), zap.Stringer("request-key", e.Key), zap.String("server", u.s.ID),
+		zap.String("result", string(e.Kind)), zap.Int("trial", e.Trial), zap.Int("ends", d.Ends), zap.Duration("age", d.Age))
+	return nil, err
+}
+
+// trialResult returns what a failed trial has shown.
+func (g *Gateway) trialResult(c *plainCall, u *reservation, err error) quarantine.Kind {
+	if outcome.AsError(err).Outcome == outcome.NotRun {
+		return quarantine.KindUnused
+	}
+	if !mayShowEnd(err) {
+		g.ends.remember(c, u.s)
+		return quarantine.KindUndecided
+	}
+	switch g.ends.check(c, u.s, err) {
+	case evidenceRefused:
+		return quarantine.KindEnded
+	case evidenceListening, evidenceLeaving:
+		return quarantine.KindUnused
+	}
+	return quarantine.KindUndecided
+}
+
+// observeEnd handles a call that failed at a server: it tells all hosts if the server has ended
+// under it, and reports whether it did.
+func (g *Gateway) observeEnd(c *plainCall, u *reservation, err error) bool {
+	if err == nil || c.deferrable() || outcome.AsError(err).Outcome == outcome.NotRun {
+		return false
+	}
+	if mayShowEnd(err) && g.ends.check(c, u.s, err) == evidenceRefused {
+		g.suspects.tellEnd(c.key(), u.s)
+		return true
+	}
+	if outcome.AsError(err).Reason != outcome.ReasonServerError {
+		g.ends.remember(c, u.s)
+	}
+	return false
+}
+
+// watchAnswer tells all hosts once an answer is complete, if servers ended under the call before
+// or the call was a trial. e holds the trial, if any.
+func (g *Gateway) watchAnswer(ctx context.Context, c *plainCall, u *reservation, a *Answer, e quarantine.Event) {
+	if c.deferrable() {
+		return
+	}
+	w := &watchedBody{g: g, ctx: ctx, c: c, u: u, e: e, r: a.Rest}
+	if a.Rest == nil {
+		w.ended(nil)
+		return
+	}
+	a.Rest = w
+}
+
+// watchedBody is the rest of an answer, whose end shows whether the server survived the call.
+type watchedBody struct {
+	g *Gateway
+	//nolint:containedctx // The context of the call, which also bounds the reading of its answer.
+	ctx context.Context
+	c   *plainCall
+	u   *reservation
+	e   quarantine.Event
+	r   io.Reader
+	// told is set once the end of the body was handled.
+	told bool
+}
+
+// Read implements io.Reader.
+func (w *watchedBody) Read(b []byte) (int, error) {
+	n, err := w.r.Read(b)
+	if err != nil && !w.told {
+		w.told = true
+		w.ended(err)
+	}
+	return n, err
+}
+
+// ended handles the end of the answer: nil or io.EOF if it is complete.
+func (w *watchedBody) ended(err error) {
+	trial := w.e.Trial > 0
+	switch {
+	case err == nil || errors.Is(err, io.EOF):
+		d, _ := w.g.suspects.decide(w.c)
+		if !trial && d.Ends == 0 {
+			return
+		}
+		w.tell(quarantine.KindAnswered)
+	case w.ctx.Err() != nil:
+		w.g.ends.remember(w.c, w.u.s)
+		if trial {
+			w.tell(quarantine.KindUndecided)
+		}
+	case trial:
+		lost := outcome.Ambiguous(outcome.ReasonShortAnswer, w.u.s.ID, err)
+		w.tell(w.g.trialResult(w.c, w.u, lost))
+	default:
+		w.g.observeEnd(w.c, w.u, outcome.Ambiguous(outcome.ReasonShortAnswer, w.u.s.ID, err))
+	}
+}
+
+func (w *watchedBody) tell(k quarantine.Kind) {
+	w.e.Kind, w.e.Key, w.e.Service, w.e.Server = k, w.c.key(), w.u.s.Service, w.u.s.Incarnation()
+	w.g.suspects.tell(w.e)
+	w.g.log.Info("request: ran at a server after servers had ended under it", zap.String("id", w.c.ID),
+		zap.Stringer("request-key", w.e.Key), zap.String("server", w.u.s.ID), zap.String("result", string(k)), zap.Int("trial", w.e.Trial))
+}
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -65,6 +65,7 @@
 	ReasonStaleVersion    Reason = "stale-version"
 	ReasonServerLimit     Reason = "server-limit"
 	ReasonPermitExpired   Reason = "permit-expired"
+	ReasonQuarantined     Reason = "quarantined"
 )
 
 // Error is the error of a request that ended without an answer.
