Nothing is sent to servers at whose addresses nobody listens

A server at whose address nothing listened now gets nothing for 0.3 to 1 s; callers are refused at once with a Retry-After. A server that is back is another incarnation and gets work at once.

TestCallersAreRefusedAtOnceWhileAllServersAreGone fails without the change (no Retry-After).

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -125,11 +125,15 @@
 	}
 }
 
-// noServer sets the error of a request for which no server was picked, if none was before.
+// noServer sets the error of a request for which no server was picked: that of the last server
+// that was tried, with a time to come back if that one states none.
 func (s *plainDispatch) noServer() {
 	if s.c.deferrable() && s.last.Reason == outcome.ReasonNoServer && s.g.fleet.hasServers(s.service) {
 		s.last = outcome.Refuse(outcome.ReasonQueueFull, s.service).After(busyRetryAfter)
 	}
+	if s.last.Reason == outcome.ReasonUnreachable && s.last.RetryAfter == 0 {
+		s.last = s.last.After(unavailableRetryAfter)
+	}
 }
 
 // mayWait sets how long the request may wait if the server's limit leaves no room. It returns
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -22,6 +22,9 @@
 	// with each further failure, up to maxAvoidTime.
 	initialAvoidTime = 300 * time.Millisecond
 	maxAvoidTime     = 3 * time.Second
+	// maxAbsentTime bounds the time for which nothing is sent to a server at whose address
+	// nothing listened. A server that starts again is another incarnation and gets work at once.
+	maxAbsentTime = time.Second
 	// maxRefusalDoublings bounds the doublings of the time for which a full server is
 	// avoided.
 	maxRefusalDoublings = 3
@@ -62,6 +65,9 @@
 	// if no other server can take them; failures is the number of failures in a row.
 	avoidUntil time.Time
 	failures   int
+	// absentUntil is the time until which the server gets nothing, as nothing listened at its
+	// address.
+	absentUntil time.Time
 	// refusals is the number of requests in a row that the server refused for lack of
 	// capacity.
 	refusals int
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -178,6 +179,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) || withoutPermit(err) {
 		return
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		u.absent()
+	}
 	u.failed(string(outcome.AsError(err).Reason))
 }
 
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -124,7 +124,8 @@
 
 // pickServer picks a server for a plain request, other than those in tried. A server that is
 // avoided, at which a suspect request is tried, or whose limit leaves no room for some time, is
-// picked only if there is no other.
+// picked only if there is no other. One at whose address nothing listened just before is not
+// picked at all: a call finds out at once that no server is left.
 //
 // A deferrable request, which comes again later, gets no server that is full: one that has
 // refused this host a request shortly before, or has as many requests waiting as running.
@@ -136,7 +137,7 @@
 	l := f.byService[service]
 	for i, s := range l {
 		t := f.states[s.ID]
-		if s.Leaving || tried[s.ID] {
+		if s.Leaving || tried[s.ID] || now.Before(t.absentUntil) {
 			continue
 		}
 		inTrial := f.g.suspects.inTrial(&s)
--- a/pier/gateway/quarantine_test.go
+++ b/pier/gateway/quarantine_test.go
@@ -466,3 +466,26 @@
 	require.True(t, quarantined(last), "%v", last)
 	require.LessOrEqual(t, sent.count(crashBody), 12)
 }
+
+// All servers of a service have ended. Callers are refused at once and told when to return,
+// nobody goes on calling the addresses, and a server that is back gets work at once.
+func TestCallersAreRefusedAtOnceWhileAllServersAreGone(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	g.table(nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := netip.MustParseAddrPort(l.Addr().String())
+	require.NoError(t, l.Close())
+	g.register(directory.Server{ID: "gone", Service: "desk", Address: closed, Slots: 4})
+	for _, want := range []outcome.Reason{outcome.ReasonUnreachable, outcome.ReasonNoServer, outcome.ReasonNoServer} {
+		_, err := g.Do(context.Background(), call(g))
+		e := outcome.AsError(err)
+		require.Equal(t, want, e.Reason)
+		require.Equal(t, outcome.NotRun, e.Outcome)
+		require.Positive(t, e.RetryAfter)
+	}
+	g.register(startServer(t, "back", "desk", echo).Server)
+	a, err := g.Do(context.Background(), call(g))
+	require.NoError(t, err)
+	a.Close()
+}
--- a/pier/gateway/reservation.go
+++ b/pier/gateway/reservation.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// absent records that nothing listens at the server's address.
+func (u *reservation) absent() {
+	u.f.mu.Lock()
+	defer u.f.mu.Unlock()
+	if t := u.f.states[u.s.ID]; t != nil {
+		t.absentUntil = time.Now().Add(backoff.Exponential(initialAvoidTime, maxAbsentTime, t.failures))
+	}
+}
+
 // failed records a failure: the server is avoided for some time.
 func (u *reservation) failed(reason string) {
 	u.f.mu.Lock()
