Trials that reach a server count from the third end on; explain names them

With two ends it is still given back, as the request may well be sound. mulberryctl explain shows what is known of the same request under other ids.

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -43,7 +43,7 @@
 			if t.err == nil {
 				s.cancelOthers(t)
 				t.answer.ServerErrors += s.errors
-				g.watchAnswer(ctx, c, t.u, t.answer, quarantine.Event{})
+				g.watchAnswer(ctx, c, t.u, t.answer, quarantine.Event{}, 0)
 				return t.answer, nil
 			}
 			if s.mayRetry(t) {
--- a/pier/gateway/quarantine_test.go
+++ b/pier/gateway/quarantine_test.go
@@ -489,3 +489,36 @@
 	require.NoError(t, err)
 	a.Close()
 }
+
+// The servers have no room for a suspect. Until three servers have ended, it is sent until one
+// has; from then on each trial that reached a server counts.
+func TestTrialsThatServersRefuseCountFromTheThirdEnd(t *testing.T) {
+	tests := map[string]struct {
+		ends  int
+		least int
+		most  int
+	}{
+		"two servers ended":   {2, maxTrialsSent + 1, 1000},
+		"three servers ended": {3, 1, maxTrialsSent},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			hosts := startHosts(t, newLog().Functions(), 1)
+			g := hosts[0]
+			g.table(nil)
+			g.wg.Go(g.suspects.run)
+			full := startServer(t, "full", "desk", notRun)
+			g.register(full.Server)
+			k := newPlainCall(crashCall(g, "", crashBody)).key()
+			for n := range c.ends {
+				g.suspects.tellEnd(k, directory.Server{ID: fmt.Sprint("ended-", n), Service: "desk"})
+			}
+			repeatCall(hosts, crashBody, 10*time.Millisecond, 2500*time.Millisecond)
+			require.GreaterOrEqual(t, len(full.runs()), c.least)
+			require.LessOrEqual(t, len(full.runs()), c.most)
+		})
+	}
+}
+
+// maxTrialsSent is the number of further tries of a request under which three servers ended.
+const maxTrialsSent = 3
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -111,31 +111,34 @@
 	q.Purpose, q.LimitWait = backend.PurposeTrial, c.limitWait(time.Now())
 	a, err := g.attempt(ctx, c.Call, q, u, false)
 	if err == nil {
-		g.watchAnswer(ctx, c, u, a, e)
+		g.watchAnswer(ctx, c, u, a, e, d.Ends)
 		return a, nil
 	}
-	e.Kind = g.trialResult(c, u, err)
+	e.Kind = g.trialResult(c, u, err, d.Ends)
 	g.suspects.tell(e)
 	g.log.Info("request: trial failed", zap.String("id", c.ID), zap.Stringer("request-key", e.Key), zap.String("server", u.s.ID),
 		zap.String("result", string(e.Kind)), zap.Int("trial", e.Trial), zap.Int("ends", d.Ends), zap.Duration("age", d.Age))
 	return nil, err
 }
 
-// trialResult returns what a failed trial has shown.
-func (g *Gateway) trialResult(c *plainCall, u *reservation, err error) quarantine.Kind {
-	if outcome.AsError(err).Outcome == outcome.NotRun {
+// trialResult returns what a failed trial has shown. ends is the number of servers that ended
+// before it.
+func (g *Gateway) trialResult(c *plainCall, u *reservation, err error, ends int) quarantine.Kind {
+	e := outcome.AsError(err)
+	if e.Outcome == outcome.NotRun && (e.Reason != outcome.ReasonQueueFull || ends < quarantine.CountedEnds) {
 		return quarantine.KindUnused
 	}
 	if !mayShowEnd(err) {
 		g.ends.remember(c, u.s)
 		return quarantine.KindUndecided
 	}
-	switch g.ends.check(c, u.s, err) {
-	case evidenceRefused:
+	switch v := g.ends.check(c, u.s, err); {
+	case v == evidenceRefused:
 		return quarantine.KindEnded
-	case evidenceListening, evidenceLeaving:
+	case v != evidenceUnclear && ends < quarantine.CountedEnds:
 		return quarantine.KindUnused
 	}
+	g.ends.remember(c, u.s)
 	return quarantine.KindUndecided
 }
 
@@ -157,11 +160,11 @@
 
 // watchAnswer tells all hosts once an answer is complete, if servers ended under the call before
 // or the call was a trial. e holds the trial, if any.
-func (g *Gateway) watchAnswer(ctx context.Context, c *plainCall, u *reservation, a *Answer, e quarantine.Event) {
+func (g *Gateway) watchAnswer(ctx context.Context, c *plainCall, u *reservation, a *Answer, e quarantine.Event, ends int) {
 	if c.deferrable() {
 		return
 	}
-	w := &watchedBody{g: g, ctx: ctx, c: c, u: u, e: e, r: a.Rest}
+	w := &watchedBody{g: g, ctx: ctx, c: c, u: u, e: e, ends: ends, r: a.Rest}
 	if a.Rest == nil {
 		w.ended(nil)
 		return
@@ -177,7 +180,9 @@
 	c   *plainCall
 	u   *reservation
 	e   quarantine.Event
-	r   io.Reader
+	// ends is the number of servers that had ended before the trial e.
+	ends int
+	r    io.Reader
 	// told is set once the end of the body was handled.
 	told bool
 }
@@ -209,7 +214,7 @@
 		}
 	case trial:
 		lost := outcome.Ambiguous(outcome.ReasonShortAnswer, w.u.s.ID, err)
-		w.tell(w.g.trialResult(w.c, w.u, lost))
+		w.tell(w.g.trialResult(w.c, w.u, lost, w.ends))
 	default:
 		w.g.observeEnd(w.c, w.u, outcome.Ambiguous(outcome.ReasonShortAnswer, w.u.s.ID, err))
 	}
--- a/pier/logtrace/logtrace_test.go
+++ b/pier/logtrace/logtrace_test.go
@@ -21,6 +21,8 @@
  5.0 a {"level":"info","ts":"2026-05-26T11:37:05.000Z","msg":"sample: ended","id":"x2","step":"s1","server":"e1","state":"completed"}
  5.1 a {"level":"info","ts":"2026-05-26T11:37:05.100Z","msg":"step: left","id":"s1"}
  9.9 a {"level":"info","ts":"2026-05-26T11:37:09.900Z","msg":"servers: avoided","server":"e1"}
+ 1.0 d {"level":"info","ts":"2026-05-26T11:37:01.000Z","msg":"request: trial failed","id":"r1","request-key":"k1","server":"e5"}
+ 9.9 a {"level":"info","ts":"2026-05-26T11:37:09.900Z","msg":"request: refused, servers ended under it","id":"r2","request-key":"k1"}
 torn {"level":"info","ts":"2026-05-26T11:3
 `
 
@@ -50,6 +52,9 @@
 			"a step: accepted", "b orders: load ordered", "a servers: avoided", "a log: out of reach",
 			"a sample: ended", "a sample: ended", "a step: left",
 		}},
+		"a request that came before": {"r2", []string{
+			"d request: trial failed", "a request: refused, servers ended under it",
+		}},
 		"unknown": {"x9", nil},
 	}
 	for name, c := range tests {
--- a/pier/quarantine/ledger.go
+++ b/pier/quarantine/ledger.go
@@ -27,6 +27,10 @@
 	maxRequests = 10000
 )
 
+// CountedEnds is the number of servers that must have ended under a request before each of its
+// trials counts in which a byte reached a server, whatever came of it.
+const CountedEnds = 3
+
 // trialDelays holds the time from the end of the previous trial to the next one, by the number
 // of trials that were made.
 var trialDelays = [maxTrials]time.Duration{0, time.Second, 30 * time.Second}
