--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -117,7 +117,9 @@
 	more := s.sent < s.c.Route.Attempts
 	go func() {
 		t.answer, t.err = s.g.attempt(attemptCtx, s.c.Call, q, u, more)
-		t.serverEnded = s.g.observeEnd(s.c, u, t.err)
+		if answeredElsewhere := attemptCtx.Err() != nil && ctx.Err() == nil; !answeredElsewhere {
+			t.serverEnded = s.g.observeEnd(s.c, u, t.err)
+		}
 		s.endedAttempts <- t
 	}()
 	if s.idempotent() && more && !s.careful && s.c.Route.LatencyObjective > 0 {
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -163,7 +163,7 @@
 		}
 	}
 	f.g.limits.retain(known)
-	if f.g.ends.hasDoubts() {
+	if f.g.ends.hasGivenUp() {
 		f.g.ends.gone(f.removed(l)...)
 	}
 	f.byService = l
--- a/pier/gateway/serverend.go
+++ b/pier/gateway/serverend.go
@@ -22,11 +22,11 @@
 	// endCheckMaxAge is how long the result of a check is used. A server needs longer to
 	// start again.
 	endCheckMaxAge = 300 * time.Millisecond
-	// doubtTime is how long after a call was given up at a server an end of the server may be
+	// givenUpMemory is how long after a call was given up at a server an end of the server may be
 	// due to it: the registration of a server that ended is removed after some seconds.
-	doubtTime = 6 * time.Second
-	// maxDoubts bounds the calls that are remembered for that; the oldest are dropped.
-	maxDoubts = 1000
+	givenUpMemory = 6 * time.Second
+	// maxGivenUp bounds the calls that are remembered for that; the oldest are dropped.
+	maxGivenUp = 1000
 )
 
 // evidence is what a check of a server after a lost connection has shown. It is also a label
@@ -51,12 +51,12 @@
 	mu sync.Mutex
 	// checks holds the newest check of each incarnation.
 	checks map[directory.Incarnation]*endCheck
-	// doubts holds the calls that were given up while a server ran them, the oldest first.
-	doubts []doubt
+	// givenUp holds the calls that were given up while a server ran them, the oldest first.
+	givenUp []givenUpCall
 }
 
-// doubt is a call that got no answer from a server, of which it is not known whether it ended.
-type doubt struct {
+// givenUpCall is a call that got no answer from a server, of which it is not known whether it ended.
+type givenUpCall struct {
 	id     string
 	key    quarantine.Key
 	server directory.Server
@@ -136,17 +136,17 @@
 	k := c.key()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.doubts) >= maxDoubts {
-		e.doubts = e.doubts[1:]
+	if len(e.givenUp) >= maxGivenUp {
+		e.givenUp = e.givenUp[1:]
 	}
-	e.doubts = append(e.doubts, doubt{id: c.ID, key: k, server: s, at: boottime.Now()})
+	e.givenUp = append(e.givenUp, givenUpCall{id: c.ID, key: k, server: s, at: boottime.Now()})
 }
 
-// hasDoubts reports whether calls are remembered.
-func (e *serverEnds) hasDoubts() bool {
+// hasGivenUp reports whether calls are remembered.
+func (e *serverEnds) hasGivenUp() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.doubts) > 0
+	return len(e.givenUp) > 0
 }
 
 // gone records that servers have ended, and tells all hosts of the calls that were given up
@@ -156,22 +156,22 @@
 	for _, s := range servers {
 		ended[s.Incarnation()] = true
 	}
-	for _, d := range e.takeDoubts(ended) {
+	for _, d := range e.takeGivenUp(ended) {
 		e.g.suspects.tellEnd(d.key, d.server)
 		e.g.log.Info("request: server ended after the request was given up there", zap.String("id", d.id),
 			zap.Stringer("request-key", d.key), zap.String("server", d.server.ID), zap.Duration("age", boottime.Now()-d.at))
 	}
 }
 
-// takeDoubts removes and returns the calls that were given up at servers that have ended, and
+// takeGivenUp removes and returns the calls that were given up at servers that have ended, and
 // drops those that are too old.
-func (e *serverEnds) takeDoubts(ended map[directory.Incarnation]bool) []doubt {
+func (e *serverEnds) takeGivenUp(ended map[directory.Incarnation]bool) []givenUpCall {
 	now := boottime.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var taken []doubt
-	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool {
-		old := now-d.at >= doubtTime
+	var taken []givenUpCall
+	e.givenUp = slices.DeleteFunc(e.givenUp, func(d givenUpCall) bool {
+		old := now-d.at >= givenUpMemory
 		if !old && ended[d.server.Incarnation()] {
 			taken = append(taken, d)
 		}
