Nothing is sent that a server would read as another request

Path, id and names of header fields of an item, and host and path of its scorer's call, come in JSON and were written to the server as they were. A line break in one of them made the server read a second request. backend.Pool refuses such a request as not run; the sample is dead, as its run can never be made. TestNoRequestHidesInsideAnother fails in all six cases without the check.

--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -16,6 +16,9 @@
 	if ctx.Err() != nil {
 		return nil, outcome.Refuse(outcome.ReasonOf(ctx), q.Server)
 	}
+	if err := q.check(); err != nil {
+		return nil, err
+	}
 	a, err := p.admit(ctx, &q)
 	if err != nil {
 		return nil, err
--- a/pier/backend/pool_test.go
+++ b/pier/backend/pool_test.go
@@ -202,3 +202,28 @@
 	}
 	require.EqualValues(t, 2, conns.Load())
 }
+
+// Items and scorer calls of a step come in JSON, which allows what a request's head does not. No
+// server must read a second request out of one.
+func TestNoRequestHidesInsideAnother(t *testing.T) {
+	const hidden = " HTTP/1.1\r\nHost: h\r\n\r\nGET /hidden"
+	tests := map[string]func(q *Request){
+		"target":       func(q *Request) { q.Target += hidden },
+		"method":       func(q *Request) { q.Method = "GET /hidden" + hidden },
+		"host":         func(q *Request) { q.Host += "\r\nA: b" },
+		"id":           func(q *Request) { q.ID += "\nA: b" },
+		"field's name": func(q *Request) { q.Header = http.Header{"A: b\r\nC": {"d"}} },
+		"two fields":   func(q *Request) { q.Header = http.Header{"A:b": {"d"}} },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, conns := startServer(t, answerOK)
+			q := Request{Server: "s", Address: a, Method: "GET", Target: "/x", Host: "h", ID: "1"}
+			change(&q)
+			_, err := NewPool(Config{Dialect: dialect}).Do(context.Background(), q)
+			require.True(t, outcome.HasReason(err, outcome.ReasonBadRequest), "%v", err)
+			require.Equal(t, outcome.NotRun, outcome.AsError(err).Outcome)
+			require.Zero(t, conns.Load())
+		})
+	}
+}
--- a/pier/backend/request.go
+++ b/pier/backend/request.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mulberrypier.example/pier/outcome"
 )
 
 // inlineBodyBytes is the size of the longest body that is written before the answer is
@@ -76,6 +78,27 @@
 	return min(max(q.MaxIdle, 0), maxIdlePerServer)
 }
 
+// check returns a refusal if a part of the request that is sent unchanged would end its line, or
+// its field of the line: the server would read another request. The error is an
+// *outcome.Error.
+func (q *Request) check() error {
+	ok := isWord(q.Method) && isWord(q.Target) && isWord(q.Host) && !strings.ContainsFunc(q.ID, isControl)
+	for k := range q.Header {
+		ok = ok && isWord(k) && !strings.Contains(k, ":")
+	}
+	if !ok {
+		return outcome.Refuse(outcome.ReasonBadRequest, "request with a blank or a control character in its head")
+	}
+	return nil
+}
+
+// isWord reports whether a string is not empty and has neither blanks nor control characters.
+func isWord(s string) bool {
+	return s != "" && !strings.Contains(s, " ") && !strings.ContainsFunc(s, isControl)
+}
+
+func isControl(r rune) bool { return r < ' ' || r == 0x7f }
+
 // alreadyWritten is a closed channel, for requests that were written before
 // writeRequest returned.
 var alreadyWritten = func() <-chan struct{} { c := make(chan struct{}); close(c); return c }()
--- a/pier/gateway/scoring.go
+++ b/pier/gateway/scoring.go
@@ -80,7 +80,8 @@
 	// score is empty if the call failed.
 	score string
 	// failed is the number of servers that answered with a server error, maxFailures the
-	// number of such answers after which the sample is given up.
+	// number of such answers after which the sample is given up. A call that cannot be sent
+	// counts as maxFailures of them.
 	failed, maxFailures int
 	// refused is why the call was not run, empty if it may have been.
 	refused outcome.Reason
@@ -113,6 +114,9 @@
 		if e.Outcome == outcome.NotRun {
 			c.refused = e.Reason
 		}
+		if e.Reason == outcome.ReasonBadRequest {
+			c.failed = c.maxFailures
+		}
 		if e.Reason == outcome.ReasonServerLimit {
 			c.retryAfter = e.RetryAfter
 		}
