Tests: crashing servers and their deployment in a file of their own

The stand-ins are in crashserver_test.go, and the two tests that built a deployment of their own use the shared one.

--- a/pier/gateway/quarantine_test.go
+++ b/pier/gateway/quarantine_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -21,156 +20,6 @@
 	"mulberrypier.example/pier/routetable"
 )
 
-const (
-	// crashBody is the body of the requests that end the servers that run them.
-	crashBody = "crash"
-	// crashRunTime is how long such a request runs before its server ends.
-	crashRunTime = 20 * time.Millisecond
-)
-
-// crashServer is a fake server that ends when it runs a request whose body begins with
-// crashBody, and starts again at the same address as a new incarnation.
-type crashServer struct {
-	t     *testing.T
-	name  string
-	hosts []*Gateway
-	// down is how long the server is away after it ended.
-	down    time.Duration
-	address netip.AddrPort
-	// ends counts how often it ended.
-	ends atomic.Int64
-	// bodies receives the body of each request that it runs.
-	bodies func(body string)
-	// streams is set if it begins its answer before it runs the request.
-	streams bool
-
-	mu   sync.Mutex
-	http *http.Server
-	gone bool
-}
-
-// startCrashServer starts a server and registers it at hosts.
-func startCrashServer(t *testing.T, name string, hosts []*Gateway, down time.Duration, bodies func(body string)) *crashServer {
-	t.Helper()
-	s := &crashServer{t: t, name: name, hosts: hosts, down: down, bodies: bodies}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	s.address = netip.MustParseAddrPort(l.Addr().String())
-	s.serve(l)
-	t.Cleanup(func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.gone = true
-		_ = s.http.Close()
-	})
-	return s
-}
-
-func (s *crashServer) id() string { return fmt.Sprint(s.name, "-", s.ends.Load()) }
-
-func (s *crashServer) serve(l net.Listener) {
-	s.http = &http.Server{Handler: http.HandlerFunc(s.run)}
-	go func() { _ = s.http.Serve(l) }()
-	for _, g := range s.hosts {
-		g.register(directory.Server{ID: s.id(), Service: "desk", Domain: "d1", Slots: 6, Address: s.address, Born: time.Now()})
-	}
-}
-
-func (s *crashServer) run(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	w.Header().Set(testDialect.RequestID, r.Header.Get(testDialect.RequestID))
-	if e := r.Header.Get(testDialect.ExpectedIncarnation); e != s.id() {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	s.bodies(string(b))
-	if s.streams {
-		_, _ = io.WriteString(w, "id: 1\n\n")
-		_ = http.NewResponseController(w).Flush()
-	}
-	if len(b) >= len(crashBody) && string(b[:len(crashBody)]) == crashBody {
-		time.Sleep(crashRunTime)
-		s.end()
-		return
-	}
-	time.Sleep(crashRunTime / 2)
-	_, _ = w.Write(b)
-}
-
-// end ends the server with all its connections, and has it start again.
-func (s *crashServer) end() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.gone {
-		return
-	}
-	s.gone = true
-	old := s.id()
-	s.ends.Add(1)
-	_ = s.http.Close()
-	time.AfterFunc(s.down, func() { s.restart(old) })
-}
-
-func (s *crashServer) restart(old string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.t.Context().Err() != nil {
-		return
-	}
-	l, err := net.Listen("tcp", s.address.String())
-	if err != nil {
-		return
-	}
-	for _, g := range s.hosts {
-		g.fleet.mu.Lock()
-		g.fleet.dir.Unregister(old, time.Now())
-		g.fleet.mu.Unlock()
-	}
-	s.gone = false
-	s.serve(l)
-}
-
-// sendLog records when which bodies reached servers.
-type sendLog struct {
-	mu sync.Mutex
-	at map[string][]time.Time
-}
-
-func (l *sendLog) add(body string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.at == nil {
-		l.at = make(map[string][]time.Time)
-	}
-	l.at[body] = append(l.at[body], time.Now())
-}
-
-func (l *sendLog) count(body string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.at[body])
-}
-
-// after returns how often a body reached a server later than d after it did for the nth time.
-func (l *sendLog) after(body string, n int, d time.Duration) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.at[body]
-	if len(t) < n {
-		return 0
-	}
-	count := 0
-	for _, x := range t {
-		if x.After(t[n-1].Add(d)) {
-			count++
-		}
-	}
-	return count
-}
-
 // crashCall returns a call of a route to the service of crashing servers.
 func crashCall(g *Gateway, id, body string) Call {
 	c := call(g)
@@ -178,24 +27,6 @@
 	return c
 }
 
-// newCrashDeployment returns hosts and servers of a service that end at requests with
-// crashBody and are back after down.
-func newCrashDeployment(t *testing.T, hosts, servers int, down time.Duration) ([]*Gateway, []*crashServer, *sendLog) {
-	t.Helper()
-	l := newLog().Functions()
-	h := startHosts(t, l, hosts)
-	for _, g := range h {
-		g.table(nil)
-		g.wg.Go(g.suspects.run)
-	}
-	var sent sendLog
-	var s []*crashServer
-	for i := range servers {
-		s = append(s, startCrashServer(t, fmt.Sprint("s", i), h, down, sent.add))
-	}
-	return h, s, &sent
-}
-
 // repeatCall makes the same call at one host after the other until the time is over, and
 // returns the errors.
 func repeatCall(hosts []*Gateway, body string, interval, d time.Duration) []error {
@@ -227,7 +58,7 @@
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			hosts, servers, sent := newCrashDeployment(t, 4, 6, 500*time.Millisecond)
+			hosts, servers, sent := newCrashDeployment(t, newLog().Functions(), 4, 6, 500*time.Millisecond)
 			for _, g := range hosts {
 				g.table(func(_, plain *routetable.Route) { plain.Kind = c.kind })
 			}
@@ -259,7 +90,7 @@
 // has been recognised.
 func TestCallersBesideACrashingRequestAreServed(t *testing.T) {
 	const settle = 2 * time.Second
-	hosts, _, _ := newCrashDeployment(t, 4, 6, time.Second)
+	hosts, _, _ := newCrashDeployment(t, newLog().Functions(), 4, 6, time.Second)
 	start := time.Now()
 	var w sync.WaitGroup
 	w.Go(func() { repeatCall(hosts, crashBody, 200*time.Millisecond, 5*time.Second) })
@@ -295,7 +126,7 @@
 // the same form, so that it is in flight on most servers whenever one ends. None is refused as
 // if it were the cause.
 func TestSoundRequestsAreNotQuarantinedForANeighboursCrash(t *testing.T) {
-	hosts, _, _ := newCrashDeployment(t, 4, 6, 400*time.Millisecond)
+	hosts, _, _ := newCrashDeployment(t, newLog().Functions(), 4, 6, 400*time.Millisecond)
 	var w sync.WaitGroup
 	w.Go(func() { repeatCall(hosts, crashBody, 100*time.Millisecond, 4*time.Second) })
 	var refused, all atomic.Int64
@@ -324,7 +155,7 @@
 // All servers end at the same time, again and again, for a reason of their own. Requests that
 // were in flight are not refused for that.
 func TestSoundRequestsAreNotQuarantinedWhenAllServersEnd(t *testing.T) {
-	hosts, servers, _ := newCrashDeployment(t, 4, 6, 200*time.Millisecond)
+	hosts, servers, _ := newCrashDeployment(t, newLog().Functions(), 4, 6, 200*time.Millisecond)
 	var w sync.WaitGroup
 	w.Go(func() {
 		for range 4 {
@@ -355,15 +186,7 @@
 // A host that starts later knows the requests that end servers, and sends none of them.
 func TestHostThatStartsLaterKnowsTheQuarantine(t *testing.T) {
 	l := newLog().Functions()
-	hosts := startHosts(t, l, 2)
-	var sent sendLog
-	for _, g := range hosts {
-		g.table(nil)
-		g.wg.Go(g.suspects.run)
-	}
-	for i := range 6 {
-		startCrashServer(t, fmt.Sprint("s", i), hosts, 400*time.Millisecond, sent.add)
-	}
+	hosts, _, sent := newCrashDeployment(t, l, 2, 6, 400*time.Millisecond)
 	require.Eventually(t, func() bool {
 		repeatCall(hosts, crashBody, 100*time.Millisecond, time.Millisecond)
 		d, _ := hosts[0].suspects.decide(newPlainCall(crashCall(hosts[0], "", crashBody)))
@@ -387,15 +210,7 @@
 // back, all hosts add up.
 func TestHostsAddUpOnceTheLogIsBack(t *testing.T) {
 	l := newLog()
-	hosts := startHosts(t, l.Functions(), 3)
-	var sent sendLog
-	for _, g := range hosts {
-		g.table(nil)
-		g.wg.Go(g.suspects.run)
-	}
-	for i := range 6 {
-		startCrashServer(t, fmt.Sprint("s", i), hosts, 300*time.Millisecond, sent.add)
-	}
+	hosts, _, sent := newCrashDeployment(t, l.Functions(), 3, 6, 300*time.Millisecond)
 	l.SetDown(true)
 	repeatCall(hosts, crashBody, 100*time.Millisecond, 2*time.Second)
 	away := sent.count(crashBody)
@@ -408,7 +223,7 @@
 // A scorer is called for a sample, which is owed. Such calls are never suspects, also if servers
 // end under them.
 func TestScorerCallsAreNeverQuarantined(t *testing.T) {
-	hosts, _, sent := newCrashDeployment(t, 1, 2, 50*time.Millisecond)
+	hosts, _, sent := newCrashDeployment(t, newLog().Functions(), 1, 2, 50*time.Millisecond)
 	for range 8 {
 		c := crashCall(hosts[0], "score", crashBody)
 		c.Purpose = backend.PurposeScore
@@ -424,7 +239,7 @@
 // that, and one whose stream is whole is not.
 func TestStreamThatEndsWithItsServerIsQuarantined(t *testing.T) {
 	const settle = time.Second
-	hosts, servers, sent := newCrashDeployment(t, 3, 6, 400*time.Millisecond)
+	hosts, servers, sent := newCrashDeployment(t, newLog().Functions(), 3, 6, 400*time.Millisecond)
 	for _, g := range hosts {
 		g.table(func(_, plain *routetable.Route) { plain.Kind = routetable.KindStream })
 	}
@@ -454,7 +269,7 @@
 
 // The callers leave before the servers end. The ends are put down to the request all the same.
 func TestRequestIsRecognisedThoughItsCallersLeave(t *testing.T) {
-	hosts, _, sent := newCrashDeployment(t, 3, 6, 400*time.Millisecond)
+	hosts, _, sent := newCrashDeployment(t, newLog().Functions(), 3, 6, 400*time.Millisecond)
 	var last error
 	for i := range 30 {
 		g := hosts[i%len(hosts)]
