--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -175,7 +175,7 @@
 // watchedBody is the rest of an answer, whose end shows whether the server survived the call.
 type watchedBody struct {
 	g *Gateway
-	//nolint:containedctx // The context of the call, which also bounds the reading of its answer.
+	// ctx is the context of the call, which also bounds the reading of its answer.
 	ctx context.Context
 	c   *plainCall
 	u   *reservation
