--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -57,8 +57,8 @@
 // service returns the service that the call goes to.
 func (c *Call) service() string { return c.Route.PickService(xxhash.Sum64String(c.ID)) }
 
-// limitWait returns how long the call may wait for a server whose limit is used up: until
-// there is just time left for an answer. A call to a scorer waits only briefly and comes
+// limitWait returns how long the call may wait for a server whose limit is used up, or for the
+// trial of a request like it: until there is just time left for an answer. A call to a scorer waits only briefly and comes
 // again later, so that callers' requests find no long queue before them.
 func (c *Call) limitWait(now time.Time) time.Duration {
 	left := c.Deadline.Sub(now)
