Calls are not hashed once all suspect requests are forgotten

Newcomer's reading: the count that spares calls the look into the ledger was renewed only when an event came, so after the last request was forgotten each call was hashed until the next server ended. TestForgottenRequestsCostCallsNothing fails without the change.

--- a/pier/gateway/quarantine_test.go
+++ b/pier/gateway/quarantine_test.go
@@ -337,3 +337,18 @@
 
 // maxTrialsSent is the number of further tries of a request under which three servers ended.
 const maxTrialsSent = 3
+
+// Once all requests under which servers ended are forgotten, calls are sent without a look at them.
+func TestForgottenRequestsCostCallsNothing(t *testing.T) {
+	const memory = 20 * time.Millisecond
+	g := newHost(t, "a", newLog().Functions())
+	g.table(nil)
+	g.suspects.ledger = quarantine.NewLedger(memory)
+	c := newPlainCall(call(g))
+	g.suspects.tellEnd(c.key(), directory.Server{ID: "ended", Service: "desk"})
+	require.Positive(t, g.suspects.known.Load())
+	time.Sleep(memory)
+	d, _ := g.suspects.decide(c)
+	require.Equal(t, quarantine.Send, d.Action)
+	require.Zero(t, g.suspects.known.Load())
+}
--- a/pier/gateway/suspects.go
+++ b/pier/gateway/suspects.go
@@ -133,6 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := s.ledger.Decide(k, now)
+	s.known.Store(int64(s.ledger.Len()))
 	if e, ok := s.ledger.Kept(k, now); ok && d.Action == quarantine.Refuse {
 		s.queue(e)
 	}
