Logs and metrics name the software that generated and continues a text

Before any change of logic. directory.Server has the version of a server's software, read from its registration; a registration whose version is not a string is skipped as any other that cannot be decoded. New lines: 'sample: continues' (software of the server, of the text, and whether the server has started again under its id) and 'stream: answered'; new counter continued_streams_total by kind and software.

--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -36,4 +36,7 @@
 	LengthHint string
 	// ResumeAfter carries the id of the last event that the caller received.
 	ResumeAfter string
+	// Resumes carries, in a caller's request that continues a stream, the id of the request
+	// that brought its first event.
+	Resumes string
 }
--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -27,6 +27,8 @@
 	Address netip.AddrPort
 	// Domain is the failure domain that the server runs in.
 	Domain string
+	// Software is the version of the software that the server runs, empty if it states none.
+	Software string
 	// Slots is the number of requests that the server runs at once.
 	Slots int
 	// Leaving reports whether the server is shutting down and must get no new work, by its
@@ -40,6 +42,18 @@
 	Born time.Time
 }
 
+// Software identifies what servers run. What one generates, another cannot continue.
+type Software struct {
+	Service string `msgpack:"s"`
+	Version string `msgpack:"v"`
+}
+
+// Known reports whether both the service and the version are known.
+func (s Software) Known() bool { return s.Service != "" && s.Version != "" }
+
+// Runs returns the software that the server runs.
+func (s *Server) Runs() Software { return Software{Service: s.Service, Version: s.Software} }
+
 // Directory is the set of registered servers. It performs no I/O and is not safe for
 // concurrent use.
 type Directory struct {
@@ -75,7 +89,7 @@
 
 // equal reports whether two registrations are the same except for RenewalSeq.
 func (s *Server) equal(o *Server) bool {
-	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain && s.Slots == o.Slots &&
+	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain && s.Software == o.Software && s.Slots == o.Slots &&
 		s.Leaving == o.Leaving && s.Born.Equal(o.Born) && maps.Equal(s.Versions, o.Versions)
 }
 
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/routetable"
 )
@@ -77,6 +78,8 @@
 	// ServerErrors is the number of servers that answered with a server error, including
 	// this one.
 	ServerErrors int
+	// Server is the server that answered.
+	Server directory.Server
 	// Rest reads the rest of the body. Close must be called.
 	Rest  io.Reader
 	close func()
@@ -116,6 +119,9 @@
 		}
 		cancel()
 	}
+	if c.Route.Kind == routetable.KindStream {
+		g.logStream(&c, a)
+	}
 	g.metrics.plain.Observe(time.Since(start).Seconds())
 	return a, nil
 }
@@ -154,7 +160,7 @@
 		return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
 	u.succeeded()
-	a.close = end
+	a.close, a.Server = end, u.s
 	return a, nil
 }
 
--- a/pier/gateway/reservation.go
+++ b/pier/gateway/reservation.go
@@ -131,6 +131,12 @@
 	}
 }
 
+// replaced reports whether the server has started again under its id, as far as is known.
+func (u *reservation) replaced() bool {
+	s, ok := u.f.server(u.s.ID)
+	return ok && !s.Born.Equal(u.s.Born)
+}
+
 // release ends the use of the server.
 func (u *reservation) release() {
 	u.f.mu.Lock()
