--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -29,7 +29,7 @@
 var testDialect = backend.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", ExpectedIncarnation: "Incarnation",
 	NotRun: "Not-Run", ServerStamp: "Signature",
-	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id", Leaving: "Leaving", Limit: "Limit",
+	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id", Resumes: "Resumes", Leaving: "Leaving", Limit: "Limit",
 }
 
 const testParts = 4
@@ -116,6 +116,8 @@
 type server struct {
 	directory.Server
 	mu sync.Mutex
+	// handle, if not nil, answers requests instead of the function that startServer was given.
+	handle func(w http.ResponseWriter, r *http.Request)
 	// ran holds the IDs of the received requests, each with the event after which it
 	// resumes.
 	ran []string
@@ -131,12 +133,16 @@
 // echoed.
 func startServer(t *testing.T, id, service string, handle func(s *server, w http.ResponseWriter, r *http.Request)) *server {
 	t.Helper()
-	s := &server{Server: directory.Server{ID: id, Service: service, Domain: "d1", Slots: 4, Versions: map[string]int64{"m": 1}}}
+	s := &server{Server: directory.Server{ID: id, Service: service, Domain: "d1", Software: "1", Slots: 4, Versions: map[string]int64{"m": 1}}}
 	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.ran = append(s.ran, r.Header.Get(testDialect.RequestID)+"@"+r.Header.Get(testDialect.ResumeAfter))
 		s.mu.Unlock()
 		w.Header().Set(testDialect.RequestID, r.Header.Get(testDialect.RequestID))
+		if s.handle != nil {
+			s.handle(w, r)
+			return
+		}
 		handle(s, w, r)
 	}))
 	t.Cleanup(h.CloseClientConnections)
