A planned stop waits for the answers in progress until its grace period ends

Cause: a host without steps went on to close its listeners, and gave the requests in progress half of the reserve of the grace period, 0.45 s, instead of what is left of the period. The tests knew only requests that end within that time.

--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -84,7 +84,7 @@
 	} else {
 		r.fire("idle")
 	}
-	g.shutDown()
+	g.shutDown(end)
 }
 
 // releaseSteps releases the incomplete steps, so that other hosts take them over, and waits
@@ -97,10 +97,10 @@
 	}
 }
 
-// shutDown closes the listeners and waits for the requests in progress, for at most half of
-// drainReserve.
-func (g *Gateway) shutDown() {
-	ctx, cancel := context.WithTimeout(context.Background(), drainReserve/2)
+// shutDown closes the listeners and waits for the requests in progress until end, and for at
+// least half of drainReserve.
+func (g *Gateway) shutDown(end time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(end), 0)+drainReserve/2)
 	defer cancel()
 	var w sync.WaitGroup
 	for _, s := range g.servers {
