Samples are continued only by the software that began them

Cause: the version was neither known where the engine was chosen, nor kept with the text. A sample waits for a free slot at its software for as long as the text took to generate, then begins anew; without a server left, at once. An invariant (one-software) counts what gets past all that.

--- a/pier/bug/bug.go
+++ b/pier/bug/bug.go
@@ -29,6 +29,8 @@
 	ExactlyOnce Invariant = "exactly-once"
 	// WholeAnswer holds when an answer carries the ID of its own request.
 	WholeAnswer Invariant = "whole-answer"
+	// OneSoftware holds when a stream's events come from servers of one software version.
+	OneSoftware Invariant = "one-software"
 	// TrueNotRun holds when a request with the outcome not-run was never sent.
 	TrueNotRun Invariant = "true-not-run"
 	// AtMostOnce holds when only one claim of a key is executed.
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -26,6 +26,7 @@
 	serverEnds *prometheus.CounterVec
 	suspects   *prometheus.CounterVec
 	continued  *prometheus.CounterVec
+	anew       *prometheus.CounterVec
 	opened     prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
@@ -62,6 +63,7 @@
 	m.serverEnds = counter("lost_connections_total", "Requests whose connection was lost while a server ran them, by what shows whether the server ended.", "evidence")
 	m.suspects = counter("suspect_request_events_total", "What this host has told others of requests under which servers ended.", "event")
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
+	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -7,19 +7,34 @@
 	"mulberrypier.example/pier/stepplan"
 )
 
-// pickEngine picks an engine with version min or newer for a sample and reserves a slot
-// there. ok is false if none has a free slot.
-func (f *fleet) pickEngine(service, model string, min int64, slots int) (*reservation, bool) {
+// pickEngine picks an engine that meets a sample's need and reserves a slot there. ok is false
+// if none has a free slot.
+func (f *fleet) pickEngine(service, model string, n stepplan.Need, slots int) (*reservation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, at := f.eligibleEngines(service, model, slots, time.Now(), f.admitsSample)
-	i := stepplan.PickEngine(c, min)
+	i := stepplan.PickEngine(c, n)
 	if i < 0 {
 		return nil, false
 	}
 	return f.reserve(f.byService[service][at[i]]), true
 }
 
+// continuers returns the number of servers that take new work and can continue a text of the
+// given software with version min of a model or newer.
+func (f *fleet) continuers(writer directory.Software, model string, min int64) int {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.byService[writer.Service] {
+		if !s.Leaving && s.Runs() == writer && f.states[s.ID].version(s, model, now) >= min {
+			n++
+		}
+	}
+	return n
+}
+
 // reserve adds a request of this host to a server. The caller holds mu.
 func (f *fleet) reserve(s directory.Server) *reservation {
 	f.states[s.ID].running++
@@ -73,7 +88,7 @@
 		}
 		at = append(at, i)
 		c = append(c, stepplan.Engine{
-			ID: s.ID, Version: t.version(s, model, now), Slots: n,
+			ID: s.ID, Version: t.version(s, model, now), Software: s.Software, Slots: n,
 			Running: t.estimatedRunning(now), SameDomain: s.Domain == f.g.s.Domain,
 			RelativeTokenTime: t.relativeTokenTime(fastest, now),
 		})
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -229,7 +229,8 @@
 	}
 }
 
-// startWaiting starts waiting samples in order until one finds no free slot.
+// startWaiting starts waiting samples in order until one finds no free slot. One that waits for
+// servers of its software does not hold up the others.
 func (d *stepDriver) startWaiting() {
 	if d.outdated(time.Now()) {
 		return
@@ -244,8 +245,11 @@
 		if d.ended[s.at] {
 			continue
 		}
-		if full || !d.startSample(t, s) {
-			full = true
+		started := false
+		if !full {
+			started, full = d.startSample(t, s)
+		}
+		if !started {
 			keep = append(keep, s)
 		}
 	}
@@ -259,16 +263,23 @@
 	return now.Sub(d.startedAt) > driveMaxViewAge && d.view.staleAt(now.Add(-driveMaxViewAge)) && unwatched > watchedTimeout
 }
 
-// startSample starts a sample if an engine has a free slot for it, and reports whether it
-// did.
-func (d *stepDriver) startSample(t *routetable.Table, s *sample) bool {
+// startSample starts a sample if an engine has a free slot for it. full is set if there is none
+// for any other sample either.
+func (d *stepDriver) startSample(t *routetable.Table, s *sample) (started, full bool) {
 	k, ok := d.engineService(t, s)
 	if !ok {
-		return false
+		return false, true
+	}
+	s.checkWriter(k.name)
+	u, ok := d.g.fleet.pickEngine(k.name, d.step.Model, d.need(s), k.slots)
+	if !ok && s.hasText() {
+		if !s.givesTextUp(time.Now()) {
+			return false, false
+		}
+		u, ok = d.g.fleet.pickEngine(k.name, d.step.Model, d.need(s), k.slots)
 	}
-	u, ok := d.g.fleet.pickEngine(k.name, d.step.Model, d.minVersion(s), k.slots)
 	if !ok {
-		return false
+		return false, true
 	}
 	s.server, s.placedAt = u.s.ID, time.Now()
 	if s.startedAt.IsZero() {
@@ -282,7 +293,7 @@
 		s.run(ctx, u)
 		d.endedRuns <- s
 	})
-	return true
+	return true, false
 }
 
 // engineService returns the service that generates a sample.
@@ -301,6 +312,15 @@
 // minVersion returns the oldest version that may generate the rest of a sample.
 func (d *stepDriver) minVersion(s *sample) int64 { return max(d.step.MinVersion, s.pinned.Load()) }
 
+// need returns what the next run of a sample requires of its engine.
+func (d *stepDriver) need(s *sample) stepplan.Need {
+	n := stepplan.Need{MinVersion: d.minVersion(s)}
+	if s.hasText() {
+		n.Software = s.writer.Version
+	}
+	return n
+}
+
 // wait returns on any event that may allow progress: a record, free capacity, the end of a
 // run, or the check interval.
 func (d *stepDriver) wait(changed, capacityChanged <-chan struct{}) {
--- a/pier/stepjournal/record.go
+++ b/pier/stepjournal/record.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -145,6 +146,8 @@
 	// LastEvent is the id of the last event whose text is in Result, in a record of
 	// progress.
 	LastEvent int64 `msgpack:"l,omitempty"`
+	// Writer is the software that generated the text in Result, in a record of progress.
+	Writer directory.Software `msgpack:"w,omitempty"`
 }
 
 func encode(e *envelope) ([]byte, error) {
@@ -197,13 +200,16 @@
 	// LastEvent is the id of the last event whose text is in Text; it is positive.
 	LastEvent int64
 	Versions  []int64
+	// Writer is the software that generated the text; its zero value means that this is not
+	// known.
+	Writer directory.Software
 }
 
 // Saved returns the record of the progress of a long sample, from which another host can
 // resume the generation.
 func Saved(step string, p *Progress) ([]byte, error) {
 	return encode(&envelope{
-		Kind: kindProgress, Step: step, LastEvent: p.LastEvent, Result: &Result{
+		Kind: kindProgress, Step: step, LastEvent: p.LastEvent, Writer: p.Writer, Result: &Result{
 			Step:      step,
 			ItemIndex: p.ItemIndex, Text: p.Text, Versions: p.Versions,
 		},
@@ -222,7 +228,7 @@
 	}
 	return &Progress{
 		ItemIndex: e.Result.ItemIndex, Text: e.Result.Text, LastEvent: e.LastEvent,
-		Versions: e.Result.Versions,
+		Versions: e.Result.Versions, Writer: e.Writer,
 	}, nil
 }
 
--- a/pier/stepplan/stepplan.go
+++ b/pier/stepplan/stepplan.go
@@ -33,6 +33,8 @@
 	ID string
 	// Version is the version of the sample's model that the server is last known to hold.
 	Version int64
+	// Software is the version of the server's software, empty if it is not known.
+	Software string
 	// Slots is the number of samples that the server runs at once.
 	Slots int
 	// Running is the number of samples known to run on the server.
@@ -44,12 +46,23 @@
 	SameDomain bool
 }
 
-// PickEngine returns the index in l of the engine that should run a sample that requires at
-// least the given version, or -1 if no engine that holds it has a free slot.
-func PickEngine(l []Engine, minVersion int64) int {
+// Need is what a run requires of its engine.
+type Need struct {
+	// MinVersion is the oldest version of the weights that may generate the text.
+	MinVersion int64
+	// Software is the version of the software that must generate the text, empty for any.
+	Software string
+}
+
+// PickEngine returns the index in l of the engine that should run a sample, or -1 if no engine
+// that it may run on has a free slot.
+func PickEngine(l []Engine, n Need) int {
 	best := -1
 	for i, e := range l {
-		if e.Version < minVersion || e.Running >= e.Slots {
+		if e.Version < n.MinVersion || e.Running >= e.Slots {
+			continue
+		}
+		if n.Software != "" && e.Software != n.Software {
 			continue
 		}
 		if best < 0 || preferred(e, l[best]) {
@@ -100,7 +113,7 @@
 }
 
 // PlanMoves returns the indices in runs of the samples that should continue on another
-// engine, at most limit of them. The samples of a server that became slow delay their
+// engine of the same software, at most limit of them. The samples of a server that became slow delay their
 // steps, and a generation can be resumed elsewhere after its last complete event. Runs
 // are considered in the given order, and a slot that one of them takes is not free for
 // the next. The list l is not modified.
@@ -113,10 +126,10 @@
 	var moves []int
 	for n, r := range runs {
 		from, ok := index[r.Server]
-		if !ok || len(moves) == limit {
+		if !ok || len(moves) == limit || l[from].Software == "" {
 			continue
 		}
-		to := PickEngine(l, r.MinVersion)
+		to := PickEngine(l, Need{MinVersion: r.MinVersion, Software: l[from].Software})
 		if to < 0 || to == from || l[to].tokenTime()*minMoveSpeedup >= l[from].tokenTime() {
 			continue
 		}
