Callers' streams are continued only by the software that began them

Cause: no host could know what began a stream, and the request for its rest was sent as any other.

The host that passes a stream's answer on now appends what began it to a topic of the log (package streamorigin); a host at which a stream is taken up looks the id in Resumes up, in memory or in the log, and picks a server of that software and service only. Whatever is not known for certain is refused as not run: no or an unknown id, an id used twice, another caller's stream, a log that cannot be read. Without a server of the software the refusal comes at once with a time to come back. The record is not waited for, so new streams begin while the log is away, and is appended again while a stream lasts longer than the log keeps it.

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -32,7 +32,7 @@
 		tried: make(map[string]bool), limited: make(map[string]bool),
 	}
 	s.endedAttempts = make(chan *serverAttempt, c.Route.Attempts+1)
-	s.last = outcome.Refuse(outcome.ReasonNoServer, s.service).After(unavailableRetryAfter)
+	s.last = c.choice(nil).noServer()
 	s.hedge = time.NewTimer(time.Hour)
 	defer s.hedge.Stop()
 	s.send(ctx, c.Purpose)
@@ -97,7 +97,7 @@
 	if ctx.Err() != nil || s.sent >= s.c.Route.Attempts {
 		return
 	}
-	u, ok := s.g.fleet.pickServer(s.service, s.tried, s.c.deferrable())
+	u, ok := s.g.fleet.pickServer(s.c.choice(s.tried))
 	if !ok {
 		s.noServer()
 		return
--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -75,7 +75,7 @@
 	for _, s := range g.servers {
 		s.SetKeepAlivesEnabled(false)
 	}
-	for ctx.Err() == nil && (g.steps.count() > 0 || g.journal.hasPending()) {
+	for ctx.Err() == nil && (g.steps.count() > 0 || g.journal.hasPending() || g.streams.hasPending()) {
 		backoff.Sleep(ctx, drainPollInterval)
 	}
 	if ctx.Err() != nil {
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -119,9 +119,6 @@
 		}
 		cancel()
 	}
-	if c.Route.Kind == routetable.KindStream {
-		g.logStream(&c, a)
-	}
 	g.metrics.plain.Observe(time.Since(start).Seconds())
 	return a, nil
 }
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -120,6 +120,7 @@
 	fleet     *fleet
 	ends      *serverEnds
 	suspects  *suspects
+	streams   *streams
 	journal   *journal
 	steps     *steps
 	preferred *preferred
@@ -159,6 +160,7 @@
 	g.fleet = newFleet(g)
 	g.ends = newServerEnds(g)
 	g.suspects = newSuspects(g)
+	g.streams = newStreams(g)
 	g.journal = newJournal(g)
 	g.steps = newSteps(g)
 	g.preferred = newPreferred(g)
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -27,6 +27,7 @@
 	suspects   *prometheus.CounterVec
 	continued  *prometheus.CounterVec
 	anew       *prometheus.CounterVec
+	origins    *prometheus.CounterVec
 	opened     prometheus.Counter
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
@@ -64,6 +65,7 @@
 	m.suspects = counter("suspect_request_events_total", "What this host has told others of requests under which servers ended.", "event")
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
+	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/stepplan"
 )
 
@@ -137,26 +138,49 @@
 	return n
 }
 
-// pickServer picks a server for a plain request, other than those in tried. A server that is
+// serverChoice is what a server has to be to get a plain request.
+type serverChoice struct {
+	service string
+	// software is the version of the software that the server must run, empty for any.
+	software string
+	// tried holds the servers that are not picked.
+	tried map[string]bool
+	// deferrable is set for a request that comes again later.
+	deferrable bool
+}
+
+// noServer returns the refusal of a request for which there is no server.
+func (c serverChoice) noServer() *outcome.Error {
+	what := c.service
+	if c.software != "" {
+		what += " " + c.software
+	}
+	return outcome.Refuse(outcome.ReasonNoServer, what).After(unavailableRetryAfter)
+}
+
+// pickServer picks a server for a plain request. A server that is
 // avoided, at which a suspect request is tried, or whose limit leaves no room for some time, is
 // picked only if there is no other. One at whose address nothing listened just before is not
 // picked at all: a call finds out at once that no server is left.
 //
 // A deferrable request, which comes again later, gets no server that is full: one that has
 // refused this host a request shortly before, or has as many requests waiting as running.
-func (f *fleet) pickServer(service string, tried map[string]bool, deferrable bool) (*reservation, bool) {
+func (f *fleet) pickServer(p serverChoice) (*reservation, bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best, bestCost := -1, 0.0
-	l := f.byService[service]
+	l := f.byService[p.service]
 	for i, s := range l {
 		t := f.states[s.ID]
-		if s.Leaving || tried[s.ID] || now.Before(t.absentUntil) {
+		if s.Leaving || p.tried[s.ID] || now.Before(t.absentUntil) {
+			continue
+		}
+		if p.software != "" && s.Software != p.software {
 			continue
 		}
 		inTrial := f.g.suspects.inTrial(&s)
-		if deferrable && (inTrial || t.isFull(s, now)) {
+		if p.deferrable && (inTrial || t.isFull(s, now)) {
 			continue
 		}
 		c := float64(t.estimatedRunning(now)) / float64(max(s.Slots, 1))
--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -1,11 +1,208 @@
 package gateway
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/streamorigin"
 )
 
+// A caller whose stream broke off takes it up at any host. Only a server of the software that
+// began the stream may continue it, so the host that passes its first events on tells all others
+// through a topic of the log. Package streamorigin decides what the records show.
+
+const (
+	// maxOrigins bounds the streams whose origins a host keeps in memory.
+	maxOrigins = 20000
+	// maxWaitingOrigins bounds the records of a partition that wait for their append; the oldest
+	// are dropped.
+	maxWaitingOrigins = 2000
+	// originReadTimeout bounds the time to look a stream up in the log.
+	originReadTimeout = 600 * time.Millisecond
+	// originRetryAfter is the Retry-After time given to callers while the record of their stream
+	// cannot be read or may still be on its way.
+	originRetryAfter = 500 * time.Millisecond
+	// originRefreshes is how often the record of a stream is appended within the retention of
+	// the log, as long as the stream lasts.
+	originRefreshes = 3
+)
+
+// streams knows which software began callers' streams. It is safe for concurrent use.
+type streams struct {
+	g          *Gateway
+	partitions []*originPartition
+
+	mu     sync.Mutex
+	ledger *streamorigin.Ledger
+}
+
+// originPartition is one partition of the topic.
+type originPartition struct {
+	// reading is held while the partition is read, and guards next, readAt and readErr.
+	reading sync.Mutex
+	// next is the offset to read from.
+	next int64
+	// readAt is when the last read was started, readErr its result.
+	readAt  time.Time
+	readErr error
+
+	mu sync.Mutex
+	// waiting holds the records that are to be appended; appending is set while that goes on.
+	waiting   []streamorigin.Record
+	appending bool
+}
+
+func newStreams(g *Gateway) *streams {
+	s := &streams{g: g, ledger: streamorigin.NewLedger(maxOrigins)}
+	for range g.s.Log.Partitions {
+		s.partitions = append(s.partitions, &originPartition{})
+	}
+	return s
+}
+
+// sendStream sends the request of a stream to a server: any server of its service if the stream
+// begins with it, and one of the software that began the stream otherwise.
+func (s *streams) sendStream(ctx context.Context, c *plainCall) (*Answer, error) {
+	t, err := s.takeUp(ctx, c)
+	if err != nil {
+		s.g.log.Info("stream: not taken up", zap.String("id", c.ID), zap.String("resumes", t.resumes),
+			zap.Int64("after-event", t.after), zap.Error(err))
+		return nil, err
+	}
+	c.writer = t.origin.Writer
+	a, err := s.g.sendOrTry(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	s.answered(c, t, a)
+	return a, nil
+}
+
+// takeUp is a request for a stream that continues one, if resumes or after is set.
+type takeUp struct {
+	// resumes is the id of the request that brought the stream's first event, after the id of
+	// the last event that the caller has.
+	resumes string
+	after   int64
+	// origin is the record of the stream that is continued, and source tells how it is known.
+	origin streamorigin.Record
+	source string
+}
+
+// The values of takeUp.source.
+const (
+	sourceMemory = "memory"
+	sourceLog    = "log"
+)
+
+// takeUp finds out which stream a request continues and what began it. It fails if the request
+// must not be sent to any server.
+func (s *streams) takeUp(ctx context.Context, c *plainCall) (takeUp, error) {
+	t, err := s.parse(c.Header)
+	if err != nil || t.resumes == "" && t.after == 0 {
+		return t, err
+	}
+	if t.resumes == "" {
+		return t, outcome.Refuse(outcome.ReasonUnknownOrigin, "the request names no stream")
+	}
+	var state streamorigin.State
+	t.source = sourceMemory
+	t.origin, state = s.find(t.resumes, c)
+	if state == streamorigin.Missing {
+		t.source = sourceLog
+		if err := s.read(ctx, t.resumes); err != nil {
+			return t, outcome.RefuseWithCause(outcome.ReasonLogDown, "origin of stream "+t.resumes, err).After(originRetryAfter)
+		}
+		t.origin, state = s.find(t.resumes, c)
+	}
+	e := outcome.Refuse(outcome.ReasonUnknownOrigin, string(state))
+	switch {
+	case state == streamorigin.Missing:
+		return t, e.After(originRetryAfter)
+	case state != streamorigin.Known:
+		return t, e
+	case !leadsTo(c.Route, t.origin.Writer.Service):
+		return t, outcome.Refuse(outcome.ReasonNoServer, "the route no longer leads to "+t.origin.Writer.Service)
+	}
+	return t, nil
+}
+
+// parse reads what a request continues from its header.
+func (s *streams) parse(h http.Header) (takeUp, error) {
+	d := s.g.c.Dialect
+	resumes, after := h[http.CanonicalHeaderKey(d.Resumes)], h[http.CanonicalHeaderKey(d.ResumeAfter)]
+	if len(resumes) > 1 || len(after) > 1 {
+		return takeUp{}, outcome.Refuse(outcome.ReasonBadRequest, "header field that says where a stream goes on stands twice")
+	}
+	var t takeUp
+	if len(resumes) == 1 {
+		t.resumes = resumes[0]
+	}
+	if len(after) == 0 || after[0] == "" {
+		return t, nil
+	}
+	n, err := strconv.ParseUint(after[0], 10, 63)
+	if err != nil {
+		return t, outcome.RefuseWithCause(outcome.ReasonBadRequest, "id of the last event is no number", err)
+	}
+	t.after = int64(n)
+	return t, nil
+}
+
+// leadsTo reports whether a route sends requests to a service.
+func leadsTo(r *routetable.Route, service string) bool {
+	return slices.ContainsFunc(r.Services, func(w routetable.WeightedService) bool { return w.Service == service })
+}
+
+func (s *streams) find(stream string, c *plainCall) (streamorigin.Record, streamorigin.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Find(stream, c.key())
+}
+
+func (s *streams) add(l []streamorigin.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range l {
+		s.ledger.Add(r)
+	}
+}
+
+// answered handles the answer to the request of a stream: all hosts are told what began it.
+func (s *streams) answered(c *plainCall, t takeUp, a *Answer) {
+	runs := a.Server.Runs()
+	s.g.log.Info("stream: answered", zap.String("id", c.ID), zap.String("server", a.Server.ID),
+		zap.String("software", runs.Version), zap.Int("status", a.Status), zap.String("resumes", t.resumes),
+		zap.Int64("after-event", t.after), zap.String("begun-by", t.origin.Writer.Version), zap.String("known-from", t.source))
+	if t.resumes != "" {
+		s.g.metrics.continued.WithLabelValues("call", continuedAt(t.origin.Writer, runs)).Inc()
+	}
+	if a.Status/100 != 2 || a.Rest == nil || !c.Route.Resumable || c.ID == "" {
+		return
+	}
+	r := t.origin
+	if t.resumes == "" {
+		r = streamorigin.Record{Stream: c.ID, Request: c.key(), Writer: runs}
+	}
+	if !r.Writer.Known() {
+		return
+	}
+	s.tell(r)
+	a.Rest = &recordedStream{s: s, record: r, told: time.Now(), r: a.Rest}
+}
+
 // continuedAt labels a continuation by what began the stream and what continues it.
 func continuedAt(writer, runs directory.Software) string {
 	switch {
@@ -17,13 +214,138 @@
 	return "other"
 }
 
-// logStream logs which server answers a caller's stream, and which stream that continues.
-func (g *Gateway) logStream(c *Call, a *Answer) {
-	resumes := c.Header.Get(g.c.Dialect.Resumes)
-	if resumes != "" {
-		g.metrics.continued.WithLabelValues("call", continuedAt(directory.Software{}, a.Server.Runs())).Inc()
+// recordedStream is the body of a stream whose record is appended again before the log drops it.
+type recordedStream struct {
+	s      *streams
+	record streamorigin.Record
+	// told is when the record was last appended.
+	told time.Time
+	r    io.Reader
+}
+
+// Read implements io.Reader.
+func (b *recordedStream) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if now := time.Now(); now.Sub(b.told) > b.s.g.s.Log.Retention.D()/originRefreshes {
+		b.told = now
+		b.s.tell(b.record)
 	}
-	g.log.Info("stream: answered", zap.String("id", c.ID), zap.String("server", a.Server.ID),
-		zap.String("software", a.Server.Software), zap.Int("status", a.Status), zap.String("resumes", resumes),
-		zap.String("after-event", c.Header.Get(g.c.Dialect.ResumeAfter)))
+	return n, err
+}
+
+func (s *streams) partition(stream string) (int, *originPartition) {
+	n := streamorigin.PartitionOf(stream, len(s.partitions))
+	return n, s.partitions[n]
+}
+
+// read reads the partition of a stream's record up to its end.
+func (s *streams) read(ctx context.Context, stream string) error {
+	asked := time.Now()
+	n, p := s.partition(stream)
+	p.reading.Lock()
+	defer p.reading.Unlock()
+	if p.readAt.After(asked) {
+		return p.readErr
+	}
+	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
+	defer cancel()
+	p.readAt = time.Now()
+	p.readErr = s.readToEnd(ctx, partitionlog.Partition{Topic: streamorigin.Topic, Number: n}, p)
+	return p.readErr
+}
+
+// readToEnd adds the records of a partition that this host does not have yet. The caller holds
+// p.reading.
+func (s *streams) readToEnd(ctx context.Context, at partitionlog.Partition, p *originPartition) error {
+	for {
+		page, err := s.g.c.Log.Read(ctx, partitionlog.ReadRequest{Partition: at, From: p.next, MaxBytes: maxReadBytes})
+		if outcome.HasReason(err, partitionlog.ReasonExpired) {
+			p.next = max(page.First, p.next+1)
+			continue
+		}
+		if err != nil {
+			s.g.logHealth.failed(streamorigin.Topic, partitionName(at), err)
+			return err
+		}
+		s.g.logHealth.answered(partitionName(at))
+		for i, b := range page.Records {
+			l, err := streamorigin.Decode(b)
+			if err != nil {
+				s.g.metrics.unreadable.WithLabelValues(streamorigin.Topic).Inc()
+				s.g.log.Warn("stream: origins cannot be decoded; skipped", zap.Int("part", at.Number),
+					zap.Int64("offset", page.From+int64(i)), zap.Error(err))
+				continue
+			}
+			s.add(l)
+		}
+		p.next = page.From + int64(len(page.Records))
+		if p.next >= page.End || len(page.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+// tell records the origin of a stream here and has it appended, so that all hosts can learn it.
+func (s *streams) tell(r streamorigin.Record) {
+	s.add([]streamorigin.Record{r})
+	n, p := s.partition(r.Stream)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.waiting) >= maxWaitingOrigins {
+		p.waiting = p.waiting[1:]
+		s.g.metrics.origins.WithLabelValues("dropped").Inc()
+	}
+	p.waiting = append(p.waiting, r)
+	if !p.appending {
+		p.appending = true
+		s.g.wg.Go(func() { s.appendWaiting(n, p) })
+	}
+}
+
+// appendWaiting appends the waiting records of a partition until there are none. A record may be
+// appended twice, which changes nothing.
+func (s *streams) appendWaiting(n int, p *originPartition) {
+	for s.g.ctx.Err() == nil {
+		p.mu.Lock()
+		l := slices.Clone(p.waiting)
+		p.waiting = nil
+		p.appending = len(l) > 0
+		p.mu.Unlock()
+		if len(l) == 0 {
+			return
+		}
+		for s.g.ctx.Err() == nil && !s.append(n, l) {
+			backoff.Sleep(s.g.ctx, logRetryDelay)
+		}
+	}
+}
+
+// append appends records to a partition. false means that they may be missing from the log.
+func (s *streams) append(n int, l []streamorigin.Record) bool {
+	b, err := streamorigin.Encode(l)
+	if err != nil {
+		s.g.log.Error("stream: origins cannot be encoded; dropped", zap.Int("streams", len(l)), zap.Error(err))
+		return true
+	}
+	ctx, cancel := context.WithTimeout(s.g.ctx, appendTimeout)
+	defer cancel()
+	at := partitionlog.Partition{Topic: streamorigin.Topic, Number: n}
+	if _, err := s.g.c.Log.Append(ctx, partitionlog.AppendRequest{
+		Partition: at, Records: [][]byte{b}, ExpectedEnd: partitionlog.NoCondition,
+	}); err != nil {
+		s.g.logHealth.failed(streamorigin.Topic, partitionName(at), err)
+		s.g.metrics.origins.WithLabelValues("append-failed").Inc()
+		return false
+	}
+	s.g.metrics.origins.WithLabelValues("appended").Add(float64(len(l)))
+	return true
+}
+
+// hasPending reports whether the append of a record is not acknowledged yet.
+func (s *streams) hasPending() bool {
+	return slices.ContainsFunc(s.partitions, func(p *originPartition) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.appending
+	})
 }
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -11,8 +11,10 @@
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/quarantine"
+	"mulberrypier.example/pier/routetable"
 )
 
 // trialMargin is how long a trial may last beyond the call's deadline, for its result to be
@@ -22,6 +24,8 @@
 // plainCall is a call with the key under which it is known when it comes again.
 type plainCall struct {
 	Call
+	// writer is the software that must answer the call; its zero value allows any.
+	writer directory.Software
 	// key returns the key, which is computed when it is first needed.
 	key func() quarantine.Key
 }
@@ -34,10 +38,31 @@
 	})}
 }
 
-// attempts sends a call to servers as far as what is known of it allows: at once, in a trial
-// that no other host makes at the same time, or not at all.
+// service returns the service that the call goes to.
+func (c *plainCall) service() string {
+	if c.writer.Known() {
+		return c.writer.Service
+	}
+	return c.Call.service()
+}
+
+// choice returns what a server has to be to get the call, if it has not been tried.
+func (c *plainCall) choice(tried map[string]bool) serverChoice {
+	return serverChoice{service: c.service(), software: c.writer.Version, tried: tried, deferrable: c.deferrable()}
+}
+
+// attempts sends a call to servers.
 func (g *Gateway) attempts(ctx context.Context, call Call) (*Answer, error) {
 	c := newPlainCall(call)
+	if c.Route.Kind == routetable.KindStream {
+		return g.streams.sendStream(ctx, c)
+	}
+	return g.sendOrTry(ctx, c)
+}
+
+// sendOrTry sends a call to servers as far as what is known of it allows: at once, in a trial
+// that no other host makes at the same time, or not at all.
+func (g *Gateway) sendOrTry(ctx context.Context, c *plainCall) (*Answer, error) {
 	tried := make(map[string]bool)
 	for {
 		d, changed := g.suspects.decide(c)
@@ -85,13 +110,14 @@
 // try makes a trial of a call: it sends it to one server, if this host gets the trial. done is
 // false if what is known of the call has changed, or another server is to be tried.
 func (g *Gateway) try(ctx context.Context, c *plainCall, d quarantine.Decision, tried map[string]bool) (a *Answer, done bool, err error) {
-	service := c.service()
-	u, ok := g.fleet.pickServer(service, tried, false)
+	choice := c.choice(tried)
+	choice.deferrable = false
+	u, ok := g.fleet.pickServer(choice)
 	if !ok {
-		return nil, true, outcome.Refuse(outcome.ReasonNoServer, service).After(unavailableRetryAfter)
+		return nil, true, choice.noServer()
 	}
 	e := quarantine.Event{
-		Kind: quarantine.KindTrial, Key: c.key(), Service: service, Server: u.s.Incarnation(), Claim: g.suspects.newClaim(),
+		Kind: quarantine.KindTrial, Key: c.key(), Service: choice.service, Server: u.s.Incarnation(), Claim: g.suspects.newClaim(),
 		Trial: d.Trial, Lasts: time.Until(c.Deadline) + trialMargin,
 	}
 	has, err := g.suspects.claim(ctx, e)
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -66,6 +66,7 @@
 	ReasonServerLimit     Reason = "server-limit"
 	ReasonPermitExpired   Reason = "permit-expired"
 	ReasonQuarantined     Reason = "quarantined"
+	ReasonUnknownOrigin   Reason = "unknown-origin"
 )
 
 // Error is the error of a request that ended without an answer.
