--- a/pier/gateway/drain_test.go
+++ b/pier/gateway/drain_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,3 +51,60 @@
 	require.Contains(t, string(b), "end")
 	<-stopped
 }
+
+// Callers send requests on open connections until the process is gone. A request that a handler
+// has begun gets its whole answer, whenever the planned stop closes the connections.
+func TestPlannedStopCutsNoRequestOnOpenConnections(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	var mu sync.Mutex
+	begun := make(map[string]bool)
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		begun[r.URL.Path] = true
+		mu.Unlock()
+		time.Sleep(3 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := netip.MustParseAddrPort(l.Addr().String())
+	require.NoError(t, l.Close())
+	require.NoError(t, g.serve(a, h))
+	stopped := make(chan struct{})
+	var w sync.WaitGroup
+	var cut, answered atomic.Int64
+	for i := range 200 {
+		w.Go(func() {
+			c := http.Client{Transport: &http.Transport{}}
+			defer c.CloseIdleConnections()
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(time.Duration(i%10) * time.Millisecond):
+				}
+				path := fmt.Sprintf("/%d/%d", i, n)
+				r, err := c.Post("http://"+a.String()+path, "text/plain", strings.NewReader("x"))
+				if err == nil {
+					_, err = io.ReadAll(r.Body)
+					_ = r.Body.Close()
+				}
+				mu.Lock()
+				ran := begun[path]
+				mu.Unlock()
+				if err != nil && ran {
+					cut.Add(1)
+				}
+				if err == nil {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	g.Drain()
+	g.Close()
+	close(stopped)
+	w.Wait()
+	require.Zero(t, cut.Load(), "requests cut, %d answered", answered.Load())
+}
