A planned stop closes no connection on which a request is being read

Callers saw requests without an answer that had reached a server (LOST). Cause: SetKeepAlivesEnabled(false) and Shutdown of net/http close a connection that counts as idle until the head of its next request has been read; the handler then runs all the same and its answer is lost. Now answers of a stopping host close their connections themselves, the listeners are closed first, and connections are closed only once no request is in progress and none may begin any more: one that is read later is refused, and sent to nobody.

--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -33,6 +33,7 @@
 	g         *Gateway
 	state     *chart.Machine
 	startedCh chan struct{}
+	requests  inProgress
 }
 
 func newDrainer(g *Gateway) *drainer {
@@ -72,10 +73,11 @@
 	g.watch.leave()
 	backoff.Sleep(ctx, unhealthyDetectionTime)
 	r.fire("announced")
-	for _, s := range g.servers {
-		s.SetKeepAlivesEnabled(false)
+	for ctx.Err() == nil && g.hasUnfinishedWork() {
+		backoff.Sleep(ctx, drainPollInterval)
 	}
-	for ctx.Err() == nil && (g.steps.count() > 0 || g.journal.hasPending() || g.streams.hasPending()) {
+	g.stopListening()
+	for ctx.Err() == nil && !r.requests.closeIfNone() {
 		backoff.Sleep(ctx, drainPollInterval)
 	}
 	if ctx.Err() != nil {
@@ -84,7 +86,21 @@
 	} else {
 		r.fire("idle")
 	}
-	g.shutDown(end)
+	g.shutDown()
+}
+
+// stopListening accepts no further connections. Those that are open stay open.
+func (g *Gateway) stopListening() {
+	for _, l := range g.listeners {
+		if err := l.Close(); err != nil {
+			g.log.Warn("drain: listener cannot be closed", zap.Error(err))
+		}
+	}
+}
+
+// hasUnfinishedWork reports whether a step runs here or a record is not in the log yet.
+func (g *Gateway) hasUnfinishedWork() bool {
+	return g.steps.count() > 0 || g.journal.hasPending() || g.streams.hasPending()
 }
 
 // releaseSteps releases the incomplete steps, so that other hosts take them over, and waits
@@ -97,11 +113,13 @@
 	}
 }
 
-// shutDown closes the listeners and waits for the requests in progress until end, and for at
-// least half of drainReserve.
-func (g *Gateway) shutDown(end time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(end), 0)+drainReserve/2)
+// shutDown lets no further request begin, waits for those in progress and closes all
+// connections, for at most half of drainReserve.
+func (g *Gateway) shutDown() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainReserve/2)
 	defer cancel()
+	for !g.drain.requests.close() && backoff.Sleep(ctx, drainPollInterval/2) {
+	}
 	var w sync.WaitGroup
 	for _, s := range g.servers {
 		w.Go(func() {
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -130,6 +130,8 @@
 	drain     *drainer
 
 	servers []*http.Server
+	// listeners are those of servers.
+	listeners []net.Listener
 	server  *peer.Server
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -227,12 +229,13 @@
 		return err
 	}
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: g.drain.track(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(g.log),
 	}
 	g.servers = append(g.servers, s)
+	g.listeners = append(g.listeners, n)
 	g.wg.Go(func() {
-		if err := s.Serve(n); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(n); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.log.Error("host: listener failed", zap.Error(err))
 		}
 	})
