Streams begin and go on only at the incarnation that was chosen

A server can start again under its id as another software version, and servers compare the id only. A host that has not read the new registration yet then takes what runs there for what was registered: it would continue a text there, or name the wrong software as its writer.

A connection leads to one incarnation, so the pool asks the engine on each new connection when it started, before samples and callers' streams are sent there, and refuses the request as not run if that differs from the registration (reason other-incarnation). Idle connections to another incarnation are not used.

TestStreamIsNotContinuedByAServerThatStartedAgainAsOtherSoftware fails on a copy without the check.

--- a/pier/backend/conn.go
+++ b/pier/backend/conn.go
@@ -36,6 +36,11 @@
 	limit *limitedReader
 	// server is the id of the incarnation that the connection was opened to.
 	server string
+	// born is the start of the incarnation that answers on the connection, as it stated itself;
+	// zero if it was not asked or states none.
+	born time.Time
+	// asked is set once it was asked.
+	asked bool
 	// idleTimeout is how long the connection may be idle, as last stated by its server.
 	idleTimeout time.Duration
 	// maxIdle is the number of idle connections to its server up to which it is kept.
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -23,13 +23,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c := p.takeIdle(q.Server)
+	c := p.takeIdle(q.Server, q.Born)
 	if c == nil {
 		if c, err = p.dial(ctx, q.Server, q.Address); err != nil {
 			return nil, err
 		}
 	}
 	c.maxIdle = q.maxIdle()
+	if err := p.verify(ctx, c, &q); err != nil {
+		return nil, err
+	}
 	if a.Limited && boottime.Now() > a.Until {
 		p.putIdle(c)
 		return nil, outcome.Refuse(outcome.ReasonPermitExpired, q.Server)
--- a/pier/backend/pool.go
+++ b/pier/backend/pool.go
@@ -33,6 +33,9 @@
 	Dialect Dialect
 	// Dial opens a connection; nil means plain TCP.
 	Dial func(ctx context.Context, a netip.AddrPort) (net.Conn, error)
+	// Identity is how a server is asked which of its incarnations answers on a connection. Without
+	// it, the incarnation of no request is verified.
+	Identity Identity
 	// OnOpen is called for each new connection; it may be nil.
 	OnOpen func()
 	// OnLeaving is called for each answer in which an incarnation of a server states that it
@@ -47,6 +50,14 @@
 	OnLimit func(q *Request, a Admission, limit []string)
 }
 
+// Identity is the request by which a server states when it started.
+type Identity struct {
+	// Target is the path of the request, a GET.
+	Target string
+	// Started reads the time from the body of a successful answer; false if it states none.
+	Started func(body []byte) (time.Time, bool)
+}
+
 // Admission is the permission to send a request. Its times are readings of package boottime's
 // clock.
 type Admission struct {
@@ -92,16 +103,16 @@
 	return d.DialContext(ctx, "tcp", a.String())
 }
 
-// takeIdle removes and returns an idle connection that is still usable, or nil if there is
-// none. It closes the unusable ones that it finds.
-func (p *Pool) takeIdle(server string) *conn {
+// takeIdle removes and returns an idle connection to an incarnation that is still usable, or
+// nil if there is none. It closes the unusable ones that it finds.
+func (p *Pool) takeIdle(server string, born time.Time) *conn {
 	now := time.Now()
 	for {
 		c := p.popIdle(server)
 		if c == nil {
 			return nil
 		}
-		if now.Before(c.expires) && c.nothingReceived() {
+		if now.Before(c.expires) && c.mayLeadTo(born) && c.nothingReceived() {
 			return c
 		}
 		_ = c.Close()
--- a/pier/backend/request.go
+++ b/pier/backend/request.go
@@ -59,6 +59,9 @@
 	Deadline time.Time
 	// Purpose is why the request is sent.
 	Purpose Purpose
+	// SameIncarnation requires that the server has not started again under its id since Born.
+	// Servers compare the id only.
+	SameIncarnation bool
 	// MaxIdle is the number of idle connections to the server up to which its connection is
 	// kept afterwards: 0 if there is no limit of the server's, negative to keep none.
 	MaxIdle int
--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -41,6 +41,15 @@
 // and the answer read completely, nothing followed the answer, the context has not ended and
 // the server keeps the connection open. Otherwise it is closed.
 func (r *Response) Close() {
+	if r.release() {
+		r.pool.putIdle(r.conn)
+		return
+	}
+	_ = r.conn.Close()
+}
+
+// release ends the use of the connection and reports whether it can be used again.
+func (r *Response) release() bool {
 	notCancelled := r.stop()
 	sent := false
 	select {
@@ -48,11 +57,7 @@
 		sent = true
 	default:
 	}
-	if notCancelled && r.complete && sent && !r.closing && r.conn.r.Buffered() == 0 {
-		r.pool.putIdle(r.conn)
-		return
-	}
-	_ = r.conn.Close()
+	return notCancelled && r.complete && sent && !r.closing && r.conn.r.Buffered() == 0
 }
 
 // NotRun reports whether the server stated that it did not execute the request.
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,14 @@
 
 const testParts = 4
 
+// identityTarget is where test servers that have one state their start, in milliseconds.
+const identityTarget = "/identity"
+
+func startedAt(b []byte) (time.Time, bool) {
+	n, err := strconv.ParseInt(string(b), 10, 64)
+	return time.UnixMilli(n), err == nil
+}
+
 // newHost returns a gateway over a log, without listeners.
 func newHost(t *testing.T, name string, l partitionlog.Log) *Gateway {
 	t.Helper()
@@ -56,6 +65,7 @@
 	require.Nil(t, s.Check())
 	g := New(Config{
 		Settings: s, Logger: zap.NewNop(), Log: l, Dialect: testDialect,
+		Identity:      backend.Identity{Target: identityTarget, Started: startedAt},
 		EngineControl: func(*backend.Pool) EngineControl { return EngineControl{} },
 	})
 	t.Cleanup(g.Close)
@@ -115,7 +125,9 @@
 // server is a fake backend server.
 type server struct {
 	directory.Server
-	mu sync.Mutex
+	// states, if not nil, is the start of the incarnation that runs, as the server states it.
+	states *atomic.Int64
+	mu     sync.Mutex
 	// handle, if not nil, answers requests instead of the function that startServer was given.
 	handle func(w http.ResponseWriter, r *http.Request)
 	// ran holds the IDs of the received requests, each with the event after which it
@@ -123,6 +135,15 @@
 	ran []string
 }
 
+// identify answers with the start of the incarnation that runs, if the server states it.
+func (s *server) identify(w http.ResponseWriter) {
+	if s.states == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = fmt.Fprint(w, s.states.Load())
+}
+
 func (s *server) runs() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,6 +156,10 @@
 	t.Helper()
 	s := &server{Server: directory.Server{ID: id, Service: service, Domain: "d1", Software: "1", Slots: 4, Versions: map[string]int64{"m": 1}}}
 	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == identityTarget {
+			s.identify(w)
+			return
+		}
 		s.mu.Lock()
 		s.ran = append(s.ran, r.Header.Get(testDialect.RequestID)+"@"+r.Header.Get(testDialect.ResumeAfter))
 		s.mu.Unlock()
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -199,9 +199,16 @@
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: c.Method, Target: c.Target, Host: c.Host,
 		ID: c.ID, Header: h, Body: c.Body, Deadline: c.Deadline, MaxIdle: g.maxIdle(u.s.Service),
+		SameIncarnation: c.Route.Kind == routetable.KindStream && g.isEngine(u.s.Service),
 	}
 }
 
+// isEngine reports whether the servers of a service are engines, which state when they started.
+func (g *Gateway) isEngine(service string) bool {
+	t := g.Table()
+	return t != nil && t.Services[service] != nil && t.Services[service].IsEngine()
+}
+
 // maxIdle returns how many idle connections this host keeps to a server of a service, as
 // backend.Request.MaxIdle: an even share of what the server accepts from all hosts together.
 // Only hosts that hold partitions are counted. With more hosts than partitions, all shares
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -93,6 +93,7 @@
 	Logger   *zap.Logger
 	Log      partitionlog.Log
 	Dialect  backend.Dialect
+	Identity backend.Identity
 	Sources  Sources
 	// EngineControl returns the control calls, made through the connection pool that the
 	// gateway uses for all calls to backend servers.
@@ -132,10 +133,10 @@
 	servers []*http.Server
 	// listeners are those of servers.
 	listeners []net.Listener
-	server  *peer.Server
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	server    *peer.Server
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 }
 
 // New returns a gateway that does not listen yet.
@@ -146,7 +147,7 @@
 	g.logHealth = newLogHealth(g.log, g.metrics)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.pool = backend.NewPool(backend.Config{
-		Dialect: c.Dialect, OnOpen: g.metrics.opened.Inc,
+		Dialect: c.Dialect, Identity: c.Identity, OnOpen: g.metrics.opened.Inc,
 		OnLeaving: func(server string, born time.Time) { g.fleet.leaving(server, born) },
 		Admit: func(ctx context.Context, q *backend.Request) (backend.Admission, error) {
 			return g.limits.admit(ctx, q)
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -326,7 +326,7 @@
 	}
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: http.MethodPost, Target: s.item.Path,
-		Host: s.d.step.Host, ID: s.item.ID, Header: h, Body: s.item.Body, Purpose: purpose,
+		Host: s.d.step.Host, ID: s.item.ID, Header: h, Body: s.item.Body, Purpose: purpose, SameIncarnation: true,
 		MaxIdle: s.d.g.maxIdle(u.s.Service),
 	}
 }
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -67,6 +67,8 @@
 	ReasonPermitExpired   Reason = "permit-expired"
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonUnknownOrigin   Reason = "unknown-origin"
+	// ReasonOtherIncarnation means that the server has started again under its id.
+	ReasonOtherIncarnation Reason = "other-incarnation"
 )
 
 // Error is the error of a request that ended without an answer.
