--- a/pier/gateway/leaving_test.go
+++ b/pier/gateway/leaving_test.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"mulberrypier.example/pier/stepplan"
-
 	"context"
 	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/stepplan"
 )
 
 // A server states in an answer that it leaves, while its registration keeps being renewed
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"mulberrypier.example/pier/stepplan"
-
 	"context"
 	"fmt"
 	"net/http"
@@ -20,6 +18,7 @@
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
+	"mulberrypier.example/pier/stepplan"
 )
 
 func route(g *Gateway) *routetable.Route { return g.Table().Match("h", "/gen/x") }
