One queue appends what hosts tell each other; a partition is in reach after an append

The events of suspect requests and the records of streams' origins each had their own loop that appends until it is acknowledged. Both are an appendQueue now, which also states that the partition answered: after a failed append of a record it counted as out of reach until a stream was taken up at the host (TestPartitionOfStreamsIsInReachAfterAnAppend fails without that line).

--- a/pier/gateway/software_test.go
+++ b/pier/gateway/software_test.go
@@ -376,3 +376,18 @@
 	require.Equal(t, outcome.ReasonNoServer, outcome.AsError(err).Reason)
 	require.Empty(t, other.runs())
 }
+
+// An append of a record fails and a later one succeeds: the partition counts as in reach again,
+// though no stream is taken up here.
+func TestPartitionOfStreamsIsInReachAfterAnAppend(t *testing.T) {
+	l := newLog()
+	g := newHost(t, "a", l.Functions())
+	g.streamTable()
+	g.registerAll(startSoftware(t, "desk", "1", 1, 0, &cutOnce{}))
+	l.SetDown(true)
+	_, _, err := readStream(g, streamCall(g, "s", "", 0))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return g.logHealth.outageCount.Load() == 1 }, 5*time.Second, time.Millisecond)
+	l.SetDown(false)
+	require.Eventually(t, func() bool { return g.logHealth.outageCount.Load() == 0 }, 5*time.Second, 10*time.Millisecond)
+}
--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
@@ -26,9 +25,10 @@
 const (
 	// maxOrigins bounds the streams whose origins a host keeps in memory.
 	maxOrigins = 20000
-	// maxWaitingOrigins bounds the records of a partition that wait for their append; the oldest
-	// are dropped.
-	maxWaitingOrigins = 2000
+	// maxWaitingOrigins bounds the records of a partition that wait for their append, and
+	// maxOriginsAppended those of one append.
+	maxWaitingOrigins  = 2000
+	maxOriginsAppended = 500
 	// originReadTimeout bounds the time to look a stream up in the log.
 	originReadTimeout = 600 * time.Millisecond
 	// originRetryAfter is the Retry-After time given to callers while the record of their stream
@@ -58,16 +58,17 @@
 	readAt  time.Time
 	readErr error
 
-	mu sync.Mutex
-	// waiting holds the records that are to be appended; appending is set while that goes on.
-	waiting   []streamorigin.Record
-	appending bool
+	records appendQueue[streamorigin.Record]
 }
 
 func newStreams(g *Gateway) *streams {
 	s := &streams{g: g, ledger: streamorigin.NewLedger(maxOrigins)}
-	for range g.s.Log.Partitions {
-		s.partitions = append(s.partitions, &originPartition{})
+	for n := range g.s.Log.Partitions {
+		s.partitions = append(s.partitions, &originPartition{records: appendQueue[streamorigin.Record]{
+			g: g, at: partitionlog.Partition{Topic: streamorigin.Topic, Number: n}, maxWaiting: maxWaitingOrigins,
+			maxAtOnce: maxOriginsAppended, encode: streamorigin.Encode,
+			dropped: func() { g.metrics.origins.WithLabelValues("dropped").Inc() },
+		}})
 	}
 	return s
 }
@@ -233,15 +234,14 @@
 	return n, err
 }
 
-func (s *streams) partition(stream string) (int, *originPartition) {
-	n := streamorigin.PartitionOf(stream, len(s.partitions))
-	return n, s.partitions[n]
+func (s *streams) partition(stream string) *originPartition {
+	return s.partitions[streamorigin.PartitionOf(stream, len(s.partitions))]
 }
 
 // read reads the partition of a stream's record up to its end.
 func (s *streams) read(ctx context.Context, stream string) error {
 	asked := time.Now()
-	n, p := s.partition(stream)
+	p := s.partition(stream)
 	p.reading.Lock()
 	defer p.reading.Unlock()
 	if p.readAt.After(asked) {
@@ -250,13 +250,14 @@
 	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
 	defer cancel()
 	p.readAt = time.Now()
-	p.readErr = s.readToEnd(ctx, partitionlog.Partition{Topic: streamorigin.Topic, Number: n}, p)
+	p.readErr = s.readToEnd(ctx, p)
 	return p.readErr
 }
 
 // readToEnd adds the records of a partition that this host does not have yet. The caller holds
 // p.reading.
-func (s *streams) readToEnd(ctx context.Context, at partitionlog.Partition, p *originPartition) error {
+func (s *streams) readToEnd(ctx context.Context, p *originPartition) error {
+	at := p.records.at
 	for {
 		page, err := s.g.c.Log.Read(ctx, partitionlog.ReadRequest{Partition: at, From: p.next, MaxBytes: maxReadBytes})
 		if outcome.HasReason(err, partitionlog.ReasonExpired) {
@@ -287,65 +288,12 @@
 
 // tell records the origin of a stream here and has it appended, so that all hosts can learn it.
 func (s *streams) tell(r streamorigin.Record) {
+	s.g.metrics.origins.WithLabelValues("told").Inc()
 	s.add([]streamorigin.Record{r})
-	n, p := s.partition(r.Stream)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.waiting) >= maxWaitingOrigins {
-		p.waiting = p.waiting[1:]
-		s.g.metrics.origins.WithLabelValues("dropped").Inc()
-	}
-	p.waiting = append(p.waiting, r)
-	if !p.appending {
-		p.appending = true
-		s.g.wg.Go(func() { s.appendWaiting(n, p) })
-	}
-}
-
-// appendWaiting appends the waiting records of a partition until there are none. A record may be
-// appended twice, which changes nothing.
-func (s *streams) appendWaiting(n int, p *originPartition) {
-	for s.g.ctx.Err() == nil {
-		p.mu.Lock()
-		l := slices.Clone(p.waiting)
-		p.waiting = nil
-		p.appending = len(l) > 0
-		p.mu.Unlock()
-		if len(l) == 0 {
-			return
-		}
-		for s.g.ctx.Err() == nil && !s.append(n, l) {
-			backoff.Sleep(s.g.ctx, logRetryDelay)
-		}
-	}
-}
-
-// append appends records to a partition. false means that they may be missing from the log.
-func (s *streams) append(n int, l []streamorigin.Record) bool {
-	b, err := streamorigin.Encode(l)
-	if err != nil {
-		s.g.log.Error("stream: origins cannot be encoded; dropped", zap.Int("streams", len(l)), zap.Error(err))
-		return true
-	}
-	ctx, cancel := context.WithTimeout(s.g.ctx, appendTimeout)
-	defer cancel()
-	at := partitionlog.Partition{Topic: streamorigin.Topic, Number: n}
-	if _, err := s.g.c.Log.Append(ctx, partitionlog.AppendRequest{
-		Partition: at, Records: [][]byte{b}, ExpectedEnd: partitionlog.NoCondition,
-	}); err != nil {
-		s.g.logHealth.failed(streamorigin.Topic, partitionName(at), err)
-		s.g.metrics.origins.WithLabelValues("append-failed").Inc()
-		return false
-	}
-	s.g.metrics.origins.WithLabelValues("appended").Add(float64(len(l)))
-	return true
+	s.partition(r.Stream).records.add(r)
 }
 
 // hasPending reports whether the append of a record is not acknowledged yet.
 func (s *streams) hasPending() bool {
-	return slices.ContainsFunc(s.partitions, func(p *originPartition) bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.appending
-	})
+	return slices.ContainsFunc(s.partitions, func(p *originPartition) bool { return p.records.hasPending() })
 }
--- a/pier/gateway/suspects.go
+++ b/pier/gateway/suspects.go
@@ -50,13 +50,17 @@
 	next int64
 	// changed is closed and replaced after events were applied.
 	changed chan struct{}
-	// waiting holds the events that are to be appended; appending is set while that goes on.
-	waiting   []quarantine.Event
-	appending bool
+	events  *appendQueue[quarantine.Event]
 }
 
 func newSuspects(g *Gateway) *suspects {
-	return &suspects{g: g, ledger: quarantine.NewLedger(g.s.Log.Retention.D()), changed: make(chan struct{})}
+	return &suspects{
+		g: g, ledger: quarantine.NewLedger(g.s.Log.Retention.D()), changed: make(chan struct{}),
+		events: &appendQueue[quarantine.Event]{
+			g: g, at: suspectsPartition(), maxWaiting: maxWaitingEvents, maxAtOnce: maxEventsAppended, encode: quarantine.Encode,
+			dropped: func() { g.metrics.suspects.WithLabelValues("dropped").Inc() },
+		},
+	}
 }
 
 func suspectsPartition() partitionlog.Partition {
@@ -68,12 +72,12 @@
 	for s.g.ctx.Err() == nil {
 		if err := s.read(); err != nil {
 			if s.g.ctx.Err() == nil {
-				s.g.logHealth.failed(quarantine.Topic, quarantine.Topic, err)
+				s.g.logHealth.failed(quarantine.Topic, partitionName(suspectsPartition()), err)
 			}
 			backoff.Sleep(s.g.ctx, logRetryDelay)
 			continue
 		}
-		s.g.logHealth.answered(quarantine.Topic)
+		s.g.logHealth.answered(partitionName(suspectsPartition()))
 	}
 }
 
@@ -168,57 +172,10 @@
 	})
 }
 
-// queue has an event appended. The caller holds mu.
+// queue has an event appended.
 func (s *suspects) queue(e quarantine.Event) {
 	s.g.metrics.suspects.WithLabelValues(string(e.Kind)).Inc()
-	if len(s.waiting) >= maxWaitingEvents {
-		s.waiting = s.waiting[1:]
-		s.g.metrics.suspects.WithLabelValues("dropped").Inc()
-	}
-	s.waiting = append(s.waiting, e)
-	if !s.appending {
-		s.appending = true
-		s.g.wg.Go(s.appendWaiting)
-	}
-}
-
-// appendWaiting appends the waiting events until there are none. An event may be appended
-// twice, which changes nothing.
-func (s *suspects) appendWaiting() {
-	for s.g.ctx.Err() == nil {
-		s.mu.Lock()
-		l := append([]quarantine.Event(nil), s.waiting[:min(len(s.waiting), maxEventsAppended)]...)
-		s.waiting = s.waiting[len(l):]
-		s.appending = len(l) > 0
-		s.mu.Unlock()
-		if len(l) == 0 {
-			return
-		}
-		for s.g.ctx.Err() == nil {
-			if _, err := s.append(s.g.ctx, l); err == nil {
-				break
-			}
-			backoff.Sleep(s.g.ctx, logRetryDelay)
-		}
-	}
-}
-
-func (s *suspects) append(ctx context.Context, l []quarantine.Event) (int64, error) {
-	b, err := quarantine.Encode(l)
-	if err != nil {
-		s.g.log.Error("request: events cannot be encoded; dropped", zap.Error(err))
-		return 0, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	a, err := s.g.c.Log.Append(ctx, partitionlog.AppendRequest{
-		Partition: suspectsPartition(), Records: [][]byte{b}, ExpectedEnd: partitionlog.NoCondition,
-	})
-	if err != nil {
-		s.g.logHealth.failed(quarantine.Topic, quarantine.Topic, err)
-		return 0, err
-	}
-	return a.First, nil
+	s.events.add(e)
 }
 
 // newClaim returns a name of a claim that no other has.
@@ -231,7 +188,7 @@
 func (s *suspects) claim(ctx context.Context, e quarantine.Event) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	offset, err := s.append(ctx, []quarantine.Event{e})
+	offset, err := s.events.append(ctx, []quarantine.Event{e})
 	for err == nil {
 		s.mu.Lock()
 		read, has, changed := s.next > offset, s.ledger.HasTrial(e.Key, e.Claim), s.changed
