--- a/pier/logtrace/logtrace.go
+++ b/pier/logtrace/logtrace.go
@@ -101,8 +101,8 @@
 var hostParts = []string{"log", "drain", "host", "bug"}
 
 // About returns the lines about an ID, sorted by time. These are the lines that contain the
-// ID, the lines about the steps that those mention and about the same request under other IDs,
-// and related lines: those about the servers and models that they mention, and those on the
+// ID, the lines about the steps that those mention and about the same request or stream under
+// other IDs, and related lines: those about the servers and models that they mention, and those on the
 // state of the hosts that wrote them. Related lines are taken from slack before the first line
 // that contains the ID to slack after the last.
 func About(lines []Line, id string, slack time.Duration) []Line {
@@ -115,6 +115,9 @@
 			if s := l.field("step"); s != "" {
 				ids[s] = true
 			}
+			if s := l.field("resumes"); s != "" {
+				ids[s] = true
+			}
 			if k := l.field("request-key"); k != "" {
 				keys[k] = true
 			}
@@ -126,7 +129,7 @@
 	rel := collectRelated(direct, slack)
 	var r []Line
 	for _, l := range lines {
-		if ids[l.field("id")] || keys[l.field("request-key")] || l.hasValue(id) || rel.matches(&l) {
+		if ids[l.field("id")] || ids[l.field("resumes")] || keys[l.field("request-key")] || l.hasValue(id) || rel.matches(&l) {
 			r = append(r, l)
 		}
 	}
--- a/pier/logtrace/logtrace_test.go
+++ b/pier/logtrace/logtrace_test.go
@@ -95,3 +95,19 @@
 	require.Equal(t, "d1", got[0].field("server"))
 	require.Equal(t, "d2", got[1].field("server"))
 }
+
+// TestTriesOfOneStream checks that a stream is explained by all its tries, whichever is asked for.
+func TestTriesOfOneStream(t *testing.T) {
+	const log = `
+a {"ts":"2026-05-26T11:37:04.300Z","msg":"stream: answered","id":"t1","server":"e1","software":"v1","resumes":""}
+b {"ts":"2026-05-26T11:37:04.400Z","msg":"stream: not taken up","id":"t2","resumes":"t1"}
+c {"ts":"2026-05-26T11:37:04.500Z","msg":"stream: answered","id":"t3","server":"e2","software":"v1","resumes":"t1"}
+c {"ts":"2026-05-26T11:37:04.600Z","msg":"stream: answered","id":"u1","server":"e2","software":"v1","resumes":""}
+`
+	lines, _, err := Read(strings.NewReader(log), "stdin")
+	require.NoError(t, err)
+	for _, id := range []string{"t1", "t2", "t3"} {
+		got := messages(About(lines, id, 0))
+		require.Equal(t, []string{"a stream: answered", "b stream: not taken up", "c stream: answered"}, got, id)
+	}
+}
