--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -91,8 +91,9 @@
 	return a, nil
 }
 
-// takeUp is a request for a stream that continues one, if resumes or after is set.
-type takeUp struct {
+// resumption is what a request for a stream says of the stream that it continues, and what is known
+// of that. It is empty for a new stream.
+type resumption struct {
 	// resumes is the id of the request that brought the stream's first event, after the id of
 	// the last event that the caller has.
 	resumes string
@@ -102,7 +103,7 @@
 	source string
 }
 
-// The values of takeUp.source.
+// The values of resumption.source.
 const (
 	sourceMemory = "memory"
 	sourceLog    = "log"
@@ -110,7 +111,7 @@
 
 // takeUp finds out which stream a request continues and what began it. It fails if the request
 // must not be sent to any server.
-func (s *streams) takeUp(ctx context.Context, c *plainCall) (takeUp, error) {
+func (s *streams) takeUp(ctx context.Context, c *plainCall) (resumption, error) {
 	t, err := s.parse(c.Header)
 	if err != nil || t.resumes == "" && t.after == 0 {
 		return t, err
@@ -141,13 +142,13 @@
 }
 
 // parse reads what a request continues from its header.
-func (s *streams) parse(h http.Header) (takeUp, error) {
+func (s *streams) parse(h http.Header) (resumption, error) {
 	d := s.g.c.Dialect
 	resumes, after := h[http.CanonicalHeaderKey(d.Resumes)], h[http.CanonicalHeaderKey(d.ResumeAfter)]
 	if len(resumes) > 1 || len(after) > 1 {
-		return takeUp{}, outcome.Refuse(outcome.ReasonBadRequest, "header field that says where a stream goes on stands twice")
+		return resumption{}, outcome.Refuse(outcome.ReasonBadRequest, "header field that says where a stream goes on stands twice")
 	}
-	var t takeUp
+	var t resumption
 	if len(resumes) == 1 {
 		t.resumes = resumes[0]
 	}
@@ -182,7 +183,7 @@
 }
 
 // answered handles the answer to the request of a stream: all hosts are told what began it.
-func (s *streams) answered(c *plainCall, t takeUp, a *Answer) {
+func (s *streams) answered(c *plainCall, t resumption, a *Answer) {
 	runs := a.Server.Runs()
 	s.g.log.Info("stream: answered", zap.String("id", c.ID), zap.String("server", a.Server.ID),
 		zap.String("software", runs.Version), zap.Int("status", a.Status), zap.String("resumes", t.resumes),
