A sample that breaks off keeps its text while no server has room

A sample without a free slot at servers of its software began anew after a while even where no other server had a slot either, as at a full service with one version only: its text was lost for nothing. It now begins anew only where a slot is free. TestTextIsKeptWhileNoServerHasRoom fails without the change ('s-0@' instead of 's-0@3').

--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -21,6 +21,14 @@
 	return f.reserve(f.byService[service][at[i]]), true
 }
 
+// hasFreeEngine reports whether an engine that meets a sample's need has a free slot.
+func (f *fleet) hasFreeEngine(service, model string, n stepplan.Need, slots int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, _ := f.eligibleEngines(service, model, slots, time.Now(), f.admitsSample)
+	return stepplan.PickEngine(c, n) >= 0
+}
+
 // continuers returns the number of servers that take new work and can continue a text of the
 // given software with version min of a model or newer.
 func (f *fleet) continuers(writer directory.Software, model string, min int64) int {
--- a/pier/gateway/software_test.go
+++ b/pier/gateway/software_test.go
@@ -16,6 +16,7 @@
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
+	"mulberrypier.example/pier/stepplan"
 )
 
 // softwareEvents is the number of events of the streams in these tests.
@@ -391,3 +392,23 @@
 	l.SetDown(false)
 	require.Eventually(t, func() bool { return g.logHealth.outageCount.Load() == 0 }, 5*time.Second, 10*time.Millisecond)
 }
+
+// All slots are taken when a sample breaks off, at all servers alike: beginning anew would gain
+// nothing, so the text is kept however long the sample waits.
+func TestTextIsKeptWhileNoServerHasRoom(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	g.table(nil)
+	l := startSoftware(t, "engines", "1", 1, 3, &cutOnce{})
+	l[0].Slots = 1
+	g.registerAll(l)
+	require.NoError(t, g.Accept(context.Background(), route(g), newStep("s", 1)))
+	require.Eventually(t, func() bool { return len(l[0].runs()) == 1 }, 5*time.Second, time.Millisecond)
+	u, ok := g.fleet.pickEngine("engines", "m", stepplan.Need{}, 1)
+	for !ok {
+		u, ok = g.fleet.pickEngine("engines", "m", stepplan.Need{}, 1)
+	}
+	time.Sleep(2 * initialAvoidTime)
+	u.release()
+	requireOneSoftware(t, waitResults(t, g, "s", 1))
+	require.Equal(t, "s-0@3", l[0].runs()[len(l[0].runs())-1])
+}
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -273,6 +273,10 @@
 	s.checkWriter(k.name)
 	u, ok := d.g.fleet.pickEngine(k.name, d.step.Model, d.need(s), k.slots)
 	if !ok && s.hasText() {
+		anywhere := stepplan.Need{MinVersion: d.minVersion(s)}
+		if !d.g.fleet.hasFreeEngine(k.name, d.step.Model, anywhere, k.slots) {
+			return false, true
+		}
 		if !s.givesTextUp(time.Now()) {
 			return false, false
 		}
