--- a/review/standins/dead.go
+++ b/review/standins/dead.go
@@ -14,7 +14,7 @@
 		slow    = 4
 		slowFor = 8 * time.Second
 		count   = 24
-		rounds  = 3
+		rounds  = 5
 	)
 	w.configure(configuration{Version: 1})
 	for i := range 3 {
