review: case 2, engines that are left idle while a step waits for those that were lost

LOST: the servers that hold the version before the newest are not replaced when they are lost, and no load is ordered for samples that wait. Ruled out: full engines (38 in 100 of the places taken at most), versions named meanwhile, an outage of the store.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # Exit 1: the rule was broken, 0: it held, 2: the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standins ] || exit 2
-exec target/review-standins dead review/3/record.txt
+exec target/review-standins split review/3/record.txt
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -84,9 +84,9 @@
 
 // item is one item of a step.
 type item struct {
-	ID, Body, Group      string
-	Events, Tokens       int
-	ScorerID, ScorerBody string
+	ID, Path, Body, Group string
+	Events, Tokens        int
+	ScorerID, ScorerBody  string
 }
 
 // step is the work that a trainer submits.
@@ -101,7 +101,7 @@
 	s := &step{ID: id, Host: hostName, Model: models[0], Number: number, MinVersion: minVersion, Groups: 1}
 	for i, n := range events {
 		t := item{
-			ID: fmt.Sprintf("%s.i%d", id, i), Group: id + ".g0", Events: n, Tokens: n + 16, ScorerID: fmt.Sprintf("%s.r%d", id, i),
+			ID: fmt.Sprintf("%s.i%d", id, i), Path: "/roll/item", Group: id + ".g0", Events: n, Tokens: n + 16, ScorerID: fmt.Sprintf("%s.r%d", id, i),
 		}
 		t.Body = base64.StdEncoding.EncodeToString([]byte(t.ID))
 		t.ScorerBody = base64.StdEncoding.EncodeToString([]byte(t.ScorerID))
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -27,7 +27,9 @@
 	"drain":   runDrain,
 	"dead":    runDead,
 	"leaving": runLeaving,
+	"parted":  runParted,
 	"split":   runSplit,
+	"idle":    runIdle,
 	"memory":  runMemory,
 }
 
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -83,10 +83,14 @@
 
 // configuration holds what the cases vary of the operators' configuration.
 type configuration struct {
-	Version       int
+	Version int
+	// Slots is the number of places of an engine that states none.
+	Slots         int
 	OnceTimeoutMS int
 	// Split splits the trainers' route between the old engines and new ones.
-	Split  bool
+	Split bool
+	// Parted sends a part of the trainers' paths to the old engines and the others to new ones.
+	Parted bool
 	Host   string
 	Models []string
 }
@@ -94,6 +98,9 @@
 // configure writes a configuration as the operator does.
 func (w *world) configure(c configuration) {
 	c.Host, c.Models = hostName, models
+	if c.Slots == 0 {
+		c.Slots = 8
+	}
 	if c.OnceTimeoutMS == 0 {
 		c.OnceTimeoutMS = 3000
 	}
@@ -101,6 +108,13 @@
 	w.note("operator: configuration %d is acknowledged", c.Version)
 }
 
+// nameVersion names a version of a model's weights as its trainer does.
+func (w *world) nameVersion(model string, v int64) {
+	b, _ := json.Marshal(map[string]any{"model": model, "version": v})
+	w.store.put(names["operators"], "version/"+model, b)
+	w.note("trainer: version %d of %s is named", v, model)
+}
+
 // close ends all processes and servers.
 func (w *world) close() {
 	for _, h := range w.hosts {
