review: the cases beside their claims, the stand-ins apart

What a case does and checks stands in review/N/case.go; review/standins holds stand-ins only, and review/build.sh builds both as one program. Nothing that a case does has changed.

--- a/review/standins/drain.go
+++ b/review/1/case.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+func init() {
+	cases["drain"] = runDrain
+}
+
 // runDrain stops a host with SIGTERM while it drives steps that last beyond the grace period,
 // and has clients use connections that they keep to it. Rule LOST.
 func runDrain(w *world) error {
@@ -96,23 +100,3 @@
 	}
 	return nil
 }
-
-// setWork sets how long a plain request takes at the servers of a service.
-func (w *world) setWork(service string, d time.Duration) {
-	for _, s := range w.servers {
-		if s.service == service {
-			s.mu.Lock()
-			s.work = d
-			s.mu.Unlock()
-		}
-	}
-}
-
-// ran returns how often a request began to run at any server.
-func (w *world) ran(id string) int {
-	n := 0
-	for _, s := range w.servers {
-		n += s.ran(id)
-	}
-	return n
-}
--- a/review/standins/split.go
+++ b/review/3/case.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+func init() {
+	cases["split"] = runSplit
+	cases["parted"] = runParted
+}
+
 // runSplit has the servers of one of the two services lost for good between which a trainer's route
 // is split. Rule LOST.
 func runSplit(w *world) error {
@@ -135,10 +140,3 @@
 	}
 	return true
 }
-
-// total returns how many requests began to run.
-func (s *server) total() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.runs)
-}
--- a/review/standins/dead.go
+++ b/review/4/case.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+func init() {
+	cases["dead"] = runDead
+}
+
 // runDead has the servers of the reward calls turn slow for a few seconds, so that calls reach
 // their deadline. Rule MIXED.
 func runDead(w *world) error {
@@ -100,24 +104,6 @@
 	return broken, nil
 }
 
-// setSlow makes all work of a service's servers take x times as long.
-func (w *world) setSlow(service string, x float64) {
-	for _, s := range w.servers {
-		if s.service == service {
-			s.setSlow(x)
-		}
-	}
-}
-
-// statuses returns the statuses with which all servers have answered a request.
-func (w *world) statuses(id string) []int {
-	var l []int
-	for _, s := range w.servers {
-		l = append(l, s.answered(id)...)
-	}
-	return l
-}
-
 func countStatus(l []int, status int) int {
 	n := 0
 	for _, x := range l {
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -362,3 +362,27 @@
 	})
 	w.WriteHeader(http.StatusAccepted)
 }
+
+// holds returns the version of a model that the server holds.
+func (s *server) holds(model string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version(model)
+}
+
+// isClosed reports whether the server has ended.
+func (s *server) isClosed() bool {
+	select {
+	case <-s.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// total returns how many requests began to run.
+func (s *server) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs)
+}
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -126,3 +126,64 @@
 	w.store.close()
 	_ = os.RemoveAll(w.dir)
 }
+
+// setWork sets how long a plain request takes at the servers of a service.
+func (w *world) setWork(service string, d time.Duration) {
+	for _, s := range w.servers {
+		if s.service == service {
+			s.mu.Lock()
+			s.work = d
+			s.mu.Unlock()
+		}
+	}
+}
+
+// ran returns how often a request began to run at any server.
+func (w *world) ran(id string) int {
+	n := 0
+	for _, s := range w.servers {
+		n += s.ran(id)
+	}
+	return n
+}
+
+// setSlow makes all work of a service's servers take x times as long.
+func (w *world) setSlow(service string, x float64) {
+	for _, s := range w.servers {
+		if s.service == service {
+			s.setSlow(x)
+		}
+	}
+}
+
+// statuses returns the statuses with which all servers have answered a request.
+func (w *world) statuses(id string) []int {
+	var l []int
+	for _, s := range w.servers {
+		l = append(l, s.answered(id)...)
+	}
+	return l
+}
+
+// taken returns the number of requests that run at engines.
+func (w *world) taken() int {
+	n := 0
+	for _, s := range w.servers {
+		if s.engine && !s.isClosed() {
+			s.mu.Lock()
+			n += s.running
+			s.mu.Unlock()
+		}
+	}
+	return n
+}
+
+// firstRun returns when a request first arrived at any server.
+func (w *world) firstRun(id string) (at time.Time, ok bool) {
+	for _, s := range w.servers {
+		if t, found := s.arrivals()[id]; found && (!ok || t.Before(at)) {
+			at, ok = t, true
+		}
+	}
+	return at, ok
+}
