Only a server's 500 counts against a call to a scorer, and all of them do

With all scorers answering 504 or 502 at once, all items of a step are dead. With 500 and fewer scorers than the route's attempts no call ever ends.

Cause: what a failed attempt is was decided in two places, neither of which knew the status. An attempt turned each status from 500 on into the reason server-error as long as another attempt might follow, and the dispatch counted that reason; the last answer alone was looked at by its status. The sum travelled with an answer only, so a call that ran out of servers, which has none, lost it.

Change: a call tells its maker the status of each answer of a server that ran it (Call.OnStatus), and one type, failedAttempts, says what counts: 500, for runs of an item and for calls to its scorer alike. The dispatch counts nothing. A route that is missing for a moment, or a call that cannot be sent, no longer counts either. Each failed answer of a scorer has a log line.

The package's tests pass.

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -42,7 +42,6 @@
 			s.pending--
 			if t.err == nil {
 				s.cancelOthers(t)
-				t.answer.ServerErrors += s.errors
 				g.watchAnswer(ctx, c, t.u, t.answer, quarantine.Event{}, 0)
 				return t.answer, nil
 			}
@@ -81,8 +80,6 @@
 	// pending is the number of attempts that have not ended; sent is the number that may
 	// have been executed.
 	pending, sent int
-	// errors is the number of servers that answered with a server error.
-	errors        int
 	endedAttempts chan *serverAttempt
 	hedge         *time.Timer
 	// failed is the newest failure of an attempt that may have been executed, last that of
@@ -176,9 +173,6 @@
 		return true
 	}
 	s.failed = e
-	if e.Reason == outcome.ReasonServerError {
-		s.errors++
-	}
 	if t.serverEnded && s.isSuspect() {
 		return false
 	}
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -49,12 +49,23 @@
 	Deadline time.Time
 	// Purpose is PurposeCall or PurposeScore.
 	Purpose backend.Purpose
+	// OnStatus, if not nil, is called with the status of the answer of each server that ran the
+	// request, whichever answer is returned in the end. It must be safe for concurrent use.
+	OnStatus func(status int)
 }
 
 // deferrable reports whether the call can come again later: a sample waits for its score, but
 // no caller does.
 func (c *Call) deferrable() bool { return c.Purpose == backend.PurposeScore }
 
+// observeStatus tells the caller of an answer, unless it states that the server did not run the
+// request.
+func (c *Call) observeStatus(r *backend.Response) {
+	if c.OnStatus != nil && !r.NotRun() {
+		c.OnStatus(r.Status)
+	}
+}
+
 // service returns the service that the call goes to.
 func (c *Call) service() string { return c.Route.PickService(xxhash.Sum64String(c.ID)) }
 
@@ -75,9 +86,6 @@
 	Header http.Header
 	// Body is the whole body, or its beginning if Rest is set.
 	Body []byte
-	// ServerErrors is the number of servers that answered with a server error, including
-	// this one.
-	ServerErrors int
 	// Server is the server that answered.
 	Server directory.Server
 	// Rest reads the rest of the body. Close must be called.
@@ -134,6 +142,7 @@
 		return nil, err
 	}
 	u.observeLoad(r)
+	c.observeStatus(r)
 	end := func() { r.Close(); u.release() }
 	switch {
 	case r.NotRun():
@@ -229,9 +238,6 @@
 // only the beginning; Rest yields the remainder.
 func readAnswer(c Call, r *backend.Response) (*Answer, error) {
 	a := &Answer{Status: r.Status, Header: r.Header}
-	if r.Status == http.StatusInternalServerError {
-		a.ServerErrors = 1
-	}
 	if c.Route.Kind == routetable.KindStream {
 		a.Rest = r
 		return a, nil
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -87,8 +87,10 @@
 	versions []int64
 	// complete is set when the generation ended properly.
 	complete bool
-	// failures is the number of runs that ended with an internal error of the engine.
-	failures int
+	// failures counts the runs, scoreFailures the calls to the scorer, at whose end a server
+	// answered that it failed.
+	failures      failedAttempts
+	scoreFailures failedAttempts
 	// result is set when the sample is done.
 	result *stepjournal.Result
 }
@@ -128,13 +130,13 @@
 	}
 	s.d.g.log.Info("sample: run failed", zap.String("id", s.item.ID), zap.String("server", u.s.ID),
 		zap.String("reason", string(e.Reason)), zap.Int64("events", s.lastID),
-		zap.Int("failures", s.failures))
+		zap.Int("failures", s.failures.count()))
 	switch e.Reason {
 	case outcome.ReasonQueueFull, outcome.ReasonBadRequest:
 	default:
 		u.failed(string(e.Reason))
 	}
-	if e.Reason == outcome.ReasonBadRequest || s.failures >= max(s.d.route.Attempts, 1) {
+	if e.Reason == outcome.ReasonBadRequest || s.failures.reached(s.d.route.Attempts) {
 		s.markDead()
 		return
 	}
@@ -344,9 +346,8 @@
 		return outcome.Refuse(outcome.ReasonQueueFull, u.s.ID)
 	case r.Status == http.StatusUnprocessableEntity:
 		return outcome.Ambiguous(outcome.ReasonBadRequest, u.s.ID, nil)
-	case r.Status == http.StatusInternalServerError:
-		s.failures++
 	}
+	s.failures.observe(r.Status)
 	return outcome.Ambiguous(outcome.ReasonServerError, u.s.ID+" "+strconv.Itoa(r.Status), nil)
 }
 
--- a/pier/gateway/scoring.go
+++ b/pier/gateway/scoring.go
@@ -12,6 +12,7 @@
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
 )
 
@@ -52,10 +53,9 @@
 	s.result = r
 }
 
-// scoreWithRetries calls the scorer until it answers. false means that it failed as often
+// scoreWithRetries calls the scorer until it answers. false means that its servers failed as often
 // as its route allows, or that ctx ended.
 func (s *sample) scoreWithRetries(ctx context.Context) (string, bool) {
-	failures := 0
 	for i := 0; ctx.Err() == nil; i++ {
 		c := s.callScorer(ctx)
 		if c.score != "" {
@@ -65,8 +65,7 @@
 			s.d.g.log.Info("sample: scorer has no room; it is asked again", zap.String("id", s.item.ID),
 				zap.String("scorer-id", s.item.Scorer.ID), zap.String("reason", string(c.refused)))
 		}
-		failures += c.failed
-		if failures >= c.maxFailures {
+		if c.route != nil && s.scoreFailures.reached(c.route.Attempts) {
 			return "", false
 		}
 		backoff.Sleep(ctx, max(backoff.Exponential(scoreRetryDelay, maxScoreRetryDelay, i), c.retryAfter))
@@ -79,10 +78,8 @@
 type scorerCall struct {
 	// score is empty if the call failed.
 	score string
-	// failed is the number of servers that answered with a server error, maxFailures the
-	// number of such answers after which the sample is given up. A call that cannot be sent
-	// counts as maxFailures of them.
-	failed, maxFailures int
+	// route is the scorer's route, nil if there is none at present.
+	route *routetable.Route
 	// refused is why the call was not run, empty if it may have been.
 	refused outcome.Reason
 	// retryAfter is how long to wait before the next call; zero if no wait is requested.
@@ -94,39 +91,45 @@
 	q := s.item.Scorer
 	t := s.d.g.Table()
 	if t == nil {
-		return scorerCall{maxFailures: 1}
+		return scorerCall{}
 	}
 	r := t.Match(q.Host, q.Path)
 	if r == nil {
-		return scorerCall{maxFailures: 1}
+		return scorerCall{}
 	}
 	timeout := r.Timeout
 	if timeout <= 0 {
 		timeout = defaultScoreTimeout
 	}
-	c := scorerCall{maxFailures: max(r.Attempts, 1)}
+	c := scorerCall{route: r}
 	a, err := s.d.g.Do(ctx, Call{
 		Route: r, Method: http.MethodPost, Target: q.Path, Host: q.Host, ID: q.ID, Body: q.Body,
 		Header: http.Header{}, Deadline: time.Now().Add(timeout), Purpose: backend.PurposeScore,
+		OnStatus: s.scoreAnswered,
 	})
 	if err != nil {
 		e := outcome.AsError(err)
 		if e.Outcome == outcome.NotRun {
 			c.refused = e.Reason
 		}
-		if e.Reason == outcome.ReasonBadRequest {
-			c.failed = c.maxFailures
-		}
 		if e.Reason == outcome.ReasonServerLimit {
 			c.retryAfter = e.RetryAfter
 		}
 		return c
 	}
 	defer a.Close()
-	if a.Status/100 != 2 {
-		c.failed = a.ServerErrors
-		return c
+	if a.Status/100 == 2 {
+		c.score = a.Header.Get(s.d.g.c.Dialect.ServerStamp)
 	}
-	c.score = a.Header.Get(s.d.g.c.Dialect.ServerStamp)
 	return c
 }
+
+// scoreAnswered handles the status of an answer to a call to the scorer.
+func (s *sample) scoreAnswered(status int) {
+	if status/100 == 2 {
+		return
+	}
+	s.scoreFailures.observe(status)
+	s.d.g.log.Info("sample: scorer failed", zap.String("id", s.item.ID), zap.String("scorer-id", s.item.Scorer.ID),
+		zap.Int("status", status), zap.Int("failures", s.scoreFailures.count()))
+}
