Failed attempts are counted on by the next driver of a step

Seen: in a test, an item whose engine, or whose scorer, answers 500 gets up to `attempts` further tries after each takeover of its step: 5 answers of 500 in place of 3.

It is appended when a server has failed, with whatever text there is, and restored by the next driver.

Result: TestTakeoverKeepsFailedAttempts fails in all three cases if the counts are not restored (5, 5 and 6 failures in place of 3, 3 and 4), and passes now.

--- a/pier/gateway/failedattempts.go
+++ b/pier/gateway/failedattempts.go
@@ -18,6 +18,9 @@
 	}
 }
 
+// set continues the count of another host.
+func (f *failedAttempts) set(n int) { f.n.Store(int64(n)) }
+
 func (f *failedAttempts) count() int { return int(f.n.Load()) }
 
 // reached reports whether a route that allows limit attempts allows no more.
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -67,7 +67,9 @@
 	pinned atomic.Int64
 	// savedAt is when the progress was last appended to the journal, or the run started.
 	savedAt time.Time
-	cancel  context.CancelFunc
+	// savedFailures is the sum of failures and scoreFailures that the journal has.
+	savedFailures int
+	cancel        context.CancelFunc
 
 	// text holds the data of the complete events so far, lastID is the ID of the last one.
 	// textBytes is the length of the text.
@@ -140,6 +142,7 @@
 		s.markDead()
 		return
 	}
+	s.saveFailures()
 	backoff.Sleep(ctx, rerunDelay)
 }
 
@@ -247,14 +250,19 @@
 	if s.d.g.drain.leaving() {
 		d = drainSaveInterval
 	}
-	if now.Sub(s.savedAt) < d {
-		return
+	if now.Sub(s.savedAt) >= d {
+		s.saveProgress(now)
 	}
-	s.savedAt = now
+}
+
+// saveProgress appends the progress of the sample to the journal.
+func (s *sample) saveProgress(now time.Time) {
 	p := stepjournal.Progress{
 		ItemIndex: s.at, Text: strings.Join(s.text, "\n"),
 		LastEvent: s.lastID, Versions: s.versions, Writer: s.writer,
+		Failures: s.failures.count(), ScoreFailures: s.scoreFailures.count(),
 	}
+	s.savedAt, s.savedFailures = now, p.Failures+p.ScoreFailures
 	b, err := stepjournal.Saved(s.d.step.ID, &p)
 	if err != nil || len(b) > s.d.g.s.Log.RecordBytes {
 		s.d.g.log.Warn("sample: progress cannot be saved in the journal",
@@ -264,9 +272,23 @@
 	s.d.view.post(b)
 }
 
+// saveFailures appends the progress of the sample to the journal if a server has failed since the
+// last record, so that its next driver counts on.
+func (s *sample) saveFailures() {
+	if s.failures.count()+s.scoreFailures.count() > s.savedFailures {
+		s.saveProgress(time.Now())
+	}
+}
+
 // restore continues from saved progress. Progress is saved after saveInterval, but for a drain,
 // so the text took at least that long to generate.
 func (s *sample) restore(p *stepjournal.Progress) {
+	s.failures.set(p.Failures)
+	s.scoreFailures.set(p.ScoreFailures)
+	s.savedFailures = p.Failures + p.ScoreFailures
+	if p.LastEvent == 0 {
+		return
+	}
 	s.text, s.textBytes = []string{p.Text}, len(p.Text)+1
 	s.lastID, s.versions = p.LastEvent, p.Versions
 	s.writer, s.generated, s.brokenAt = p.Writer, saveInterval, time.Now()
--- a/pier/gateway/scoring.go
+++ b/pier/gateway/scoring.go
@@ -68,6 +68,7 @@
 		if c.route != nil && s.scoreFailures.reached(c.route.Attempts) {
 			return "", false
 		}
+		s.saveFailures()
 		backoff.Sleep(ctx, max(backoff.Exponential(scoreRetryDelay, maxScoreRetryDelay, i), c.retryAfter))
 	}
 	return "", false
--- a/pier/gateway/scoring_test.go
+++ b/pier/gateway/scoring_test.go
@@ -101,3 +101,75 @@
 		})
 	}
 }
+
+// Guards against failed attempts that are forgotten when another host takes the step over.
+func TestTakeoverKeepsFailedAttempts(t *testing.T) {
+	tests := map[string]struct {
+		// item and scorer are the number of servers that fail for the item and for its scorer,
+		// before all others run out of time; want is the number that fail in all.
+		item, scorer, want int
+	}{
+		"runs of the item":    {item: 2, want: 3},
+		"calls to the scorer": {scorer: 2, want: 3},
+		"both":                {item: 1, scorer: 2, want: 4},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLog()
+			a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
+			a.table(func(_, plain *routetable.Route) { plain.Attempts = 3 })
+			b.table(func(_, plain *routetable.Route) { plain.Attempts = 3 })
+			failing := newFailures(c.item, c.scorer)
+			e := startServer(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) {
+				if c.scorer == 0 || failing.item.Load() > 0 {
+					failing.answer(w, &failing.item)
+					return
+				}
+				stream(w, r, 1, 1, 0)
+			})
+			a.register(e.Server)
+			s := startScorers(t, a, 1, func() int { return failing.next(&failing.scorer) })
+			require.NoError(t, a.Accept(context.Background(), route(a), newScoredStep("s")))
+			require.Eventually(t, func() bool { return failing.tried.Load() > int64(c.item+c.scorer) }, 10*time.Second, time.Millisecond)
+			a.steps.release()
+			require.Eventually(t, func() bool { return !a.steps.isDriving("s") }, 5*time.Second, 10*time.Millisecond)
+			failing.item.Store(100)
+			if c.scorer > 0 {
+				failing.item.Store(0)
+				failing.scorer.Store(100)
+			}
+			b.register(e.Server, s[0].Server)
+			b.watch.partitions = []int{stepjournal.PartitionOf("s", testParts)}
+			require.Eventually(t, func() bool { b.watch.checkSteps(); return b.steps.isDriving("s") }, 10*time.Second, 50*time.Millisecond)
+			require.Equal(t, stepjournal.Dead, waitResults(t, b, "s", 1)[0].State)
+			require.EqualValues(t, c.want, failing.failed.Load())
+		})
+	}
+}
+
+// failures has servers fail for a number of requests, and run out of time for all others.
+type failures struct {
+	// item and scorer are the numbers of requests left that fail.
+	item, scorer atomic.Int64
+	// tried counts all requests, failed those that failed.
+	tried, failed atomic.Int64
+}
+
+func newFailures(item, scorer int) *failures {
+	f := &failures{}
+	f.item.Store(int64(item))
+	f.scorer.Store(int64(scorer))
+	return f
+}
+
+// next returns the status of the next answer.
+func (f *failures) next(left *atomic.Int64) int {
+	f.tried.Add(1)
+	if left.Add(-1) < 0 {
+		return http.StatusGatewayTimeout
+	}
+	f.failed.Add(1)
+	return http.StatusInternalServerError
+}
+
+func (f *failures) answer(w http.ResponseWriter, left *atomic.Int64) { w.WriteHeader(f.next(left)) }
--- a/pier/stepjournal/fold.go
+++ b/pier/stepjournal/fold.go
@@ -170,7 +170,7 @@
 
 // saveProgress records the offset of the newest progress of an item that has no result yet.
 func (e *Entry) saveProgress(offset int64, x *envelope) {
-	if x.Result == nil || x.LastEvent <= 0 || x.Result.ItemIndex < 0 ||
+	if !x.isProgress() || x.Result.ItemIndex < 0 ||
 		x.Result.ItemIndex >= e.Total || e.hasResult[x.Result.ItemIndex] {
 		return
 	}
--- a/pier/stepjournal/record.go
+++ b/pier/stepjournal/record.go
@@ -148,6 +148,18 @@
 	LastEvent int64 `msgpack:"l,omitempty"`
 	// Writer is the software that generated the text in Result, in a record of progress.
 	Writer directory.Software `msgpack:"w,omitempty"`
+	// Failures and ScoreFailures are those of a Progress.
+	Failures      int `msgpack:"f,omitempty"`
+	ScoreFailures int `msgpack:"g,omitempty"`
+}
+
+// isProgress reports whether e is a valid record of a sample's progress: of its text, of the
+// servers that failed, or of both.
+func (e *envelope) isProgress() bool {
+	if e.Kind != kindProgress || e.Result == nil || e.LastEvent < 0 || e.Failures < 0 || e.ScoreFailures < 0 {
+		return false
+	}
+	return e.LastEvent > 0 || e.Failures > 0 || e.ScoreFailures > 0
 }
 
 func encode(e *envelope) ([]byte, error) {
@@ -192,24 +204,29 @@
 	return encode(&envelope{Kind: kindResult, Step: r.Step, Result: r})
 }
 
-// Progress is the part of a sample that was generated so far.
+// Progress is the part of a sample that was generated so far, and how often that has failed.
 type Progress struct {
 	// ItemIndex is the index of the item in its step.
 	ItemIndex int
 	Text      string
-	// LastEvent is the id of the last event whose text is in Text; it is positive.
+	// LastEvent is the id of the last event whose text is in Text, 0 if there is no text.
 	LastEvent int64
 	Versions  []int64
 	// Writer is the software that generated the text; its zero value means that this is not
 	// known.
 	Writer directory.Software
+	// Failures is the number of servers that ran the item and answered that they failed,
+	// ScoreFailures the number of those that did so for the call to its scorer.
+	Failures      int
+	ScoreFailures int
 }
 
-// Saved returns the record of the progress of a long sample, from which another host can
-// resume the generation.
+// Saved returns the record of a sample's progress, from which another host can go on with the
+// sample.
 func Saved(step string, p *Progress) ([]byte, error) {
 	return encode(&envelope{
-		Kind: kindProgress, Step: step, LastEvent: p.LastEvent, Writer: p.Writer, Result: &Result{
+		Kind: kindProgress, Step: step, LastEvent: p.LastEvent, Writer: p.Writer,
+		Failures: p.Failures, ScoreFailures: p.ScoreFailures, Result: &Result{
 			Step:      step,
 			ItemIndex: p.ItemIndex, Text: p.Text, Versions: p.Versions,
 		},
@@ -223,12 +240,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if e.Kind != kindProgress || e.Result == nil || e.LastEvent <= 0 {
+	if !e.isProgress() {
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, "not a progress")
 	}
 	return &Progress{
 		ItemIndex: e.Result.ItemIndex, Text: e.Result.Text, LastEvent: e.LastEvent,
-		Versions: e.Result.Versions, Writer: e.Writer,
+		Versions: e.Result.Versions, Writer: e.Writer, Failures: e.Failures, ScoreFailures: e.ScoreFailures,
 	}, nil
 }
 
