A planned stop takes only what it can answer, and answers all that it took

Cause: nothing compared the time that a request takes with the time that is left. A host that drains refused steps only; a plain request or a stream was taken as long as its connection was open, and got 0.45 s at the end before its connection was closed.

Change: package grace decides, without I/O, what a host still takes once it has announced its stop: a request whose deadline passes in time, or one of a route whose requests, the running ones included, take no longer than is left. Gateway.Do asks it before anything is sent. The deadline of what it takes is no later than the end of the window, where all requests in progress are given up in order: answered, then closed. One that waits for a permit beyond it is refused when the stop begins.

Failed try: the times of ended requests alone. The first slow requests of a load are known only once they have ended, so the ones behind them are taken too late; those in progress count now.

--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/chart"
+	"mulberrypier.example/pier/grace"
+	"mulberrypier.example/pier/outcome"
 )
 
 const (
@@ -19,9 +23,13 @@
 	unhealthyDetectionTime = 2300 * time.Millisecond
 	// drainPollInterval is the time between two checks for unfinished work.
 	drainPollInterval = 50 * time.Millisecond
-	// drainReserve is the part of the grace period that is kept for releasing steps and
-	// closing the listeners.
-	drainReserve = 900 * time.Millisecond
+	// releaseReserve is the part of the grace period that is kept for releasing steps.
+	releaseReserve = 900 * time.Millisecond
+	// answerReserve is the part of the grace period that is kept for closing connections, after
+	// the last answers.
+	answerReserve = 400 * time.Millisecond
+	// maxHistories bounds the routes of which the times of requests are kept.
+	maxHistories = 1000
 )
 
 var drainChart = chart.Load("drain")
@@ -34,10 +42,23 @@
 	state     *chart.Machine
 	startedCh chan struct{}
 	requests  inProgress
+	// ctx is the base of the contexts of all requests. It ends when they have to be answered.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// window is nil until the drain starts.
+	window atomic.Pointer[grace.Window]
+
+	mu sync.Mutex
+	// histories hold the times of callers' requests by route.
+	histories map[string]*grace.History
 }
 
 func newDrainer(g *Gateway) *drainer {
-	return &drainer{g: g, state: chart.NewMachine(drainChart), startedCh: make(chan struct{})}
+	r := &drainer{
+		g: g, state: chart.NewMachine(drainChart), startedCh: make(chan struct{}), histories: make(map[string]*grace.History),
+	}
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
+	return r
 }
 
 func (r *drainer) fire(e chart.Event) {
@@ -62,11 +83,66 @@
 // such as a takeover or the order lease.
 func (r *drainer) leaving() bool { return !r.healthy() }
 
+// history returns the times of the requests of a route.
+func (r *drainer) history(route string) *grace.History {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.histories[route]
+	if h == nil {
+		if len(r.histories) >= maxHistories {
+			clear(r.histories)
+		}
+		h = grace.NewHistory()
+		r.histories[route] = h
+	}
+	return h
+}
+
+// admit lets a caller's request begin, unless the host shuts down and the answer would not be
+// complete before its process ends. The request's deadline is not later than that then. The end of
+// what it returns must be recorded.
+func (r *drainer) admit(c *Call) (*grace.Request, error) {
+	now, h := time.Now(), r.history(c.Route.Name)
+	if w := r.window.Load(); w != nil && !now.Before(w.Announced) {
+		usual := h.Longest(now)
+		if !w.Takes(now, c.Deadline, usual) {
+			return nil, outcome.Refuse(outcome.ReasonDraining, fmt.Sprintf("%v left, such requests take up to %v",
+				w.End.Sub(now).Round(time.Millisecond), usual.Round(time.Millisecond)))
+		}
+		if c.Deadline.After(w.End) {
+			c.Deadline = w.End
+		}
+	}
+	return h.Begin(now), nil
+}
+
+// waitFor waits before a request is sent. It returns why the request must not be sent, empty if it
+// may be: the context has ended, or a shutdown would end before the request could be sent.
+func (r *drainer) waitFor(ctx context.Context, d time.Duration) outcome.Reason {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	at, started := time.Now().Add(d), r.started()
+	for {
+		select {
+		case <-t.C:
+			return ""
+		case <-ctx.Done():
+			return outcome.ReasonOf(ctx)
+		case <-started:
+			if at.After(r.window.Load().End) {
+				return outcome.ReasonDraining
+			}
+			started = nil
+		}
+	}
+}
+
 // Drain shuts the host down gracefully and returns when the process may exit.
 func (g *Gateway) Drain() {
 	r := g.drain
-	end := time.Now().Add(g.s.Timing.Grace.D() - drainReserve)
-	ctx, cancel := context.WithDeadline(g.ctx, end)
+	start, period := time.Now(), g.s.Timing.Grace.D()
+	r.window.Store(&grace.Window{Announced: start.Add(unhealthyDetectionTime), End: start.Add(period - answerReserve)})
+	ctx, cancel := context.WithDeadline(g.ctx, start.Add(period-releaseReserve))
 	defer cancel()
 	r.fire("stop")
 	close(r.startedCh)
@@ -86,7 +162,8 @@
 	} else {
 		r.fire("idle")
 	}
-	g.shutDown()
+	g.endRequests()
+	g.closeConnections()
 }
 
 // stopListening accepts no further connections. Those that are open stay open.
@@ -104,22 +181,33 @@
 }
 
 // releaseSteps releases the incomplete steps, so that other hosts take them over, and waits
-// until the pending records are in the log, for at most half of drainReserve.
+// until the pending records are in the log, but not longer than callers wait for their answers.
 func (g *Gateway) releaseSteps() {
 	g.steps.release()
-	ctx, cancel := context.WithTimeout(g.ctx, drainReserve/2)
+	ctx, cancel := context.WithDeadline(g.ctx, g.drain.window.Load().End)
 	defer cancel()
 	for g.journal.hasPending() && backoff.Sleep(ctx, drainPollInterval/2) {
 	}
 }
 
-// shutDown lets no further request begin, waits for those in progress and closes all
-// connections, for at most half of drainReserve.
-func (g *Gateway) shutDown() {
-	ctx, cancel := context.WithTimeout(context.Background(), drainReserve/2)
+// endRequests waits for the requests in progress and lets no further one begin. Those that are not
+// answered at the end of the window are given up, which answers them.
+func (g *Gateway) endRequests() {
+	ctx, cancel := context.WithDeadline(context.Background(), g.drain.window.Load().End)
 	defer cancel()
-	for !g.drain.requests.close() && backoff.Sleep(ctx, drainPollInterval/2) {
+	for !g.drain.requests.closeIfNone() && backoff.Sleep(ctx, drainPollInterval/2) {
 	}
+	g.drain.cancel(outcome.Refuse(outcome.ReasonDraining, "end of the grace period"))
+	ctx, cancel = context.WithTimeout(context.Background(), answerReserve/2)
+	defer cancel()
+	for (!g.drain.requests.close() || g.streams.hasPending()) && backoff.Sleep(ctx, drainPollInterval/5) {
+	}
+}
+
+// closeConnections closes all connections.
+func (g *Gateway) closeConnections() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerReserve/4)
+	defer cancel()
 	var w sync.WaitGroup
 	for _, s := range g.servers {
 		w.Go(func() {
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -105,10 +105,8 @@
 // server can have executed the request.
 func (g *Gateway) Do(ctx context.Context, c Call) (*Answer, error) {
 	start := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	a, err := g.attempts(ctx, c)
+	a, err := g.admitted(ctx, c)
 	if err != nil {
-		cancel()
 		e := outcome.AsError(err)
 		g.metrics.refusals.WithLabelValues(string(e.Reason)).Inc()
 		level := zap.InfoLevel
@@ -120,14 +118,36 @@
 			zap.String("at", e.Detail), zap.Duration("after", time.Since(start)))
 		return nil, e
 	}
+	g.metrics.plain.Observe(time.Since(start).Seconds())
+	return a, nil
+}
+
+// admitted sends a request that may begin, which lasts until its answer is closed. A call to a
+// scorer always may: no caller waits for its answer.
+func (g *Gateway) admitted(ctx context.Context, c Call) (*Answer, error) {
+	ended := func() {}
+	if !c.deferrable() {
+		r, err := g.drain.admit(&c)
+		if err != nil {
+			return nil, err
+		}
+		ended = func() { r.End(time.Now()) }
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	a, err := g.attempts(ctx, c)
+	if err != nil {
+		cancel()
+		ended()
+		return nil, err
+	}
 	done := a.close
 	a.close = func() {
 		if done != nil {
 			done()
 		}
 		cancel()
+		ended()
 	}
-	g.metrics.plain.Observe(time.Since(start).Seconds())
 	return a, nil
 }
 
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -231,7 +231,7 @@
 	}
 	s := &http.Server{
 		Handler: g.drain.track(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(g.log),
+		ErrorLog: zap.NewStdLog(g.log), BaseContext: func(net.Listener) context.Context { return g.drain.ctx },
 	}
 	g.servers = append(g.servers, s)
 	g.listeners = append(g.listeners, n)
--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
-	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/peer"
@@ -97,9 +96,11 @@
 		return backend.Admission{}, l.refuse(s, a.Wait)
 	}
 	l.g.metrics.permits.WithLabelValues(permitGranted).Inc()
-	if a.Wait > 0 && !backoff.Sleep(ctx, a.Wait) {
-		l.g.metrics.permits.WithLabelValues(permitUnused).Inc()
-		return backend.Admission{}, outcome.Refuse(outcome.ReasonOf(ctx), s.ID)
+	if a.Wait > 0 {
+		if r := l.g.drain.waitFor(ctx, a.Wait); r != "" {
+			l.g.metrics.permits.WithLabelValues(permitUnused).Inc()
+			return backend.Admission{}, outcome.Refuse(r, s.ID)
+		}
 	}
 	return backend.Admission{Limited: true, At: asked, Until: asked + a.Wait + permitLifetime}, nil
 }
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -120,9 +120,13 @@
 	return Ambiguous(ReasonServerError, err.Error(), err)
 }
 
-// ReasonOf returns the reason of a failure that the end of ctx has caused: cancelled if the
-// caller no longer waits, and deadline-exceeded otherwise.
+// ReasonOf returns the reason of a failure that the end of ctx has caused: that of the *Error which
+// ctx was cancelled with, cancelled if the caller no longer waits, and deadline-exceeded otherwise.
 func ReasonOf(ctx context.Context) Reason {
+	var e *Error
+	if errors.As(context.Cause(ctx), &e) {
+		return e.Reason
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ReasonCancelled
 	}
