Requests, items and reward calls use the services of a split route that have servers

With both up, all items run at the first one: the weights were not kept for items at all.

Cause: the service was chosen without a look at servers, in two places: the first entry of the list for items, the hash of the id for all others, the same at each try. And a step stopped at its first waiting sample that found no slot.

Change: Route.ServicesFor orders the services of a request by weight, for all three; pickServer and a step's slotPicker go through that order. A waiting sample holds up only those with the same need.

TestPickFollowsWeights becomes TestServicesFollowWeights with the same figures, as the function now returns all services.

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,7 +29,7 @@
 // not, as a server has ended under it.
 func (g *Gateway) dispatch(ctx context.Context, c *plainCall, careful bool) (*Answer, error) {
 	s := plainDispatch{
-		g: g, c: c, service: c.service(), careful: careful,
+		g: g, c: c, careful: careful,
 		tried: make(map[string]bool), limited: make(map[string]bool),
 	}
 	s.endedAttempts = make(chan *serverAttempt, c.Route.Attempts+1)
@@ -67,9 +68,8 @@
 
 // plainDispatch is the state of a plain request that is sent to one server or several.
 type plainDispatch struct {
-	g       *Gateway
-	c       *plainCall
-	service string
+	g *Gateway
+	c *plainCall
 	// careful is set for a request under which a server has ended.
 	careful bool
 	tried   map[string]bool
@@ -127,8 +127,9 @@
 // noServer sets the error of a request for which no server was picked: that of the last server
 // that was tried, with a time to come back if that one states none.
 func (s *plainDispatch) noServer() {
-	if s.c.deferrable() && s.last.Reason == outcome.ReasonNoServer && s.g.fleet.hasServers(s.service) {
-		s.last = outcome.Refuse(outcome.ReasonQueueFull, s.service).After(busyRetryAfter)
+	services := s.c.services()
+	if s.c.deferrable() && s.last.Reason == outcome.ReasonNoServer && slices.ContainsFunc(services, s.g.fleet.hasServers) {
+		s.last = outcome.Refuse(outcome.ReasonQueueFull, strings.Join(services, ",")).After(busyRetryAfter)
 	}
 	if s.last.Reason == outcome.ReasonUnreachable && s.last.RetryAfter == 0 {
 		s.last = s.last.After(unavailableRetryAfter)
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
@@ -66,9 +65,6 @@
 	}
 }
 
-// service returns the service that the call goes to.
-func (c *Call) service() string { return c.Route.PickService(xxhash.Sum64String(c.ID)) }
-
 // limitWait returns how long the call may wait for a server whose limit is used up, or for the
 // trial of a request like it: until there is just time left for an answer. A call to a scorer waits only briefly and comes
 // again later, so that callers' requests find no long queue before them.
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	"mulberrypier.example/pier/directory"
@@ -148,7 +149,8 @@
 
 // serverChoice is what a server has to be to get a plain request.
 type serverChoice struct {
-	service string
+	// services holds the services to use, the preferred one first.
+	services []string
 	// software is the version of the software that the server must run, empty for any.
 	software string
 	// tried holds the servers that are not picked.
@@ -159,56 +161,89 @@
 
 // noServer returns the refusal of a request for which there is no server.
 func (c serverChoice) noServer() *outcome.Error {
-	what := c.service
+	what := strings.Join(c.services, ",")
 	if c.software != "" {
 		what += " " + c.software
 	}
 	return outcome.Refuse(outcome.ReasonNoServer, what).After(unavailableRetryAfter)
 }
 
-// pickServer picks a server for a plain request. A server that is
-// avoided, at which a suspect request is tried, or whose limit leaves no room for some time, is
-// picked only if there is no other. One at whose address nothing listened just before is not
-// picked at all: a call finds out at once that no server is left.
-//
-// A deferrable request, which comes again later, gets no server that is full: one that has
-// refused this host a request shortly before, or has as many requests waiting as running.
+// pickServer picks a server for a plain request: the best one of the first service that has one
+// which can take the request at once, or else the best one of all services.
 func (f *fleet) pickServer(p serverChoice) (*reservation, bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	best, bestCost := -1, 0.0
-	l := f.byService[p.service]
-	for i, s := range l {
-		t := f.states[s.ID]
-		if s.Leaving || p.tried[s.ID] || now.Before(t.absentUntil) {
-			continue
+	var best *directory.Server
+	var bestCost float64
+	for _, name := range p.services {
+		s, c := f.bestServer(name, p, now)
+		if s != nil && (best == nil || c < bestCost) {
+			best, bestCost = s, c
 		}
-		if p.software != "" && s.Software != p.software {
-			continue
+		if best != nil && bestCost < avoidCost {
+			break
 		}
-		inTrial := f.g.suspects.inTrial(&s)
-		if p.deferrable && (inTrial || t.isFull(s, now)) {
+	}
+	if best == nil {
+		return nil, false
+	}
+	return f.reserve(*best), true
+}
+
+// bestServer returns the server of a service that costs a plain request least, nil if there is
+// none. A server that is avoided, at which a suspect request is tried, or whose limit leaves no
+// room for some time, is returned only if there is no other. One at whose address nothing listened
+// just before is not returned at all: a call finds out at once that no server is left.
+//
+// A deferrable request, which comes again later, gets no server that is full: one that has
+// refused this host a request shortly before, or has as many requests waiting as running. The
+// caller holds mu.
+func (f *fleet) bestServer(service string, p serverChoice, now time.Time) (*directory.Server, float64) {
+	best, bestCost := -1, 0.0
+	l := f.byService[service]
+	for i := range l {
+		if !f.mayTake(&l[i], p, now) {
 			continue
 		}
-		c := float64(t.estimatedRunning(now)) / float64(max(s.Slots, 1))
-		if inTrial || now.Before(t.avoidUntil) {
-			c += avoidCost
-		}
-		if s.Domain != f.g.s.Domain {
-			c += remoteDomainCost
-		}
-		if _, wait := f.g.limits.wait(s); wait > 0 {
-			c += limitedCost * wait.Seconds()
-		}
+		c := f.cost(&l[i], now)
 		if best < 0 || c < bestCost {
 			best, bestCost = i, c
 		}
 	}
 	if best < 0 {
-		return nil, false
+		return nil, 0
+	}
+	return &l[best], bestCost
+}
+
+// mayTake reports whether a server may get a request at all. The caller holds mu.
+func (f *fleet) mayTake(s *directory.Server, p serverChoice, now time.Time) bool {
+	t := f.states[s.ID]
+	switch {
+	case s.Leaving || p.tried[s.ID] || now.Before(t.absentUntil):
+		return false
+	case p.software != "" && s.Software != p.software:
+		return false
+	}
+	return !p.deferrable || !f.g.suspects.inTrial(s) && !t.isFull(*s, now)
+}
+
+// cost ranks a server for a plain request by its load per slot and by what speaks against it. The
+// caller holds mu.
+func (f *fleet) cost(s *directory.Server, now time.Time) float64 {
+	t := f.states[s.ID]
+	c := float64(t.estimatedRunning(now)) / float64(max(s.Slots, 1))
+	if now.Before(t.avoidUntil) || f.g.suspects.inTrial(s) {
+		c += avoidCost
+	}
+	if s.Domain != f.g.s.Domain {
+		c += remoteDomainCost
+	}
+	if _, wait := f.g.limits.wait(*s); wait > 0 {
+		c += limitedCost * wait.Seconds()
 	}
-	return f.reserve(l[best]), true
+	return c
 }
 
 // isFull reports whether a server has no room for a deferrable request.
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -52,10 +52,11 @@
 	queuedAt  time.Time
 	startedAt time.Time
 	scoringAt time.Time
-	// server is the ID of the server that runs the sample since placedAt; runs is the
-	// number of runs, moves the number of those that were ended to move the sample to a
+	// server is the ID of the server that runs the sample since placedAt, service its service;
+	// runs is the number of runs, moves the number of those that were ended to move the sample to a
 	// faster server.
 	server   string
+	service  string
 	placedAt time.Time
 	runs     int
 	moves    int
--- a/pier/gateway/samplewriter.go
+++ b/pier/gateway/samplewriter.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,13 +28,13 @@
 // hasText reports whether a part of the text was generated that a server has to continue.
 func (s *sample) hasText() bool { return s.lastID > 0 && !s.complete }
 
-// checkWriter discards a text that no server of the service can continue.
-func (s *sample) checkWriter(service string) {
+// checkWriter discards a text that no server of the services can continue.
+func (s *sample) checkWriter(services []string) {
 	switch {
 	case !s.hasText():
 	case !s.writer.Known():
 		s.beginAnew(anewUnknownSoftware)
-	case s.writer.Service != service:
+	case !slices.Contains(services, s.writer.Service):
 		s.beginAnew(anewOtherService)
 	}
 }
--- /dev/null
+++ b/pier/gateway/slotpicker.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"mulberrypier.example/pier/routetable"
+	"mulberrypier.example/pier/stepplan"
+)
+
+// slotNeed is what a sample needs: a service, and what one of its engines must meet.
+type slotNeed struct {
+	service string
+	need    stepplan.Need
+}
+
+// slotPicker finds free slots for the waiting samples of a step, one after the other. It asks
+// once only for what it has not found.
+type slotPicker struct {
+	f     *fleet
+	t     *routetable.Table
+	model string
+	// full holds the needs that no free slot meets.
+	full map[slotNeed]bool
+}
+
+// pick picks an engine of a service that meets a need and reserves a slot there.
+func (p *slotPicker) pick(service string, n stepplan.Need) (*reservation, bool) {
+	k := slotNeed{service, n}
+	if p.full[k] {
+		return nil, false
+	}
+	u, ok := p.f.pickEngine(service, p.model, n, p.t.Slots(service))
+	p.full[k] = !ok
+	return u, ok
+}
+
+// hasFree reports whether an engine of one of the services has a free slot and meets a need.
+func (p *slotPicker) hasFree(services []string, n stepplan.Need) bool {
+	for _, s := range services {
+		k := slotNeed{s, n}
+		if !p.full[k] && p.f.hasFreeEngine(s, p.model, n, p.t.Slots(s)) {
+			return true
+		}
+		p.full[k] = true
+	}
+	return false
+}
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/boottime"
@@ -137,12 +138,12 @@
 	if t == nil {
 		return
 	}
-	for k, l := range d.movable(t) {
+	for k, l := range d.movable() {
 		runs := make([]stepplan.Run, len(l))
 		for i, s := range l {
 			runs[i] = stepplan.Run{Server: s.server, MinVersion: d.minVersion(s)}
 		}
-		for _, i := range d.g.fleet.moves(k.name, d.step.Model, k.slots, runs, maxMovesAtOnce) {
+		for _, i := range d.g.fleet.moves(k, d.step.Model, t.Slots(k), runs, maxMovesAtOnce) {
 			s := l[i]
 			s.moves++
 			d.g.metrics.retries.WithLabelValues(reasonMoved).Inc()
@@ -153,24 +154,15 @@
 	}
 }
 
-// engineService is a service that generates samples. slots is the number of slots of those
-// of its servers whose registrations state none.
-type engineService struct {
-	name  string
-	slots int
-}
-
-// movable returns the running samples that may move, by their service, ordered by the time
-// that they have been on their server, longest first.
-func (d *stepDriver) movable(t *routetable.Table) map[engineService][]*sample {
-	r := make(map[engineService][]*sample)
+// movable returns the running samples that may move, by the service that runs them, ordered by
+// the time that they have been on their server, longest first.
+func (d *stepDriver) movable() map[string][]*sample {
+	r := make(map[string][]*sample)
 	for _, s := range d.running {
 		if s.moves >= maxMoves || time.Since(s.placedAt) < moveInterval || s.finishing.Load() {
 			continue
 		}
-		if k, ok := d.engineService(t, s); ok {
-			r[k] = append(r[k], s)
-		}
+		r[s.service] = append(r[s.service], s)
 	}
 	for _, l := range r {
 		slices.SortFunc(l, func(a, b *sample) int { return a.placedAt.Compare(b.placedAt) })
@@ -229,8 +221,8 @@
 	}
 }
 
-// startWaiting starts waiting samples in order until one finds no free slot. One that waits for
-// servers of its software does not hold up the others.
+// startWaiting starts waiting samples in order, each as far as there is a free slot that suits it.
+// One that waits does not hold up others that need something else.
 func (d *stepDriver) startWaiting() {
 	if d.outdated(time.Now()) {
 		return
@@ -240,16 +232,9 @@
 		return
 	}
 	keep := d.waiting[:0]
-	full := false
+	p := slotPicker{f: d.g.fleet, t: t, model: d.step.Model, full: make(map[slotNeed]bool)}
 	for _, s := range d.waiting {
-		if d.ended[s.at] {
-			continue
-		}
-		started := false
-		if !full {
-			started, full = d.startSample(t, s)
-		}
-		if !started {
+		if !d.ended[s.at] && !d.startSample(&p, s) {
 			keep = append(keep, s)
 		}
 	}
@@ -263,29 +248,35 @@
 	return now.Sub(d.startedAt) > driveMaxViewAge && d.view.staleAt(now.Add(-driveMaxViewAge)) && unwatched > watchedTimeout
 }
 
-// startSample starts a sample if an engine has a free slot for it. full is set if there is none
-// for any other sample either.
-func (d *stepDriver) startSample(t *routetable.Table, s *sample) (started, full bool) {
-	k, ok := d.engineService(t, s)
-	if !ok {
-		return false, true
-	}
-	s.checkWriter(k.name)
-	u, ok := d.g.fleet.pickEngine(k.name, d.step.Model, d.need(s), k.slots)
-	if !ok && s.hasText() {
-		anywhere := stepplan.Need{MinVersion: d.minVersion(s)}
-		if !d.g.fleet.hasFreeEngine(k.name, d.step.Model, anywhere, k.slots) {
-			return false, true
+// startSample starts a sample if an engine has a free slot for it, and reports whether it did.
+func (d *stepDriver) startSample(p *slotPicker, s *sample) bool {
+	services := d.services(p.t, s)
+	if len(services) == 0 {
+		return false
+	}
+	s.checkWriter(services)
+	if s.hasText() {
+		if u, ok := p.pick(s.writer.Service, d.need(s)); ok {
+			d.start(s, u)
+			return true
 		}
-		if !s.givesTextUp(time.Now()) {
-			return false, false
+		anywhere := stepplan.Need{MinVersion: d.minVersion(s)}
+		if !p.hasFree(services, anywhere) || !s.givesTextUp(time.Now()) {
+			return false
 		}
-		u, ok = d.g.fleet.pickEngine(k.name, d.step.Model, d.need(s), k.slots)
 	}
-	if !ok {
-		return false, true
+	for _, k := range services {
+		if u, ok := p.pick(k, d.need(s)); ok {
+			d.start(s, u)
+			return true
+		}
 	}
-	s.server, s.placedAt = u.s.ID, time.Now()
+	return false
+}
+
+// start runs a sample at the server of a reservation.
+func (d *stepDriver) start(s *sample, u *reservation) {
+	s.server, s.service, s.placedAt = u.s.ID, u.s.Service, time.Now()
 	if s.startedAt.IsZero() {
 		s.startedAt = time.Now()
 	}
@@ -297,20 +288,16 @@
 		s.run(ctx, u)
 		d.endedRuns <- s
 	})
-	return true, false
 }
 
-// engineService returns the service that generates a sample.
-func (d *stepDriver) engineService(t *routetable.Table, s *sample) (engineService, bool) {
+// services returns the services that may generate a sample, in the order in which it uses them. It
+// is empty if no route leads to any.
+func (d *stepDriver) services(t *routetable.Table, s *sample) []string {
 	r := t.Match(d.step.Host, s.item.Path)
 	if r == nil {
-		return engineService{}, false
-	}
-	k := engineService{name: r.PickService(0), slots: 1}
-	if v := t.Services[k.name]; v != nil {
-		k.slots = max(v.Slots, 1)
+		return nil
 	}
-	return k, true
+	return r.ServicesFor(xxhash.Sum64String(s.item.ID))
 }
 
 // minVersion returns the oldest version that may generate the rest of a sample.
--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -14,7 +14,6 @@
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
-	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/streamorigin"
 )
 
@@ -135,7 +134,7 @@
 		return t, e.After(originRetryAfter)
 	case state != streamorigin.Known:
 		return t, e
-	case !leadsTo(c.Route, t.origin.Writer.Service):
+	case !c.Route.LeadsTo(t.origin.Writer.Service):
 		return t, outcome.Refuse(outcome.ReasonNoServer, "the route no longer leads to "+t.origin.Writer.Service)
 	}
 	return t, nil
@@ -163,11 +162,6 @@
 	return t, nil
 }
 
-// leadsTo reports whether a route sends requests to a service.
-func leadsTo(r *routetable.Route, service string) bool {
-	return slices.ContainsFunc(r.Services, func(w routetable.WeightedService) bool { return w.Service == service })
-}
-
 func (s *streams) find(stream string, c *plainCall) (streamorigin.Record, streamorigin.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backend"
@@ -26,29 +27,31 @@
 	Call
 	// writer is the software that must answer the call; its zero value allows any.
 	writer directory.Software
+	// order holds the route's services in the order in which the call uses them.
+	order []string
 	// key returns the key, which is computed when it is first needed.
 	key func() quarantine.Key
 }
 
 func newPlainCall(c Call) *plainCall {
-	return &plainCall{Call: c, key: sync.OnceValue(func() quarantine.Key {
+	return &plainCall{Call: c, order: c.Route.ServicesFor(xxhash.Sum64String(c.ID)), key: sync.OnceValue(func() quarantine.Key {
 		return quarantine.KeyOf(quarantine.Identity{
 			Host: c.Host, Method: c.Method, Target: c.Target, Caller: c.Caller, Body: c.Body,
 		})
 	})}
 }
 
-// service returns the service that the call goes to.
-func (c *plainCall) service() string {
+// services returns the services that the call may go to, in the order in which it uses them.
+func (c *plainCall) services() []string {
 	if c.writer.Known() {
-		return c.writer.Service
+		return []string{c.writer.Service}
 	}
-	return c.Call.service()
+	return c.order
 }
 
 // choice returns what a server has to be to get the call, if it has not been tried.
 func (c *plainCall) choice(tried map[string]bool) serverChoice {
-	return serverChoice{service: c.service(), software: c.writer.Version, tried: tried, deferrable: c.deferrable()}
+	return serverChoice{services: c.services(), software: c.writer.Version, tried: tried, deferrable: c.deferrable()}
 }
 
 // attempts sends a call to servers.
@@ -117,7 +120,7 @@
 		return nil, true, choice.noServer()
 	}
 	e := quarantine.Event{
-		Kind: quarantine.KindTrial, Key: c.key(), Service: choice.service, Server: u.s.Incarnation(), Claim: g.suspects.newClaim(),
+		Kind: quarantine.KindTrial, Key: c.key(), Service: u.s.Service, Server: u.s.Incarnation(), Claim: g.suspects.newClaim(),
 		Trial: d.Trial, Lasts: time.Until(c.Deadline) + trialMargin,
 	}
 	has, err := g.suspects.claim(ctx, e)
--- a/pier/routetable/routetable.go
+++ b/pier/routetable/routetable.go
@@ -61,24 +61,47 @@
 	Weight  int
 }
 
-// PickService returns the service for a request. The requests are distributed by weight
-// as long as the values of n are distributed evenly.
-func (r *Route) PickService(n uint64) string {
-	if len(r.Services) == 1 {
-		return r.Services[0].Service
+// ServicesFor returns the route's services in the order in which a request should use them: the
+// next one if those before have no server for it. As long as the values of n are distributed
+// evenly, the first of them are distributed by weight, and so are the next among those left.
+func (r *Route) ServicesFor(n uint64) []string {
+	left := slices.Clone(r.Services)
+	l := make([]string, 0, len(left))
+	for len(left) > 0 {
+		i := pick(left, n)
+		l = append(l, left[i].Service)
+		left = slices.Delete(left, i, i+1)
+		n = mix(n)
 	}
-	sum := 0
-	for _, s := range r.Services {
-		sum += s.Weight
+	return l
+}
+
+// pick returns the index of the service that has n, modulo the sum of the weights, in its share.
+func pick(l []WeightedService, n uint64) int {
+	var sum uint64
+	for _, s := range l {
+		sum += uint64(s.Weight)
 	}
-	point := int(n % uint64(max(sum, 1)))
-	for _, s := range r.Services {
-		if point < s.Weight {
-			return s.Service
+	point := n % max(sum, 1)
+	for i, s := range l {
+		if point < uint64(s.Weight) {
+			return i
 		}
-		point -= s.Weight
+		point -= uint64(s.Weight)
 	}
-	return r.Services[0].Service
+	return 0
+}
+
+// mix returns a number that does not depend on n modulo a small number.
+func mix(n uint64) uint64 {
+	n = (n ^ n>>33) * 0xff51afd7ed558ccd
+	n = (n ^ n>>33) * 0xc4ceb9fe1a85ec53
+	return n ^ n>>33
+}
+
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service })
 }
 
 // Service is a set of interchangeable backend servers.
@@ -149,6 +172,15 @@
 	return slices.Compact(r)
 }
 
+// Slots returns the number of slots of a service's engines whose registrations state none, at
+// least 1.
+func (t *Table) Slots(service string) int {
+	if s := t.Services[service]; s != nil {
+		return max(s.Slots, 1)
+	}
+	return 1
+}
+
 // Match returns the route of host with the longest prefix of path, or nil if there is none.
 // A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
--- a/pier/routetable/routetable_test.go
+++ b/pier/routetable/routetable_test.go
@@ -35,11 +35,29 @@
 	}
 }
 
-func TestPickFollowsWeights(t *testing.T) {
+func TestServicesFollowWeights(t *testing.T) {
 	r := Route{Services: []WeightedService{{"a", 90}, {"b", 10}}}
 	n := make(map[string]int)
 	for i := range uint64(1000) {
-		n[r.PickService(i)]++
+		l := r.ServicesFor(i)
+		require.Len(t, l, 2)
+		require.NotEqual(t, l[0], l[1])
+		n[l[0]]++
 	}
 	require.Equal(t, map[string]int{"a": 900, "b": 100}, n)
 }
+
+// The services after the first must be distributed by weight too, or all requests of one that has
+// no servers go to the same other one.
+func TestFurtherServicesFollowWeights(t *testing.T) {
+	r := Route{Services: []WeightedService{{"a", 50}, {"b", 30}, {"c", 20}}}
+	n := make(map[string]int)
+	for i := range uint64(10000) {
+		if l := r.ServicesFor(i); l[0] == "a" {
+			n[l[1]]++
+		}
+	}
+	require.InDelta(t, 3000, n["b"], 150)
+	require.InDelta(t, 2000, n["c"], 150)
+	require.Equal(t, []WeightedService{{"a", 50}, {"b", 30}, {"c", 20}}, r.Services, "the table is immutable")
+}
