A stream is continued only at an incarnation that is known, also at plain services

Cause: engines state when they started and are asked on each new connection; servers of plain services are not, and compare only the id. So between the start of a server under its id and the read of its registration, a host takes the new version for the old one: streams are recorded under the wrong version, or continued by the wrong one. A host that just started, was frozen or cut off errs longer.

Change: the registration confirms an incarnation. The one that writes it after a connection was opened was running then; the follower of a keyed topic knows a time after which each record was written. A connection serves only the incarnation that it was opened for.

Weighed: asking plain servers for a report as engines are asked. They may run it as a request that no client sent.

--- a/pier/backend/conn.go
+++ b/pier/backend/conn.go
@@ -36,8 +36,12 @@
 	limit *limitedReader
 	// server is the id of the incarnation that the connection was opened to.
 	server string
-	// born is the start of the incarnation that answers on the connection, as it stated itself;
-	// zero if it was not asked or states none.
+	// openedAt is a time at which the connection was open, openedFor the start of the incarnation
+	// that it was opened for.
+	openedAt  time.Time
+	openedFor time.Time
+	// born is the start of the incarnation that answers on the connection, zero if that is not
+	// known: it was not asked or states none.
 	born time.Time
 	// asked is set once it was asked.
 	asked bool
@@ -51,7 +55,7 @@
 
 func newConn(n net.Conn, server string) *conn {
 	l := &limitedReader{r: n, left: unlimited}
-	return &conn{Conn: n, r: bufio.NewReaderSize(l, readBufferBytes), limit: l, server: server, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: n, r: bufio.NewReaderSize(l, readBufferBytes), limit: l, server: server, idleTimeout: defaultIdleTimeout, openedAt: time.Now()}
 }
 
 // unlimited is the value of limitedReader.left without a limit.
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -28,6 +28,7 @@
 		if c, err = p.dial(ctx, q.Server, q.Address); err != nil {
 			return nil, err
 		}
+		c.openedFor = q.Born
 	}
 	c.maxIdle = q.maxIdle()
 	if err := p.verify(ctx, c, &q); err != nil {
--- a/pier/backend/identity.go
+++ b/pier/backend/identity.go
@@ -17,19 +17,33 @@
 )
 
 // verify returns an error, whose outcome is not-run, if q requires an incarnation and another one
-// answers on c. A connection leads to one incarnation for as long as it is open, so the server is
-// asked once for each. A server that does not state when it started is taken for the one that is
-// registered. After an error the connection is closed.
+// answers on c. A connection leads to one incarnation for as long as it is open, so that is found
+// out once for each. A server that does not state when it started is taken for the one that is
+// registered, unless q continues what was generated before: then the registration has to confirm
+// that. After an error the connection is closed.
 func (p *Pool) verify(ctx context.Context, c *conn, q *Request) error {
-	if !q.SameIncarnation || p.c.Identity.Target == "" {
+	if err := p.verifyStated(ctx, c, q); err != nil {
+		return err
+	}
+	if !q.Continues || !c.born.IsZero() {
 		return nil
 	}
-	if !c.asked {
+	if err := p.c.Confirm(ctx, q, c.openedAt); err != nil {
+		_ = c.Close()
+		return err
+	}
+	c.born = q.Born
+	return nil
+}
+
+// verifyStated compares the start that the server states, if q requires that, with the one of q.
+func (p *Pool) verifyStated(ctx context.Context, c *conn, q *Request) error {
+	if q.SameIncarnation && p.c.Identity.Target != "" && !c.asked {
 		if err := p.ask(ctx, c, q); err != nil {
 			return err
 		}
 	}
-	if !c.mayLeadTo(q.Born) {
+	if (q.SameIncarnation || q.Continues) && !c.mayLeadTo(q.Born) {
 		_ = c.Close()
 		return outcome.Refuse(outcome.ReasonOtherIncarnation, q.Server)
 	}
@@ -37,7 +51,12 @@
 }
 
 // mayLeadTo reports whether the incarnation that started at born may answer on the connection.
-func (c *conn) mayLeadTo(born time.Time) bool { return c.born.IsZero() || c.born.Equal(born) }
+func (c *conn) mayLeadTo(born time.Time) bool {
+	if c.born.IsZero() {
+		return c.openedFor.Equal(born)
+	}
+	return c.born.Equal(born)
+}
 
 // ask asks the server on c when it started. After an error c is closed.
 func (p *Pool) ask(ctx context.Context, c *conn, q *Request) error {
--- a/pier/backend/pool.go
+++ b/pier/backend/pool.go
@@ -44,6 +44,10 @@
 	// Admit is called before a request with an id is sent. Its error, an *outcome.Error with
 	// the outcome not-run, is returned to the caller. It may be nil.
 	Admit func(ctx context.Context, q *Request) (Admission, error)
+	// Confirm waits until it is known that the incarnation of a request was running at or after a
+	// time. Its error, an *outcome.Error with the outcome not-run, is returned to the caller. If it
+	// is nil, a server that does not state its start is taken for the one that is registered.
+	Confirm func(ctx context.Context, q *Request, at time.Time) error
 	// OnLimit is called for each answer of an incarnation of a server to a request with an
 	// id. limit holds the header fields that state a limit, none if the answer states none. It
 	// may be nil.
@@ -92,6 +96,9 @@
 	if c.Admit == nil {
 		c.Admit = func(context.Context, *Request) (Admission, error) { return Admission{}, nil }
 	}
+	if c.Confirm == nil {
+		c.Confirm = func(context.Context, *Request, time.Time) error { return nil }
+	}
 	if c.OnLimit == nil {
 		c.OnLimit = func(*Request, Admission, []string) {}
 	}
--- a/pier/backend/request.go
+++ b/pier/backend/request.go
@@ -62,6 +62,10 @@
 	// SameIncarnation requires that the server has not started again under its id since Born.
 	// Servers compare the id only.
 	SameIncarnation bool
+	// Continues is set for a request that goes on from what the server's software has generated
+	// before. It is sent only on a connection of which it is known that it leads to the incarnation
+	// that started at Born.
+	Continues bool
 	// MaxIdle is the number of idle connections to the server up to which its connection is
 	// kept afterwards: 0 if there is no limit of the server's, negative to keep none.
 	MaxIdle int
--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Response is the answer to a request. The caller must call Close.
@@ -60,6 +61,15 @@
 	return notCancelled && r.complete && sent && !r.closing && r.conn.r.Buffered() == 0
 }
 
+// UnconfirmedSince returns a time at which the connection was open, if it is not known which
+// incarnation of the server answered, and the zero time otherwise.
+func (r *Response) UnconfirmedSince() time.Time {
+	if r.conn.born.IsZero() {
+		return r.conn.openedAt
+	}
+	return time.Time{}
+}
+
 // NotRun reports whether the server stated that it did not execute the request.
 func (r *Response) NotRun() bool {
 	return r.Header.Get(r.pool.c.Dialect.NotRun) != "" || r.Status == http.StatusMisdirectedRequest
--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -99,7 +99,7 @@
 		s.noServer()
 		return
 	}
-	q := s.g.request(s.c.Call, u)
+	q := s.g.request(s.c, u)
 	q.Purpose = p
 	if !s.mayWait(&q, u) {
 		u.release()
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -112,12 +112,13 @@
 	g.tables.table.Store(routetable.New(1, []*routetable.Route{gen, plain}, services, routetable.Limits{BodyBytes: 1 << 20}))
 }
 
-// register adds servers to the host's view.
+// register adds servers to the host's view, where they stay registered.
 func (g *Gateway) register(s ...directory.Server) {
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
 	for _, x := range s {
 		g.fleet.dir.Register(x)
+		g.fleet.renewals[x.ID] = renewal{born: x.Born, after: time.Now().Add(time.Hour)}
 	}
 	g.fleet.rebuild(time.Now())
 }
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -44,8 +44,10 @@
 	dir       *directory.Directory
 	byService map[string][]directory.Server
 	states    map[string]*serverState
-	// registrations holds the encoded registrations in force, by server.
+	// registrations holds the encoded registrations in force, by server, and renewals when they
+	// were last written.
 	registrations map[string][]byte
+	renewals      map[string]renewal
 	// changed is closed and replaced when a server may have free capacity.
 	changed chan struct{}
 }
@@ -88,30 +90,33 @@
 func newFleet(g *Gateway) *fleet {
 	return &fleet{
 		g: g, dir: directory.New(), byService: make(map[string][]directory.Server),
-		states: make(map[string]*serverState), registrations: make(map[string][]byte), changed: make(chan struct{}),
+		states: make(map[string]*serverState), registrations: make(map[string][]byte), renewals: make(map[string]renewal), changed: make(chan struct{}),
 	}
 }
 
 func (f *fleet) run() {
 	w := follower{
-		g: f.g, topic: f.g.c.Sources.Servers, put: f.put,
-		retainKeys: f.retainKeys, readDone: f.readDone, minInterval: serversReadInterval,
+		g: f.g, topic: f.g.c.Sources.Servers, retainKeys: f.retainKeys, readDone: f.readDone, minInterval: serversReadInterval,
 	}
+	w.put = func(key string, value []byte, offset int64) { f.put(key, value, offset, w.writtenAfter) }
 	w.run()
 }
 
-func (f *fleet) put(key string, value []byte, offset int64) {
+// put handles a registration that was written after a time.
+func (f *fleet) put(key string, value []byte, offset int64, after time.Time) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(value) == 0 {
 		f.dir.Unregister(key, now)
 		delete(f.registrations, key)
+		delete(f.renewals, key)
 		f.g.log.Info("servers: registration removed", zap.String("server", key),
 			zap.Int64("offset", offset))
 		return
 	}
 	if r := f.g.c.Sources.IsRenewal; r != nil && r(f.registrations[key], value) {
+		f.renewals[key] = renewal{born: f.renewals[key].born, after: after}
 		return
 	}
 	s, err := f.g.c.Sources.ReadServer(key, value)
@@ -123,12 +128,14 @@
 	}
 	f.dir.Register(s)
 	f.registrations[key] = bytes.Clone(value)
+	f.renewals[key] = renewal{born: s.Born, after: after}
 }
 
 func (f *fleet) retainKeys(keys map[string]bool) {
 	f.mu.Lock()
 	f.dir.Retain(keys, time.Now())
 	maps.DeleteFunc(f.registrations, func(k string, _ []byte) bool { return !keys[k] })
+	maps.DeleteFunc(f.renewals, func(k string, _ renewal) bool { return !keys[k] })
 	f.mu.Unlock()
 }
 
--- a/pier/gateway/fleet_test.go
+++ b/pier/gateway/fleet_test.go
@@ -44,18 +44,18 @@
 	g.c.Sources.IsRenewal = func(before, now []byte) bool { return len(before) > 0 && before[0] == now[0] }
 	count := func() int { g.fleet.readDone(nil); return len(g.fleet.byService["engines"]) }
 	for i := range byte(5) {
-		g.fleet.put("s", []byte{'x', i}, int64(i))
+		g.fleet.put("s", []byte{'x', i}, int64(i), time.Now())
 	}
 	require.Equal(t, 1, decoded)
-	g.fleet.put("s", nil, 5)
+	g.fleet.put("s", nil, 5, time.Now())
 	require.Zero(t, count())
-	g.fleet.put("s", []byte{'x', 6}, 6)
+	g.fleet.put("s", []byte{'x', 6}, 6, time.Now())
 	require.Equal(t, 1, count())
-	g.fleet.put("s", []byte{'y', 7}, 7)
+	g.fleet.put("s", []byte{'y', 7}, 7, time.Now())
 	require.Equal(t, 3, decoded)
 	g.fleet.retainKeys(map[string]bool{})
 	require.Zero(t, count())
-	g.fleet.put("s", []byte{'y', 8}, 8)
+	g.fleet.put("s", []byte{'y', 8}, 8, time.Now())
 	require.Equal(t, 1, count())
 }
 
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -48,6 +48,10 @@
 	minInterval time.Duration
 	// next is the offset to read from, or -1 to read the newest record of each key.
 	next int64
+	// writtenAfter is a time after which the record that is put was written, zero if none is
+	// known. endReadAt is when the last read that reached the end of the topic was sent.
+	writtenAfter time.Time
+	endReadAt    time.Time
 	// offsets holds the newest offset seen of each key, so that no key returns to an older
 	// value.
 	offsets map[string]int64
@@ -90,16 +94,21 @@
 	if f.next < 0 {
 		return f.restart(ctx)
 	}
+	sent := time.Now()
 	p, err := f.g.c.Log.Read(ctx, partitionlog.ReadRequest{
 		Partition: partitionlog.Partition{Topic: f.topic}, From: f.next, MaxBytes: maxReadBytes, Wait: readWait,
 	})
 	if err != nil {
 		return err
 	}
+	f.writtenAfter = f.endReadAt
 	for i, b := range p.Records {
 		f.apply(p.From+int64(i), b)
 	}
 	f.next = p.From + int64(len(p.Records))
+	if f.next >= p.End {
+		f.endReadAt = sent
+	}
 	return nil
 }
 
@@ -120,10 +129,12 @@
 
 // restart reads the newest record of each key and drops the keys that are gone.
 func (f *follower) restart(ctx context.Context) error {
+	sent := time.Now()
 	n, err := f.g.c.Log.Newest(ctx, f.topic)
 	if err != nil {
 		return err
 	}
+	f.writtenAfter, f.endReadAt = time.Time{}, sent
 	keys := make(map[string]bool)
 	for _, r := range n.Records {
 		keys[r.Key] = true
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -82,8 +82,10 @@
 	Header http.Header
 	// Body is the whole body, or its beginning if Rest is set.
 	Body []byte
-	// Server is the server that answered.
-	Server directory.Server
+	// Server is the server that answered. If it is not known which of its incarnations did,
+	// unconfirmedSince is a time at which that one was running.
+	Server           directory.Server
+	unconfirmedSince time.Time
 	// Rest reads the rest of the body. Close must be called.
 	Rest  io.Reader
 	close func()
@@ -182,7 +184,7 @@
 		return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
 	u.succeeded()
-	a.close, a.Server = end, u.s
+	a.close, a.Server, a.unconfirmedSince = end, u.s, r.UnconfirmedSince()
 	return a, nil
 }
 
@@ -204,7 +206,7 @@
 // recordFailure records a server's failure, unless the attempt was cancelled because the
 // caller is gone or another attempt was answered, or there was no permit for it.
 func (g *Gateway) recordFailure(ctx context.Context, u *reservation, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) || withoutPermit(err) {
+	if errors.Is(ctx.Err(), context.Canceled) || withoutPermit(err) || outcome.HasReason(err, outcome.ReasonUnconfirmed) {
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -213,7 +215,7 @@
 	u.failed(string(outcome.AsError(err).Reason))
 }
 
-func (g *Gateway) request(c Call, u *reservation) backend.Request {
+func (g *Gateway) request(c *plainCall, u *reservation) backend.Request {
 	d := g.c.Dialect
 	h := c.Header.Clone()
 	if h == nil {
@@ -224,7 +226,7 @@
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: c.Method, Target: c.Target, Host: c.Host,
 		ID: c.ID, Header: h, Body: c.Body, Deadline: c.Deadline, MaxIdle: g.maxIdle(u.s.Service),
-		SameIncarnation: c.Route.Kind == routetable.KindStream && g.isEngine(u.s.Service),
+		SameIncarnation: c.Route.Kind == routetable.KindStream && g.isEngine(u.s.Service), Continues: c.writer.Known(),
 	}
 }
 
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -152,6 +152,7 @@
 		Admit: func(ctx context.Context, q *backend.Request) (backend.Admission, error) {
 			return g.limits.admit(ctx, q)
 		},
+		Confirm: func(ctx context.Context, q *backend.Request, at time.Time) error { return g.fleet.confirm(ctx, q, at) },
 		OnLimit: func(q *backend.Request, a backend.Admission, limit []string) { g.limits.observe(q, a, limit) },
 	})
 	g.engines = c.EngineControl(g.pool)
--- a/pier/gateway/splitroute_test.go
+++ b/pier/gateway/splitroute_test.go
@@ -91,7 +91,7 @@
 	require.NoError(t, g.Accept(context.Background(), route(g), newStep("s", 10)))
 	require.Eventually(t, func() bool { return len(lost.runs()) >= 10 }, 5*time.Second, time.Millisecond)
 	latest := startSlowEngine(t, g, "e2", "engines-new", 0)
-	g.fleet.put(lost.ID, nil, 1)
+	g.fleet.put(lost.ID, nil, 1, time.Now())
 	g.fleet.readDone(nil)
 	for _, r := range waitResults(t, g, "s", 10) {
 		require.Equal(t, "t1\nt2\nt3\nt4\nt5", r.Text)
--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
@@ -33,6 +34,8 @@
 	// originRetryAfter is the Retry-After time given to callers while the record of their stream
 	// cannot be read or may still be on its way.
 	originRetryAfter = 500 * time.Millisecond
+	// originConfirmTimeout is how long a host waits until it is known what began a stream.
+	originConfirmTimeout = 5 * time.Second
 	// originRefreshes is how often the record of a stream is appended within the retention of
 	// the log, as long as the stream lasts.
 	originRefreshes = 3
@@ -195,8 +198,13 @@
 	if !r.Writer.Known() {
 		return
 	}
-	s.tell(r)
-	a.Rest = &recordedStream{s: s, record: r, told: time.Now(), r: a.Rest}
+	b := &recordedStream{s: s, record: r, server: a.Server, unconfirmedSince: a.unconfirmedSince, told: time.Now(), r: a.Rest}
+	if b.confirmed() {
+		s.tell(r)
+	} else {
+		s.g.wg.Go(b.tellOnceConfirmed)
+	}
+	a.Rest = b
 }
 
 // continuedAt labels a continuation by what began the stream and what continues it.
@@ -214,15 +222,39 @@
 type recordedStream struct {
 	s      *streams
 	record streamorigin.Record
+	server directory.Server
+	// unconfirmedSince is that of the answer.
+	unconfirmedSince time.Time
 	// told is when the record was last appended.
 	told time.Time
 	r    io.Reader
 }
 
+// confirmed reports whether the registration of the server shows which incarnation answered.
+func (b *recordedStream) confirmed() bool {
+	return b.unconfirmedSince.IsZero() || b.s.g.fleet.ranSince(b.server.ID, b.server.Born, b.unconfirmedSince)
+}
+
+// tellOnceConfirmed waits until it is known what began the stream and tells all hosts then. If the
+// server is not registered again in time, nobody continues the stream.
+func (b *recordedStream) tellOnceConfirmed() {
+	ctx, cancel := context.WithTimeout(b.s.g.ctx, originConfirmTimeout)
+	defer cancel()
+	for backoff.Sleep(ctx, confirmInterval) {
+		if b.confirmed() {
+			b.s.tell(b.record)
+			return
+		}
+	}
+	b.s.g.metrics.origins.WithLabelValues("unconfirmed").Inc()
+	b.s.g.log.Info("stream: not known what began it, it cannot be continued", zap.String("id", b.record.Stream),
+		zap.String("server", b.server.ID), zap.Duration("after", originConfirmTimeout))
+}
+
 // Read implements io.Reader.
 func (b *recordedStream) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if now := time.Now(); now.Sub(b.told) > b.s.g.s.Log.Retention.D()/originRefreshes {
+	if now := time.Now(); now.Sub(b.told) > b.s.g.s.Log.Retention.D()/originRefreshes && b.confirmed() {
 		b.told = now
 		b.s.tell(b.record)
 	}
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -136,7 +136,7 @@
 
 // runTrial sends a call in the trial e and tells all hosts of the result.
 func (g *Gateway) runTrial(ctx context.Context, c *plainCall, u *reservation, e quarantine.Event, d quarantine.Decision) (*Answer, error) {
-	q := g.request(c.Call, u)
+	q := g.request(c, u)
 	q.Purpose, q.LimitWait = backend.PurposeTrial, c.limitWait(time.Now())
 	a, err := g.attempt(ctx, c.Call, q, u, false)
 	if err == nil {
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -69,6 +69,8 @@
 	ReasonUnknownOrigin   Reason = "unknown-origin"
 	// ReasonOtherIncarnation means that the server has started again under its id.
 	ReasonOtherIncarnation Reason = "other-incarnation"
+	// ReasonUnconfirmed means that it is not known which incarnation of the server answers.
+	ReasonUnconfirmed Reason = "unconfirmed-incarnation"
 )
 
 // Error is the error of a request that ended without an answer.
