Odd records stop no reader of the log, stay nowhere and fill nothing

Cause: what a record of another writer may cost was not bounded in the readers.

Change: Newest of package partitionlog is a page, readNewest goes from page to page and ends where the log does not get on. A server whose newest registration cannot be read is removed after 4 s unless it registers again. Offsets are kept for keys ahead of the reader only. Hosts of an earlier version still get all pages at once when a peer asks for them.

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -20,6 +20,10 @@
 // after it last said so. It may register again as ready after an outage of the log.
 const leavingMemory = 10 * time.Minute
 
+// DoubtGrace is how long a server stays registered whose newest registration cannot be read. A live
+// server registers again within that time.
+const DoubtGrace = 4 * time.Second
+
 // Server is one incarnation of a backend server.
 type Server struct {
 	ID      string
@@ -83,7 +87,7 @@
 	s Server
 	// registered is the registration as it was read from the log.
 	registered Server
-	// removedAt is when the registration was removed; zero if it was not.
+	// removedAt is when the registration was or will be removed; zero if it was not.
 	removedAt time.Time
 }
 
@@ -149,12 +153,23 @@
 
 // Unregister marks the registration of a server as removed at now. The next Snapshot
 // outside a grace period drops the server.
-func (d *Directory) Unregister(id string, now time.Time) {
-	if e := d.servers[id]; e != nil && e.removedAt.IsZero() {
-		e.removedAt = now
+func (d *Directory) Unregister(id string, now time.Time) { d.remove(id, now) }
+
+// Doubt records that the newest registration of a server cannot be read, as someone else may have
+// written it. The server is removed after DoubtGrace, unless it registers again.
+func (d *Directory) Doubt(id string, now time.Time) { d.remove(id, now.Add(DoubtGrace)) }
+
+// remove marks the registration of a server as removed at a time, unless it is removed earlier.
+func (d *Directory) remove(id string, at time.Time) {
+	e := d.servers[id]
+	if e == nil || !e.removedAt.IsZero() && !at.Before(e.removedAt) {
+		return
+	}
+	if e.removedAt.IsZero() {
 		d.removedCount++
-		d.dirty = true
 	}
+	e.removedAt = at
+	d.dirty = true
 }
 
 // ObserveVersion records the version of a model that a server reported in an answer. It
@@ -205,7 +220,7 @@
 	d.dirty = false
 	r := make([]Server, 0, len(d.servers))
 	for id, e := range d.servers {
-		if !e.removedAt.IsZero() && !d.inGracePeriod(now) {
+		if !e.removedAt.IsZero() && !now.Before(e.removedAt) && !d.inGracePeriod(now) {
 			delete(d.servers, id)
 			d.removedCount--
 			continue
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -25,6 +25,9 @@
 	// maxAbsentTime bounds the time for which nothing is sent to a server at whose address
 	// nothing listened. A server that starts again is another incarnation and gets work at once.
 	maxAbsentTime = time.Second
+	// maxRegistrationBytes is the size of the longest registration that is kept, so that its
+	// renewals are recognised.
+	maxRegistrationBytes = 8 << 10
 	// maxRefusalDoublings bounds the doublings of the time for which a full server is
 	// avoided.
 	maxRefusalDoublings = 3
@@ -121,13 +124,18 @@
 	}
 	s, err := f.g.c.Sources.ReadServer(key, value)
 	if err != nil {
-		f.g.metrics.unreadable.WithLabelValues(f.g.c.Sources.Servers).Inc()
-		f.g.log.Warn("servers: registration cannot be decoded; skipped", zap.String("server", key),
-			zap.Int64("offset", offset), zap.Error(err))
+		f.g.unreadable.skipped(f.g.c.Sources.Servers, err, zap.String("server", key), zap.Int64("offset", offset))
+		f.dir.Doubt(key, now)
+		delete(f.registrations, key)
+		delete(f.renewals, key)
 		return
 	}
 	f.dir.Register(s)
-	f.registrations[key] = bytes.Clone(value)
+	if len(value) <= maxRegistrationBytes {
+		f.registrations[key] = bytes.Clone(value)
+	} else {
+		delete(f.registrations, key)
+	}
 	f.renewals[key] = renewal{born: s.Born, after: after}
 }
 
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -52,14 +53,13 @@
 	// known. endReadAt is when the last read that reached the end of the topic was sent.
 	writtenAfter time.Time
 	endReadAt    time.Time
-	// offsets holds the newest offset seen of each key, so that no key returns to an older
-	// value.
-	offsets map[string]int64
+	// ahead holds the offsets of the newest records that lie behind next, so that no key returns
+	// to an older value when the records in between are read.
+	ahead map[string]int64
 }
 
 func (f *follower) run() {
 	f.next = -1
-	f.offsets = make(map[string]int64)
 	for f.g.ctx.Err() == nil {
 		t := time.Now()
 		err := f.readNext()
@@ -89,11 +89,11 @@
 }
 
 func (f *follower) readNext() error {
-	ctx, cancel := context.WithTimeout(f.g.ctx, readWait+readSlack)
-	defer cancel()
 	if f.next < 0 {
-		return f.restart(ctx)
+		return f.restart()
 	}
+	ctx, cancel := context.WithTimeout(f.g.ctx, readWait+readSlack)
+	defer cancel()
 	sent := time.Now()
 	p, err := f.g.c.Log.Read(ctx, partitionlog.ReadRequest{
 		Partition: partitionlog.Partition{Topic: f.topic}, From: f.next, MaxBytes: maxReadBytes, Wait: readWait,
@@ -115,37 +115,40 @@
 func (f *follower) apply(offset int64, b []byte) {
 	k, v, ok := partitionlog.DecodeKeyed(b)
 	if !ok {
-		f.g.metrics.unreadable.WithLabelValues(f.topic).Inc()
-		f.g.log.Warn("log: keyed record cannot be decoded; skipped", zap.String("topic", f.topic),
-			zap.Int64("offset", offset))
+		f.g.unreadable.skipped(f.topic, errNoKey, zap.Int64("offset", offset))
 		return
 	}
-	if o, seen := f.offsets[k]; seen && o >= offset {
-		return
+	if o, newer := f.ahead[k]; newer {
+		if o > offset {
+			return
+		}
+		delete(f.ahead, k)
 	}
-	f.offsets[k] = offset
 	f.put(k, v, offset)
 }
 
 // restart reads the newest record of each key and drops the keys that are gone.
-func (f *follower) restart(ctx context.Context) error {
+func (f *follower) restart() error {
+	f.writtenAfter = time.Time{}
+	keys := make(map[string]bool)
+	offsets := make(map[string]int64)
 	sent := time.Now()
-	n, err := f.g.c.Log.Newest(ctx, f.topic)
+	n, err := readNewest(f.g.ctx, f.g.c.Log, f.topic, func(r partitionlog.KeyedRecord) {
+		keys[r.Key] = true
+		offsets[r.Key] = r.Offset
+		f.put(r.Key, r.Value, r.Offset)
+	})
 	if err != nil {
 		return err
 	}
-	f.writtenAfter, f.endReadAt = time.Time{}, sent
-	keys := make(map[string]bool)
-	for _, r := range n.Records {
-		keys[r.Key] = true
-		if o, seen := f.offsets[r.Key]; seen && o >= r.Offset {
-			continue
-		}
-		f.offsets[r.Key] = r.Offset
-		f.put(r.Key, r.Value, r.Offset)
+	maps.DeleteFunc(offsets, func(_ string, o int64) bool { return o < n.end })
+	if n.whole {
+		f.retainKeys(keys)
+	} else {
+		f.g.log.Warn("log: keys cannot be listed to their end; those missing are known once they are written again",
+			zap.String("topic", f.topic), zap.Int("keys", len(keys)))
 	}
-	f.retainKeys(keys)
-	f.next = n.End
+	f.ahead, f.next, f.endReadAt = offsets, n.end, sent
 	return nil
 }
 
@@ -191,9 +194,7 @@
 	}
 	c, ok, err := t.g.c.Sources.ReadChange(key, value)
 	if err != nil {
-		t.g.metrics.unreadable.WithLabelValues(t.g.c.Sources.Operators).Inc()
-		t.g.log.Warn("config: record cannot be decoded; last valid configuration stays in force",
-			zap.String("key", key), zap.Int64("offset", offset), zap.Error(err))
+		t.g.unreadable.skipped(t.g.c.Sources.Operators, err, zap.String("key", key), zap.Int64("offset", offset))
 		return
 	}
 	if !ok {
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -126,9 +126,11 @@
 	steps     *steps
 	preferred *preferred
 	logHealth *logHealth
-	watch     *watch
-	orders    *orders
-	drain     *drainer
+	// unreadable reports records of the log that cannot be read.
+	unreadable *unreadable
+	watch      *watch
+	orders     *orders
+	drain      *drainer
 
 	servers []*http.Server
 	// listeners are those of servers.
@@ -145,6 +147,7 @@
 	g := &Gateway{c: c, s: s, log: c.Logger, metrics: newMetrics()}
 	g.self = stepjournal.Driver{Host: incarnation.NewName(s.Name), Peers: s.Listen.Peers}
 	g.logHealth = newLogHealth(g.log, g.metrics)
+	g.unreadable = newUnreadable(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.pool = backend.NewPool(backend.Config{
 		Dialect: c.Dialect, Identity: c.Identity, OnOpen: g.metrics.opened.Inc,
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -213,9 +213,7 @@
 			continue
 		}
 		if err := v.fold.Apply(b); err != nil {
-			v.j.g.metrics.unreadable.WithLabelValues(stepjournal.Topic).Inc()
-			v.j.g.log.Warn("journal: record cannot be decoded; skipped", zap.Int("part", v.n),
-				zap.Int64("offset", at), zap.Error(err))
+			v.j.g.unreadable.skipped(stepjournal.Topic, err, zap.Int("part", v.n), zap.Int64("offset", at))
 			continue
 		}
 		v.j.cache.put(cacheKey{v.n, at}, b)
--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -11,14 +11,18 @@
 // kindLogCall is the kind of a message that carries a call to the log.
 const kindLogCall = kindStepQuery + 1
 
-// logCall is a call to the log. One of its fields is set.
+// logCall is a call to the log. One of its fields is set, but for those that belong to Newest.
 type logCall struct {
-	Append  *partitionlog.AppendRequest `msgpack:"a"`
-	Read    *partitionlog.ReadRequest   `msgpack:"r"`
-	Newest  string                      `msgpack:"n"`
-	Join    *partitionlog.JoinRequest   `msgpack:"j"`
-	Leave   *leaveCall                  `msgpack:"l"`
-	Members string                      `msgpack:"m"`
+	Append *partitionlog.AppendRequest `msgpack:"a"`
+	Read   *partitionlog.ReadRequest   `msgpack:"r"`
+	// Newest is the topic whose newest records are asked for: the page after the key After if Paged
+	// is set, and all of them for a host of an earlier version, which sets none of both.
+	Newest  string                    `msgpack:"n"`
+	After   string                    `msgpack:"f"`
+	Paged   bool                      `msgpack:"g"`
+	Join    *partitionlog.JoinRequest `msgpack:"j"`
+	Leave   *leaveCall                `msgpack:"l"`
+	Members string                    `msgpack:"m"`
 }
 
 // leaveCall removes a member from a group.
@@ -63,7 +67,7 @@
 	case q.Read != nil:
 		a.Page, err = l.Read(ctx, *q.Read)
 	case q.Newest != "":
-		a.Newest, err = l.Newest(ctx, q.Newest)
+		a.Newest, err = q.newest(ctx, l)
 	case q.Join != nil:
 		a.Membership, err = l.Join(ctx, *q.Join)
 	case q.Leave != nil:
@@ -77,6 +81,17 @@
 	return &a
 }
 
+// newest returns the page that is asked for, or all pages together.
+func (q *logCall) newest(ctx context.Context, l partitionlog.Log) (partitionlog.Newest, error) {
+	if q.Paged {
+		return l.Newest(ctx, partitionlog.NewestRequest{Topic: q.Newest, After: q.After})
+	}
+	var r partitionlog.Newest
+	s, err := readNewest(ctx, l, q.Newest, func(k partitionlog.KeyedRecord) { r.Records = append(r.Records, k) })
+	r.End = s.end
+	return r, err
+}
+
 // err returns the error of the answer, nil if there is none.
 func (a *logAnswer) err() error {
 	if a.Err == nil {
--- /dev/null
+++ b/pier/gateway/newest.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"context"
+
+	"mulberrypier.example/pier/partitionlog"
+)
+
+// newestState tells of the newest records of a keyed topic that were read.
+type newestState struct {
+	// end is the offset from which to read the records that follow.
+	end int64
+	// whole is set if all keys were read. The log may not be able to continue after a key that is
+	// no text.
+	whole bool
+}
+
+// readNewest reads the newest record of each key of a topic and calls put for each. Only one page
+// is held in memory at a time.
+func readNewest(ctx context.Context, l partitionlog.Log, topic string, put func(r partitionlog.KeyedRecord)) (newestState, error) {
+	q := partitionlog.NewestRequest{Topic: topic}
+	asked := map[string]bool{"": true}
+	s := newestState{end: -1}
+	for {
+		p, err := readNewestPage(ctx, l, q)
+		if err != nil {
+			return newestState{}, err
+		}
+		// The end as of the first page lets a reader that goes on from there see all later
+		// changes, some of them twice.
+		if s.end < 0 {
+			s.end = p.End
+		}
+		for _, r := range p.Records {
+			put(r)
+		}
+		s.whole = !p.More
+		if !p.More || len(p.Records) == 0 {
+			return s, nil
+		}
+		q.After = p.Records[len(p.Records)-1].Key
+		if asked[q.After] {
+			return s, nil
+		}
+		asked[q.After] = true
+	}
+}
+
+func readNewestPage(ctx context.Context, l partitionlog.Log, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
+	defer cancel()
+	return l.Newest(ctx, q)
+}
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -124,9 +124,8 @@
 	for i, b := range p.Records {
 		r, err := orderlease.Decode(b)
 		if err != nil {
-			o.g.metrics.unreadable.WithLabelValues(orderlease.Topic).Inc()
-			o.g.log.Warn("orders: record cannot be decoded; treated as a renewal by an unknown holder",
-				zap.Int64("offset", p.From+int64(i)), zap.Error(err))
+			// Counted as a renewal by an unknown holder.
+			o.g.unreadable.skipped(orderlease.Topic, err, zap.Int64("offset", p.From+int64(i)))
 			r = &orderlease.Record{Holder: "unknown"}
 		}
 		if r.Holder != o.lease.Holder() {
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -93,8 +93,8 @@
 			a := l.do(ctx, &logCall{Read: &q})
 			return a.Page, a.err()
 		},
-		Newest: func(ctx context.Context, topic string) (partitionlog.Newest, error) {
-			a := l.do(ctx, &logCall{Newest: topic})
+		Newest: func(ctx context.Context, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
+			a := l.do(ctx, &logCall{Newest: q.Topic, After: q.After, Paged: true})
 			return a.Newest, a.err()
 		},
 		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -53,11 +53,11 @@
 			}
 			return p, err
 		},
-		Newest: func(ctx context.Context, topic string) (partitionlog.Newest, error) {
+		Newest: func(ctx context.Context, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
 			if cut.Load() {
 				return partitionlog.Newest{}, fail(ctx)
 			}
-			return l.Newest(ctx, topic)
+			return l.Newest(ctx, q)
 		},
 		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
 			if cut.Load() {
--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -93,26 +93,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, preferredDriversTimeout)
 	defer cancel()
-	n, err := p.g.c.Log.Newest(ctx, preferredDriversTopic)
-	if err != nil {
-		p.g.logHealth.failed(preferredDriversTopic, preferredDriversTopic, err)
-		return false
-	}
-	p.g.logHealth.answered(preferredDriversTopic)
 	all := make(map[string]driverRecord)
-	for _, k := range n.Records {
+	n, err := readNewest(ctx, p.g.c.Log, preferredDriversTopic, func(k partitionlog.KeyedRecord) {
 		var v driverRecord
 		if err := msgpack.Unmarshal(k.Value, &v); err != nil {
-			p.g.metrics.unreadable.WithLabelValues(preferredDriversTopic).Inc()
-			p.g.log.Warn("homes: record of a preferred driver cannot be decoded; skipped",
-				zap.String("model", k.Key), zap.Error(err))
-			continue
+			p.g.unreadable.skipped(preferredDriversTopic, err, zap.String("model", k.Key))
+			return
 		}
 		all[k.Key] = v
+	})
+	if err != nil {
+		p.g.logHealth.failed(preferredDriversTopic, preferredDriversTopic, err)
+		return false
 	}
+	p.g.logHealth.answered(preferredDriversTopic)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.all, p.readAt, p.end = all, time.Now(), n.End
+	p.all, p.readAt, p.end = all, time.Now(), n.end
 	return true
 }
 
--- a/pier/gateway/renewals_test.go
+++ b/pier/gateway/renewals_test.go
@@ -86,7 +86,7 @@
 	g := newHost(t, "a", l.Functions())
 	got := make(map[string]time.Time)
 	f := follower{
-		g: g, topic: "keyed.x", offsets: make(map[string]int64), next: -1,
+		g: g, topic: "keyed.x", next: -1,
 		retainKeys: func(map[string]bool) {},
 	}
 	f.put = func(key string, _ []byte, _ int64) { got[key] = f.writtenAfter }
--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -299,9 +299,7 @@
 		for i, b := range page.Records {
 			l, err := streamorigin.Decode(b)
 			if err != nil {
-				s.g.metrics.unreadable.WithLabelValues(streamorigin.Topic).Inc()
-				s.g.log.Warn("stream: origins cannot be decoded; skipped", zap.Int("part", at.Number),
-					zap.Int64("offset", page.From+int64(i)), zap.Error(err))
+				s.g.unreadable.skipped(streamorigin.Topic, err, zap.Int("part", at.Number), zap.Int64("offset", page.From+int64(i)))
 				continue
 			}
 			s.add(l)
--- a/pier/gateway/suspects.go
+++ b/pier/gateway/suspects.go
@@ -103,8 +103,7 @@
 	for i, b := range p.Records {
 		e, err := quarantine.Decode(b)
 		if err != nil {
-			s.g.metrics.unreadable.WithLabelValues(quarantine.Topic).Inc()
-			s.g.log.Warn("request: events cannot be decoded; skipped", zap.Int64("offset", p.From+int64(i)), zap.Error(err))
+			s.g.unreadable.skipped(quarantine.Topic, err, zap.Int64("offset", p.From+int64(i)))
 			continue
 		}
 		l = append(l, e...)
--- a/pier/memlog/memlog.go
+++ b/pier/memlog/memlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -196,34 +197,33 @@
 	return g, p.changed, nil
 }
 
-func (l *Log) newest(_ context.Context, topic string) (partitionlog.Newest, error) {
+// newestPageKeys is the number of keys in a page of the newest records.
+const newestPageKeys = 500
+
+func (l *Log) newest(_ context.Context, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, topic)
+		return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, q.Topic)
 	}
-	p := l.getPartition(partitionlog.Partition{Topic: topic})
-	m := make(map[string]int)
-	r := partitionlog.Newest{End: p.end()}
+	p := l.getPartition(partitionlog.Partition{Topic: q.Topic})
+	m := make(map[string]partitionlog.KeyedRecord)
 	for i, b := range p.records {
-		k, v, ok := partitionlog.DecodeKeyed(b)
-		if !ok {
-			continue
-		}
-		// An empty key marks a record that a newer one replaces.
-		if j, old := m[k]; old {
-			r.Records[j].Key = ""
+		if k, v, ok := partitionlog.DecodeKeyed(b); ok {
+			m[k] = partitionlog.KeyedRecord{Key: k, Value: v, Offset: p.first + int64(i)}
 		}
-		m[k] = len(r.Records)
-		r.Records = append(r.Records, partitionlog.KeyedRecord{Key: k, Value: v, Offset: p.first + int64(i)})
 	}
-	kept := r.Records[:0]
-	for _, k := range r.Records {
-		if k.Key != "" && len(k.Value) > 0 {
-			kept = append(kept, k)
+	r := partitionlog.Newest{End: p.end()}
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		if len(m[k].Value) == 0 || q.After != "" && k <= q.After {
+			continue
+		}
+		if len(r.Records) == newestPageKeys {
+			r.More = true
+			break
 		}
+		r.Records = append(r.Records, m[k])
 	}
-	r.Records = kept
 	return r, nil
 }
 
