--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -83,8 +83,11 @@
 
 // newest returns the page that is asked for, or all pages together.
 func (q *logCall) newest(ctx context.Context, l partitionlog.Log) (partitionlog.Newest, error) {
-	if q.Paged {
-		return l.Newest(ctx, partitionlog.NewestRequest{Topic: q.Newest, After: q.After})
+	switch {
+	case q.Paged && q.After != "":
+		return l.NewestAfter(ctx, q.Newest, q.After)
+	case q.Paged:
+		return l.Newest(ctx, q.Newest)
 	}
 	var r partitionlog.Newest
 	s, err := readNewest(ctx, l, q.Newest, func(k partitionlog.KeyedRecord) { r.Records = append(r.Records, k) })
--- a/pier/gateway/newest.go
+++ b/pier/gateway/newest.go
@@ -18,11 +18,11 @@
 // readNewest reads the newest record of each key of a topic and calls put for each. Only one page
 // is held in memory at a time.
 func readNewest(ctx context.Context, l partitionlog.Log, topic string, put func(r partitionlog.KeyedRecord)) (newestState, error) {
-	q := partitionlog.NewestRequest{Topic: topic}
+	after := ""
 	asked := map[string]bool{"": true}
 	s := newestState{end: -1}
 	for {
-		p, err := readNewestPage(ctx, l, q)
+		p, err := readNewestPage(ctx, l, topic, after)
 		if err != nil {
 			return newestState{}, err
 		}
@@ -38,16 +38,19 @@
 		if !p.More || len(p.Records) == 0 {
 			return s, nil
 		}
-		q.After = p.Records[len(p.Records)-1].Key
-		if asked[q.After] {
+		after = p.Records[len(p.Records)-1].Key
+		if asked[after] {
 			return s, nil
 		}
-		asked[q.After] = true
+		asked[after] = true
 	}
 }
 
-func readNewestPage(ctx context.Context, l partitionlog.Log, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
+func readNewestPage(ctx context.Context, l partitionlog.Log, topic, after string) (partitionlog.Newest, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
 	defer cancel()
-	return l.Newest(ctx, q)
+	if after == "" {
+		return l.Newest(ctx, topic)
+	}
+	return l.NewestAfter(ctx, topic, after)
 }
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -93,8 +93,12 @@
 			a := l.do(ctx, &logCall{Read: &q})
 			return a.Page, a.err()
 		},
-		Newest: func(ctx context.Context, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
-			a := l.do(ctx, &logCall{Newest: q.Topic, After: q.After, Paged: true})
+		Newest: func(ctx context.Context, topic string) (partitionlog.Newest, error) {
+			a := l.do(ctx, &logCall{Newest: topic, Paged: true})
+			return a.Newest, a.err()
+		},
+		NewestAfter: func(ctx context.Context, topic, key string) (partitionlog.Newest, error) {
+			a := l.do(ctx, &logCall{Newest: topic, After: key, Paged: true})
 			return a.Newest, a.err()
 		},
 		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -53,11 +53,17 @@
 			}
 			return p, err
 		},
-		Newest: func(ctx context.Context, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
+		Newest: func(ctx context.Context, topic string) (partitionlog.Newest, error) {
 			if cut.Load() {
 				return partitionlog.Newest{}, fail(ctx)
 			}
-			return l.Newest(ctx, q)
+			return l.Newest(ctx, topic)
+		},
+		NewestAfter: func(ctx context.Context, topic, key string) (partitionlog.Newest, error) {
+			if cut.Load() {
+				return partitionlog.Newest{}, fail(ctx)
+			}
+			return l.NewestAfter(ctx, topic, key)
 		},
 		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
 			if cut.Load() {
--- a/pier/memlog/memlog.go
+++ b/pier/memlog/memlog.go
@@ -57,7 +57,7 @@
 
 // Functions returns the functions by which the program uses the log.
 func (l *Log) Functions() partitionlog.Log {
-	return partitionlog.Log{Append: l.append, Read: l.read, Newest: l.newest, Join: l.join, Leave: l.leave, Members: l.groupMembers}
+	return partitionlog.Log{Append: l.append, Read: l.read, Newest: l.newest, NewestAfter: l.newestAfter, Join: l.join, Leave: l.leave, Members: l.groupMembers}
 }
 
 // SetDown starts an outage if b is true, and ends it otherwise. During an outage every call
@@ -200,13 +200,17 @@
 // newestPageKeys is the number of keys in a page of the newest records.
 const newestPageKeys = 500
 
-func (l *Log) newest(_ context.Context, q partitionlog.NewestRequest) (partitionlog.Newest, error) {
+func (l *Log) newest(ctx context.Context, topic string) (partitionlog.Newest, error) {
+	return l.newestAfter(ctx, topic, "")
+}
+
+func (l *Log) newestAfter(_ context.Context, topic, after string) (partitionlog.Newest, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, q.Topic)
+		return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, topic)
 	}
-	p := l.getPartition(partitionlog.Partition{Topic: q.Topic})
+	p := l.getPartition(partitionlog.Partition{Topic: topic})
 	m := make(map[string]partitionlog.KeyedRecord)
 	for i, b := range p.records {
 		if k, v, ok := partitionlog.DecodeKeyed(b); ok {
@@ -215,7 +219,7 @@
 	}
 	r := partitionlog.Newest{End: p.end()}
 	for _, k := range slices.Sorted(maps.Keys(m)) {
-		if len(m[k].Value) == 0 || q.After != "" && k <= q.After {
+		if len(m[k].Value) == 0 || after != "" && k <= after {
 			continue
 		}
 		if len(r.Records) == newestPageKeys {
