A request that waits checks its server again, while it waits and before it is sent

Cause: the server is chosen before the wait, and after it only the age of the permit is looked at. The same for a request that waits for a trial's claim, a connection or a server's report, and for one under which servers ended elsewhere meanwhile.

Change: backend.Request.Check, which the pool calls right before it writes a request, after every wait, and each 100 ms while it waits for a permit. It fails if the server has left, is gone or has started again, or if the request may be sent in trials only by now. The request has not run then, and goes to another server.

Tests of gateway, backend and outcome pass.

--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -38,6 +38,10 @@
 		p.putIdle(c)
 		return nil, outcome.Refuse(outcome.ReasonPermitExpired, q.Server)
 	}
+	if err := q.mayBeSent(); err != nil {
+		p.putIdle(c)
+		return nil, err
+	}
 	return p.exchange(ctx, c, q, a)
 }
 
--- a/pier/backend/request.go
+++ b/pier/backend/request.go
@@ -72,6 +72,9 @@
 	// LimitWait is how long the request may wait, before it is sent, for a server that limits
 	// its requests.
 	LimitWait time.Duration
+	// Check, if not nil, is called while the request waits and right before it is sent. Its error, an
+	// *outcome.Error with the outcome not-run, is returned to the caller.
+	Check func() error
 	// HeaderTimeout is the maximum wait for the header of the answer; 0 if only the context
 	// limits it.
 	HeaderTimeout time.Duration
@@ -85,6 +88,14 @@
 	return min(max(q.MaxIdle, 0), maxIdlePerServer)
 }
 
+// mayBeSent calls Check.
+func (q *Request) mayBeSent() error {
+	if q.Check == nil {
+		return nil
+	}
+	return q.Check()
+}
+
 // check returns a refusal if a part of the request that is sent unchanged would end its line, or
 // its field of the line: the server would read another request. The error is an
 // *outcome.Error.
--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -101,6 +101,7 @@
 	}
 	q := s.g.request(s.c, u)
 	q.Purpose = p
+	q.Check = func() error { return s.check(u) }
 	if !s.mayWait(&q, u) {
 		u.release()
 		return
@@ -180,6 +181,15 @@
 	return s.idempotent()
 }
 
+// check returns a refusal if the request must not be sent to a server any more: that one has left, or
+// so many servers have ended under the request meanwhile that it may be sent in trials only.
+func (s *plainDispatch) check(u *reservation) error {
+	if s.isSuspect() {
+		return outcome.Refuse(outcome.ReasonQuarantined, u.s.ID).After(busyRetryAfter)
+	}
+	return u.check()
+}
+
 // isSuspect reports whether servers have ended under the request so often that it may be sent in
 // trials only.
 func (s *plainDispatch) isSuspect() bool {
--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/chart"
 	"mulberrypier.example/pier/grace"
@@ -28,6 +29,8 @@
 	// answerReserve is the part of the grace period that is kept for closing connections, after
 	// the last answers.
 	answerReserve = 400 * time.Millisecond
+	// waitCheckInterval is the time between two looks at whether a request may still wait.
+	waitCheckInterval = 100 * time.Millisecond
 	// maxHistories bounds the routes of which the times of requests are kept.
 	maxHistories = 1000
 )
@@ -116,23 +119,24 @@
 	return h.Begin(now), nil
 }
 
-// waitFor waits before a request is sent. It returns why the request must not be sent, empty if it
-// may be: the context has ended, or a shutdown would end before the request could be sent.
-func (r *drainer) waitFor(ctx context.Context, d time.Duration) outcome.Reason {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	at, started := time.Now().Add(d), r.started()
-	for {
-		select {
-		case <-t.C:
-			return ""
-		case <-ctx.Done():
-			return outcome.ReasonOf(ctx)
-		case <-started:
-			if at.After(r.window.Load().End) {
-				return outcome.ReasonDraining
+// waitToSend waits before a request is sent. It returns an error as soon as it shows that the request
+// must not be sent: its context has ended, it would come too late in a shutdown, or its own check fails.
+func (r *drainer) waitToSend(ctx context.Context, d time.Duration, q *backend.Request) error {
+	for at := time.Now().Add(d); ; {
+		left := time.Until(at)
+		if left <= 0 {
+			return nil
+		}
+		if w := r.window.Load(); w != nil && at.After(w.End) {
+			return outcome.Refuse(outcome.ReasonDraining, q.Server)
+		}
+		if q.Check != nil {
+			if err := q.Check(); err != nil {
+				return err
 			}
-			started = nil
+		}
+		if !backoff.Sleep(ctx, min(left, waitCheckInterval)) {
+			return outcome.Refuse(outcome.ReasonOf(ctx), q.Server)
 		}
 	}
 }
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -46,6 +46,7 @@
 	// mu guards the fields below. The slices in byService are replaced, never modified.
 	dir       *directory.Directory
 	byService map[string][]directory.Server
+	byID      map[string]directory.Server
 	states    map[string]*serverState
 	// registrations holds the encoded registrations in force, by server, and renewals when they
 	// were last written.
@@ -164,24 +165,24 @@
 // rebuild rebuilds the lists of servers by service. The caller holds mu.
 func (f *fleet) rebuild(now time.Time) {
 	l := make(map[string][]directory.Server)
-	known := make(map[string]bool)
+	byID := make(map[string]directory.Server)
 	for _, s := range f.dir.Snapshot(now) {
-		known[s.ID] = true
+		byID[s.ID] = s
 		l[s.Service] = append(l[s.Service], s)
 		if f.states[s.ID] == nil {
 			f.states[s.ID] = &serverState{ordered: make(map[string]orderedVersion)}
 		}
 	}
 	for id, t := range f.states {
-		if !known[id] && t.running == 0 {
+		if _, known := byID[id]; !known && t.running == 0 {
 			delete(f.states, id)
 		}
 	}
-	f.g.limits.retain(known)
+	f.g.limits.retain(byID)
 	if f.g.ends.hasGivenUp() {
 		f.g.ends.gone(f.removed(l)...)
 	}
-	f.byService = l
+	f.byService, f.byID = l, byID
 	f.signalCapacity()
 }
 
@@ -287,12 +288,6 @@
 func (f *fleet) server(id string) (directory.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, l := range f.byService {
-		for _, s := range l {
-			if s.ID == id {
-				return s, true
-			}
-		}
-	}
-	return directory.Server{}, false
+	s, ok := f.byID[id]
+	return s, ok
 }
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -206,7 +206,7 @@
 // recordFailure records a server's failure, unless the attempt was cancelled because the
 // caller is gone or another attempt was answered, or there was no permit for it.
 func (g *Gateway) recordFailure(ctx context.Context, u *reservation, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) || withoutPermit(err) || outcome.HasReason(err, outcome.ReasonUnconfirmed) {
+	if errors.Is(ctx.Err(), context.Canceled) || withheld(err) {
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -227,6 +227,7 @@
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: c.Method, Target: c.Target, Host: c.Host,
 		ID: c.ID, Header: h, Body: c.Body, Deadline: c.Deadline, MaxIdle: g.maxIdle(u.s.Service),
 		SameIncarnation: c.Route.Kind == routetable.KindStream && g.isEngine(u.s.Service), Continues: c.writer.Known(),
+		Check: u.check,
 	}
 }
 
--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -96,11 +96,9 @@
 		return backend.Admission{}, l.refuse(s, a.Wait)
 	}
 	l.g.metrics.permits.WithLabelValues(permitGranted).Inc()
-	if a.Wait > 0 {
-		if r := l.g.drain.waitFor(ctx, a.Wait); r != "" {
-			l.g.metrics.permits.WithLabelValues(permitUnused).Inc()
-			return backend.Admission{}, outcome.Refuse(r, s.ID)
-		}
+	if err := l.g.drain.waitToSend(ctx, a.Wait, q); err != nil {
+		l.g.metrics.permits.WithLabelValues(permitUnused).Inc()
+		return backend.Admission{}, err
 	}
 	return backend.Admission{Limited: true, At: asked, Until: asked + a.Wait + permitLifetime}, nil
 }
@@ -133,10 +131,19 @@
 	}
 }
 
-// withoutPermit reports whether a request was not sent because there was no permit for it,
-// which says nothing about the server.
-func withoutPermit(err error) bool {
-	return outcome.HasReason(err, outcome.ReasonServerLimit) || outcome.HasReason(err, outcome.ReasonPermitExpired)
+// withheld reports whether this host did not send a request for a reason that says nothing about
+// the server's health, such as a permit that it had not.
+func withheld(err error) bool {
+	e := outcome.AsError(err)
+	if e == nil {
+		return false
+	}
+	switch e.Reason {
+	case outcome.ReasonServerLimit, outcome.ReasonPermitExpired, outcome.ReasonUnconfirmed, outcome.ReasonServerLeft,
+		outcome.ReasonQuarantined, outcome.ReasonDraining:
+		return true
+	}
+	return false
 }
 
 // refuse records that no request to a server is granted for some time, and returns the error
--- a/pier/gateway/reservation.go
+++ b/pier/gateway/reservation.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// check returns a refusal if the server has left, or has started again, since it was picked.
+func (u *reservation) check() error {
+	s, ok := u.f.server(u.s.ID)
+	if !ok || s.Leaving || !s.Born.Equal(u.s.Born) {
+		return outcome.Refuse(outcome.ReasonServerLeft, u.s.ID).After(busyRetryAfter)
+	}
+	return nil
+}
+
 // replaced reports whether the server has started again under its id, as far as is known.
 func (u *reservation) replaced() bool {
 	s, ok := u.f.server(u.s.ID)
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -128,7 +128,7 @@
 func (s *sample) failed(ctx context.Context, u *reservation, err error) {
 	e := outcome.AsError(err)
 	s.d.g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
-	if withoutPermit(err) {
+	if withheld(err) {
 		return
 	}
 	s.d.g.log.Info("sample: run failed", zap.String("id", s.item.ID), zap.String("server", u.s.ID),
@@ -352,7 +352,7 @@
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: http.MethodPost, Target: s.item.Path,
 		Host: s.d.step.Host, ID: s.item.ID, Header: h, Body: s.item.Body, Purpose: purpose, SameIncarnation: true,
-		MaxIdle: s.d.g.maxIdle(u.s.Service),
+		MaxIdle: s.d.g.maxIdle(u.s.Service), Check: u.check,
 	}
 }
 
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -84,14 +84,15 @@
 }
 
 // retain forgets the limits of servers that are not in known, by ID.
-func (l *limits) retain(known map[string]bool) {
+func (l *limits) retain(known map[string]directory.Server) {
+	gone := func(s directory.Incarnation) bool { _, ok := known[s.ID]; return !ok }
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.Retain(func(s directory.Incarnation) bool { return known[s.ID] })
+	l.book.Retain(func(s directory.Incarnation) bool { return !gone(s) })
 	l.known.Store(int64(l.book.Len()))
-	maps.DeleteFunc(l.sent, func(s directory.Incarnation, _ map[backend.Purpose]int) bool { return !known[s.ID] })
-	maps.DeleteFunc(l.shares, func(s directory.Incarnation, _ float64) bool { return !known[s.ID] })
-	maps.DeleteFunc(l.announced, func(s directory.Incarnation, _ announcement) bool { return !known[s.ID] })
+	maps.DeleteFunc(l.sent, func(s directory.Incarnation, _ map[backend.Purpose]int) bool { return gone(s) })
+	maps.DeleteFunc(l.shares, func(s directory.Incarnation, _ float64) bool { return gone(s) })
+	maps.DeleteFunc(l.announced, func(s directory.Incarnation, _ announcement) bool { return gone(s) })
 }
 
 // limitKey returns the incarnation that a request is meant for.
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -71,6 +71,8 @@
 	ReasonOtherIncarnation Reason = "other-incarnation"
 	// ReasonUnconfirmed means that it is not known which incarnation of the server answers.
 	ReasonUnconfirmed Reason = "unconfirmed-incarnation"
+	// ReasonServerLeft means that the server left, or started again, while the request waited.
+	ReasonServerLeft Reason = "server-left"
 )
 
 // Error is the error of a request that ended without an answer.
