Loads follow the work: lost engines are replaced, and waiting samples get idle ones

Cause: the planner had one goal, a share of engines for each newest version. It knew neither what open steps may use nor that those with the version before were lost. And a load that was announced but never given counted as done for as long as its engine lived.

Change: three kinds of needs in order: newest version, engines for the next step, work that waits. Announced loads that a later registration does not name are forgotten after 4 s.

Tests of gateway, directory and loadplan pass.

Failed try: all kinds of needs side by side, fewest engines first: where loads are scarce, replacements delay newest versions (TestPaceOfThreeTrainers: 1 engine in place of 2).

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -189,6 +189,15 @@
 	return true
 }
 
+// Registered returns the versions of a server's models by its newest registration. The map must not be
+// changed.
+func (d *Directory) Registered(id string) map[string]int64 {
+	if e := d.servers[id]; e != nil {
+		return e.registered.Versions
+	}
+	return nil
+}
+
 // Retain removes all servers whose ids are not in keep. It is used when records expired
 // before they were read and the state is rebuilt from the newest record of each key.
 func (d *Directory) Retain(keep map[string]bool, now time.Time) {
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -121,6 +121,7 @@
 	}
 	if r := f.g.c.Sources.IsRenewal; r != nil && r(f.registrations[key], value) {
 		f.renewals[key] = renewal{born: f.renewals[key].born, after: after}
+		f.forgetFailedLoads(key, after)
 		return
 	}
 	s, err := f.g.c.Sources.ReadServer(key, value)
@@ -138,6 +139,24 @@
 		delete(f.registrations, key)
 	}
 	f.renewals[key] = renewal{born: s.Born, after: after}
+	f.forgetFailedLoads(key, after)
+}
+
+// forgetFailedLoads drops the loads that a server was ordered to make and that its registration,
+// written after a time, should name by now. The caller holds mu.
+func (f *fleet) forgetFailedLoads(id string, after time.Time) {
+	t := f.states[id]
+	if t == nil {
+		return
+	}
+	registered := f.dir.Registered(id)
+	for m, o := range t.ordered {
+		if registered[m] < o.version && after.After(o.ready.Add(loadTimeout)) {
+			delete(t.ordered, m)
+			f.g.log.Info("servers: load was announced and not carried out", zap.String("server", id),
+				zap.String("model", m), zap.Int64("version", o.version))
+		}
+	}
 }
 
 func (f *fleet) retainKeys(keys map[string]bool) {
@@ -268,11 +287,13 @@
 		if s.Leaving {
 			continue
 		}
+		t := f.states[s.ID]
 		v := make(map[string]int64)
 		for m := range s.Versions {
-			v[m] = f.states[s.ID].version(s, m, now)
+			v[m] = t.version(s, m, now)
 		}
-		l = append(l, loadplan.Server{ID: s.ID, Versions: v})
+		full := s.Slots > 0 && t.estimatedRunning(now) >= s.Slots
+		l = append(l, loadplan.Server{ID: s.ID, Versions: v, Full: full})
 	}
 	return l
 }
--- a/pier/gateway/loads.go
+++ b/pier/gateway/loads.go
@@ -58,6 +58,7 @@
 		return nil
 	}
 	now := time.Now()
+	demands := o.demands.byModel(boottime.Now())
 	var r []loadplan.Load
 	for name, s := range t.Services {
 		if !s.IsEngine() {
@@ -68,6 +69,7 @@
 		c := loadplan.Config{
 			MaxConcurrent: o.limiter.MaxConcurrent(len(servers)),
 			Share:         o.g.s.Policy.LoadShare,
+			Demands:       demands,
 		}
 		r = append(r, loadplan.Plan(c, servers, goals, inProgress)...)
 	}
@@ -203,6 +205,7 @@
 	}
 	if l.err == nil {
 		delete(o.excluded, l.load.Server)
+		o.demands.met(l.load.Model)
 		o.g.metrics.orders.WithLabelValues("loaded").Inc()
 		o.g.fleet.observeVersion(l.load.Server, l.load.Model, l.load.Version)
 		o.g.log.Info("orders: load done", zap.String("server", l.load.Server),
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -39,6 +39,8 @@
 	// limiter learns from load times how many loads may run at once, and for how long a
 	// load counts as running.
 	limiter *loadplan.Limiter
+	// demands holds what samples wait for.
+	demands *demands
 	// notices holds what the next record tells all hosts of servers' limits.
 	notices *limitNotices
 	// appends is the number of records that this incarnation has sent.
@@ -50,7 +52,7 @@
 func newOrders(g *Gateway) *orders {
 	return &orders{
 		g: g, woken: make(chan struct{}, 1), inProgress: make(map[string]*activeLoad),
-		excluded: make(map[string]exclusion), endedLoads: make(chan *activeLoad, 64), notices: &limitNotices{},
+		excluded: make(map[string]exclusion), demands: newDemands(), endedLoads: make(chan *activeLoad, 64), notices: &limitNotices{},
 		limiter: loadplan.NewLimiter(loadplan.LimiterConfig{
 			InitialShare: g.s.Policy.LoadsAtOnce, Least: loadDuration, Lag: reportLag,
 		}),
--- a/pier/gateway/slotpicker.go
+++ b/pier/gateway/slotpicker.go
@@ -11,6 +11,9 @@
 	need    stepplan.Need
 }
 
+// anyVersion is what a sample needs that any version may generate.
+var anyVersion = stepplan.Need{}
+
 // slotPicker finds free slots for the waiting samples of a step, one after the other. It asks
 // once only for what it has not found.
 type slotPicker struct {
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -59,6 +59,8 @@
 	// searched for samples to move.
 	startedAt time.Time
 	movedAt   time.Time
+	// demandedAt is when this host last asked for engines with a version that samples wait for.
+	demandedAt time.Time
 	// watched is the time since boot at which another host last queried the step. Hosts do
 	// so while the step is open and this host is its driver.
 	watched atomic.Int64
@@ -239,6 +241,7 @@
 		}
 	}
 	d.waiting = keep
+	d.demandEngines(&p)
 }
 
 // outdated reports whether the step may have ended or been taken over without this host's
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -69,6 +69,8 @@
 		return g.limits.answer(q)
 	case kindLimitNotice:
 		return g.answerNotice(q)
+	case kindDemand:
+		return g.answerDemand(q)
 	}
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
--- a/pier/loadplan/loadplan_test.go
+++ b/pier/loadplan/loadplan_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // fleet returns n servers that hold version 1 of the models a, b and c.
@@ -228,3 +229,118 @@
 	half := waitsForServers(36, 6, Config{MaxConcurrent: 7, Share: 0.5})
 	require.Less(t, half, most/2)
 }
+
+// play has the planner order loads, which take one round, until it orders no more or the rounds are over.
+func play(c Config, s []Server, goals []Goal, rounds int) (loads int) {
+	for range rounds {
+		l := Plan(c, s, goals, nil)
+		for _, x := range l {
+			for i := range s {
+				if s[i].ID == x.Server {
+					s[i].Versions[x.Model] = x.Version
+				}
+			}
+		}
+		loads += len(l)
+		if len(l) == 0 {
+			break
+		}
+	}
+	return loads
+}
+
+// Guards against engines that are left idle after those with the version before the newest were lost.
+func TestLostServersAreReplaced(t *testing.T) {
+	s := fleet(35)
+	goals := []Goal{{"a", 1}, {"b", 1}, {"c", 1}}
+	c := Config{MaxConcurrent: 8, Share: 0.5}
+	for v := int64(2); v <= 3; v++ {
+		goals[0].Version = v
+		play(c, s, goals, 20)
+	}
+	require.Equal(t, 12, serving(s, "a", 2))
+	s = slices.DeleteFunc(s, func(x Server) bool { return x.Versions["a"] == 2 })
+	require.Len(t, s, 29)
+	play(c, s, goals, 20)
+	require.GreaterOrEqual(t, serving(s, "a", 2), 10, "as many as before, at the share of those left")
+}
+
+// Work waits for a version that few servers hold, as its trainer allows no older one.
+func TestWorkThatWaitsGetsMoreServers(t *testing.T) {
+	tests := map[string]struct {
+		demand Demand
+		full   int
+		want   int
+	}{
+		"none waits":        {Demand{}, 0, 3},
+		"for one server":    {Demand{Oldest: 2, Servers: 1}, 0, 4},
+		"for all servers":   {Demand{Oldest: 2, Servers: 20}, 0, 9},
+		"others are full":   {Demand{Oldest: 2, Servers: 20}, 4, 5},
+		"not named yet":     {Demand{Oldest: 3, Servers: 20}, 0, 3},
+		"for an older one":  {Demand{Oldest: 1, Servers: 20}, 0, 3},
+		"nonsense is borne": {Demand{Oldest: -5, Servers: -1}, 0, 3},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := fleet(9)
+			goals := []Goal{{"a", 2}, {"b", 1}, {"c", 1}}
+			c := Config{MaxConcurrent: 3, Share: 1}
+			play(c, s, goals, 20)
+			require.Equal(t, 3, serving(s, "a", 2))
+			n := 0
+			for i := range s {
+				if s[i].Versions["a"] == 1 && n < x.full {
+					s[i].Full = true
+					n++
+				}
+			}
+			c.Demands = map[string]Demand{"a": x.demand}
+			l := Plan(Config{MaxConcurrent: 100, Share: 1, Demands: c.Demands}, s, goals, nil)
+			for _, y := range l {
+				s[slices.IndexFunc(s, func(z Server) bool { return z.ID == y.Server })].Versions["a"] = y.Version
+			}
+			require.Equal(t, x.want, serving(s, "a", 2))
+		})
+	}
+}
+
+// Servers are lost and come, versions are named and work waits at random. The planner must get every
+// model back to its servers, never load in vain, and stop.
+func TestPlannerSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "servers")
+		s := fleet(n)
+		goals := []Goal{{"a", 1}, {"b", 1}, {"c", 1}}[:rapid.IntRange(1, 3).Draw(t, "models")]
+		c := Config{MaxConcurrent: rapid.IntRange(1, 9).Draw(t, "at once"), Share: rapid.SampledFrom([]float64{0.3, 0.5, 0.8, 1}).Draw(t, "share")}
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			g := rapid.IntRange(0, len(goals)-1).Draw(t, "goal")
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				goals[g].Version++
+			case 1:
+				lost := rapid.IntRange(0, max(len(s)/3, 1)).Draw(t, "lost")
+				s = s[min(lost, len(s)-1):]
+			case 2:
+				c.Demands = map[string]Demand{goals[g].Model: {
+					Oldest: goals[g].Version - rapid.Int64Range(0, 2).Draw(t, "bound"), Servers: rapid.IntRange(0, 5).Draw(t, "wanted"),
+				}}
+			}
+			for _, l := range Plan(c, s, goals, nil) {
+				i := slices.IndexFunc(s, func(x Server) bool { return x.ID == l.Server })
+				if s[i].Versions[l.Model] >= l.Version {
+					t.Fatalf("%s loads version %d of %s, it has %d", l.Server, l.Version, l.Model, s[i].Versions[l.Model])
+				}
+			}
+			if play(c, s, goals, 200) > 3*len(s)+3 {
+				t.Fatalf("the planner does not settle")
+			}
+			c.Demands = nil
+			for _, x := range goals {
+				p := newPlanner(c, s, goals, nil)
+				if got, want := serving(s, x.Model, x.Version-1), min(2*p.share, p.countAssigned(x.Model)); got < want {
+					t.Fatalf("%d servers can serve the next step of %s, want %d", got, x.Model, want)
+				}
+			}
+		}
+	})
+}
