The listener for peers goes on after an error

Cause: Server.accept returned at the first error of its listener.

Change: it reports the error, waits for 5 ms to 1 s and goes on; it ends with the server. net/http's servers did so already. No other loop of the gateway ends at a first error.

--- a/pier/daemon/daemon.go
+++ b/pier/daemon/daemon.go
@@ -138,7 +138,10 @@
 	if err != nil {
 		return err
 	}
-	d.server = peer.NewServer(peer.ServerConfig{Listener: l, Handler: d.handle, MaxConns: d.s.Limits.Connections})
+	d.server = peer.NewServer(peer.ServerConfig{
+		Listener: l, Handler: d.handle, MaxConns: d.s.Limits.Connections,
+		OnError: func(err error) { d.logger("peers").Warn("listener for hosts failed; it goes on", zap.Error(err)) },
+	})
 	d.startRole(d.members.run)
 	d.startRole(d.notes.run)
 	d.startRole(d.owners.run)
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -193,7 +193,10 @@
 	if err != nil {
 		return err
 	}
-	g.server = peer.NewServer(peer.ServerConfig{Listener: n, Handler: g.answerPeer})
+	g.server = peer.NewServer(peer.ServerConfig{
+		Listener: n, Handler: g.answerPeer,
+		OnError: func(err error) { g.log.Warn("host: listener for peers failed; it goes on", zap.Error(err)) },
+	})
 	if err := g.serve(l.Callers, g.c.Handler(g)); err != nil {
 		return err
 	}
--- a/pier/peer/server.go
+++ b/pier/peer/server.go
@@ -1,9 +1,13 @@
 package peer
 
 import (
+	"context"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
+	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -13,6 +17,9 @@
 	Listener net.Listener
 	// Handler is called for each request, in a new goroutine.
 	Handler Handler
+	// OnError is called for each error of the listener but the one that its end causes; it may be
+	// nil.
+	OnError func(err error)
 	// MaxConns is the maximum number of open connections; further ones are closed as
 	// soon as they are accepted. Zero means 4096.
 	MaxConns int
@@ -24,15 +31,29 @@
 	mu sync.Mutex
 	// conns holds the open connections; it is nil once the server is closed.
 	conns map[*conn]struct{}
-	wg    sync.WaitGroup
+	// ctx ends when the server is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
+const (
+	// acceptRetryDelay is the delay after an error of the listener, such as a lack of file
+	// descriptors. It doubles with each further one in a row, up to maxAcceptRetryDelay.
+	acceptRetryDelay    = 5 * time.Millisecond
+	maxAcceptRetryDelay = time.Second
+)
+
 // NewServer starts a server, which accepts connections until Close is called.
 func NewServer(c ServerConfig) *Server {
 	if c.MaxConns == 0 {
 		c.MaxConns = 4096
 	}
+	if c.OnError == nil {
+		c.OnError = func(error) {}
+	}
 	s := &Server{c: c, conns: make(map[*conn]struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wg.Add(1)
 	go s.accept()
 	return s
@@ -40,24 +61,36 @@
 
 func (s *Server) accept() {
 	defer s.wg.Done()
-	for {
+	for failures := 0; s.ctx.Err() == nil; {
 		n, err := s.c.Listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			failures = 0
+			s.serve(n)
+		case errors.Is(err, net.ErrClosed):
 			return
+		default:
+			s.c.OnError(err)
+			backoff.Sleep(s.ctx, backoff.Exponential(acceptRetryDelay, maxAcceptRetryDelay, failures))
+			failures++
 		}
-		s.mu.Lock()
-		if s.conns == nil || len(s.conns) >= s.c.MaxConns {
-			s.mu.Unlock()
-			_ = n.Close()
-			continue
-		}
-		c := newConn(n, s.c.Handler)
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		go s.removeWhenDone(c)
 	}
 }
 
+// serve serves the requests on a connection, or closes it if there are too many.
+func (s *Server) serve(n net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil || len(s.conns) >= s.c.MaxConns {
+		// Nothing was read from the connection, so nothing is lost if closing it fails.
+		_ = n.Close()
+		return
+	}
+	c := newConn(n, s.c.Handler)
+	s.conns[c] = struct{}{}
+	go s.removeWhenDone(c)
+}
+
 // removeWhenDone removes c from the open connections once it is closed.
 func (s *Server) removeWhenDone(c *conn) {
 	<-c.done
@@ -68,6 +101,7 @@
 
 // Close stops accepting connections and closes the open ones.
 func (s *Server) Close() {
+	s.cancel()
 	_ = s.c.Listener.Close()
 	s.mu.Lock()
 	m := s.conns
