The memory of requests is bounded by their bytes

Cause: each body was bounded, all together were not; and a body was read by doubling its room.

A body of known length takes its bytes before it is read, or is refused as not run, with 0.2 s to come back; the buffered beginning of an answer takes from it or is not buffered. Steps once accepted are not in it.

--- /dev/null
+++ b/pier/bytebudget/bytebudget_test.go
@@ -0,0 +1,35 @@
+package bytebudget
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	const total, each, takers = 1000, 30, 200
+	b := New(total)
+	var inUse, most atomic.Int64
+	var w sync.WaitGroup
+	for range takers {
+		w.Go(func() {
+			for range 100 {
+				if !b.Take(each) {
+					continue
+				}
+				n := inUse.Add(each)
+				for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+				}
+				inUse.Add(-each)
+				b.Give(each)
+			}
+		})
+	}
+	w.Wait()
+	require.LessOrEqual(t, most.Load(), int64(total))
+	require.EqualValues(t, total, b.Left())
+	require.False(t, b.Take(total+1))
+	require.True(t, b.Take(total))
+}
--- /dev/null
+++ b/pier/gateway/bodies.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+)
+
+const (
+	// defaultMemoryBytes is the memory of a host whose deployment states none.
+	defaultMemoryBytes = 256 << 20
+	// bodyShare is the part of a host's memory, as its divisor, that bodies of requests and the
+	// beginnings of answers may take: the garbage collector lets the heap grow by about half, and the
+	// rest of the program needs its own part.
+	bodyShare = 3
+	// bodyChunkBytes is the size of the parts in which a body of unknown length is read.
+	bodyChunkBytes = 64 << 10
+)
+
+// Body is the body of a request. Release must be called.
+type Body struct {
+	Bytes []byte
+	g     *Gateway
+	taken int64
+}
+
+// Release returns the memory that the body takes.
+func (b *Body) Release() {
+	b.g.memory.Give(b.taken)
+	b.taken = 0
+}
+
+// ReadBody reads the body of a request of at most limit bytes. If the host has no memory for it, the
+// request is refused, before any of a body of known length is read. Errors are of type *outcome.Error.
+func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	b := &Body{g: g}
+	if r.ContentLength > limit {
+		return nil, outcome.Refuse(outcome.ReasonTooLarge, "body")
+	}
+	body := http.MaxBytesReader(w, r.Body, limit)
+	err := b.read(body, r.ContentLength)
+	if err == nil {
+		return b, nil
+	}
+	b.Release()
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, outcome.RefuseWithCause(outcome.ReasonTooLarge, "body", err)
+	case outcome.HasReason(err, outcome.ReasonMemory):
+		g.metrics.refusals.WithLabelValues(string(outcome.ReasonMemory)).Inc()
+		g.log.Info("request: refused, no memory for its body", zap.String("id", r.Header.Get(g.c.Dialect.RequestID)),
+			zap.Int64("bytes", r.ContentLength), zap.Int64("left", g.memory.Left()))
+		return nil, err
+	}
+	return nil, outcome.RefuseWithCause(outcome.ReasonBadRequest, "body cannot be read", err)
+}
+
+// read reads a body of the given length, -1 if that is not known.
+func (b *Body) read(body io.Reader, length int64) error {
+	if length >= 0 {
+		if !b.take(length) {
+			return errNoMemory
+		}
+		b.Bytes = make([]byte, length)
+		_, err := io.ReadFull(body, b.Bytes)
+		return err
+	}
+	for {
+		if len(b.Bytes) == cap(b.Bytes) && !b.grow() {
+			return errNoMemory
+		}
+		n, err := body.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
+		b.Bytes = b.Bytes[:len(b.Bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// grow doubles the room for a body of unknown length. Old and new room are taken together, as both
+// are in use while the bytes are copied.
+func (b *Body) grow() bool {
+	old := int64(cap(b.Bytes))
+	size := max(2*old, bodyChunkBytes)
+	if !b.take(size) {
+		return false
+	}
+	n := make([]byte, len(b.Bytes), size)
+	copy(n, b.Bytes)
+	b.Bytes = n
+	b.g.memory.Give(old)
+	b.taken -= old
+	return true
+}
+
+func (b *Body) take(n int64) bool {
+	if !b.g.memory.Take(n) {
+		return false
+	}
+	b.taken += n
+	return true
+}
+
+// errNoMemory is the refusal of a request for whose body the host has no memory.
+var errNoMemory = outcome.Refuse(outcome.ReasonMemory, "body").After(busyRetryAfter)
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -89,6 +89,8 @@
 	// Rest reads the rest of the body. Close must be called.
 	Rest  io.Reader
 	close func()
+	// taken is the number of bytes that Body takes from the host's memory.
+	taken int64
 }
 
 // Close releases the server.
@@ -177,14 +179,15 @@
 		return nil, outcome.Ambiguous(outcome.ReasonServerError, u.s.ID, nil)
 	}
 	u.accepted()
-	a, err := readAnswer(c, r)
+	a, err := g.readAnswer(c, r)
 	if err != nil {
 		g.recordFailure(ctx, u, err)
 		end()
 		return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
 	u.succeeded()
-	a.close, a.Server, a.unconfirmedSince = end, u.s, r.UnconfirmedSince()
+	a.close = func() { end(); g.memory.Give(a.taken) }
+	a.Server, a.unconfirmedSince = u.s, r.UnconfirmedSince()
 	return a, nil
 }
 
@@ -254,15 +257,26 @@
 }
 
 // readAnswer reads an answer into memory. Of a stream nothing is read, and of a long answer
-// only the beginning; Rest yields the remainder.
-func readAnswer(c Call, r *backend.Response) (*Answer, error) {
+// only the beginning; Rest yields the remainder. Without memory for it, nothing is read.
+func (g *Gateway) readAnswer(c Call, r *backend.Response) (*Answer, error) {
 	a := &Answer{Status: r.Status, Header: r.Header}
 	if c.Route.Kind == routetable.KindStream {
 		a.Rest = r
 		return a, nil
 	}
+	most := int64(maxBufferedBytes)
+	if r.BodyLength >= 0 {
+		most = min(most, r.BodyLength+1)
+	}
+	if !g.memory.Take(most) {
+		a.Rest = r
+		return a, nil
+	}
 	b, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes))
+	g.memory.Give(most - int64(len(b)))
+	a.taken = int64(len(b))
 	if err != nil {
+		g.memory.Give(a.taken)
 		return nil, err
 	}
 	a.Body = b
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/bug"
+	"mulberrypier.example/pier/bytebudget"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/incarnation"
 	"mulberrypier.example/pier/outcome"
@@ -98,6 +99,8 @@
 	// EngineControl returns the control calls, made through the connection pool that the
 	// gateway uses for all calls to backend servers.
 	EngineControl func(p *backend.Pool) EngineControl
+	// MemoryBytes is the memory that the process may use, 0 if that is not known.
+	MemoryBytes int64
 	// Handler returns the handler for callers and trainers.
 	Handler func(g *Gateway) http.Handler
 }
@@ -114,6 +117,8 @@
 	pool    *backend.Pool
 	engines EngineControl
 	peers   *peer.Client
+	// memory bounds the bodies of requests and the beginnings of answers.
+	memory *bytebudget.Budget
 
 	peerLog   *peerLog
 	tables    *tables
@@ -146,6 +151,10 @@
 	s := c.Settings
 	g := &Gateway{c: c, s: s, log: c.Logger, metrics: newMetrics()}
 	g.self = stepjournal.Driver{Host: incarnation.NewName(s.Name), Peers: s.Listen.Peers}
+	if g.c.MemoryBytes <= 0 {
+		g.c.MemoryBytes = defaultMemoryBytes
+	}
+	g.memory = bytebudget.New(g.c.MemoryBytes / bodyShare)
 	g.logHealth = newLogHealth(g.log, g.metrics)
 	g.unreadable = newUnreadable(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
--- a/pier/gateway/waiting_test.go
+++ b/pier/gateway/waiting_test.go
@@ -24,6 +24,7 @@
 	}
 	for name, change := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			const requests = 8
 			g := startHosts(t, newLog().Functions(), 1)[0]
 			g.table(func(_, plain *routetable.Route) { plain.Kind, plain.Timeout = routetable.KindOnce, 10*time.Second })
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -67,6 +67,8 @@
 	ReasonPermitExpired   Reason = "permit-expired"
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonUnknownOrigin   Reason = "unknown-origin"
+	// ReasonMemory means that the host has no memory for the request.
+	ReasonMemory Reason = "memory"
 	// ReasonOtherIncarnation means that the server has started again under its id.
 	ReasonOtherIncarnation Reason = "other-incarnation"
 	// ReasonUnconfirmed means that it is not known which incarnation of the server answers.
