--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -196,7 +196,7 @@
 	r := driverRecord{Driver: p.g.self, Share: p.g.s.ProcessorShare}
 	b, err := msgpack.Marshal(&r)
 	if err != nil {
-		p.g.log.Error("homes: record of a preferred driver cannot be encoded; not claimed",
+		p.g.log.Error("preferred drivers: record cannot be encoded; not claimed",
 			zap.Error(err))
 		return
 	}
@@ -211,14 +211,14 @@
 		return
 	}
 	if err != nil {
-		p.g.log.Warn("homes: claim as preferred driver failed", zap.String("model", model),
+		p.g.log.Warn("preferred drivers: claim failed", zap.String("model", model),
 			zap.Error(err))
 		return
 	}
 	p.mu.Lock()
 	p.all[model] = r
 	p.mu.Unlock()
-	p.g.log.Info("homes: this host is the model's preferred driver", zap.String("model", model),
+	p.g.log.Info("preferred drivers: this host is that of the model", zap.String("model", model),
 		zap.Float64("share", r.Share))
 }
 
@@ -266,7 +266,7 @@
 		return
 	}
 	p.g.log.Info("step: preferred driver did not accept the hand-off; taking over",
-		zap.String("id", s.ID), zap.String("home", to.Host), zap.Error(err))
+		zap.String("id", s.ID), zap.String("driver", to.Host), zap.Error(err))
 	if p.appendTakeover(v, s.ID, to.Host, p.g.self) && p.isDriver(v, s.ID) {
 		p.g.preferred.claim(s.Model)
 		p.startDriving(r, s, v)
--- a/pier/gateway/stepquery.go
+++ b/pier/gateway/stepquery.go
@@ -98,8 +98,8 @@
 			var a stepAnswer
 			if err := p.g.peers.Probe(ctx, d.Peers, kindStepQuery, &q, &a); err != nil {
 				if !outcome.HasReason(err, outcome.ReasonUnknownStep) && ctx.Err() == nil {
-					p.g.log.Info("homes: preferred driver did not answer a query about a step",
-						zap.String("home", d.Host), zap.String("id", q.Step), zap.Error(err))
+					p.g.log.Info("preferred drivers: one did not answer a query about a step",
+						zap.String("driver", d.Host), zap.String("id", q.Step), zap.Error(err))
 				}
 				answers <- nil
 				return
