A server's limit outlives a lapse of its registration; a host that stops carries no calls

Cause: limits were kept for registered servers only; the carrier did not look at its own shutdown.

Change: a limit is kept for two minutes after its server was last registered. A host that shuts down refuses the calls of peers, which take another path at once.

Result: TestLimitIsKeptWhileARegistrationLapses and TestHostThatShutsDownCarriesNoCalls, both fail without the change; tests of limits, permits, peers and the log pass.

--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -283,6 +283,10 @@
 		l.g.metrics.carried.WithLabelValues(string(outcome.ReasonLogDown)).Inc()
 		return nil, outcome.Refuse(outcome.ReasonLogDown, "host is turned away itself")
 	}
+	if l.g.drain.leaving() {
+		l.g.metrics.carried.WithLabelValues(string(outcome.ReasonDraining)).Inc()
+		return nil, outcome.Refuse(outcome.ReasonDraining, "host shuts down")
+	}
 	select {
 	case l.carrying <- struct{}{}:
 		defer func() { <-l.carrying }()
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -383,3 +383,22 @@
 	}, 10*time.Second, 50*time.Millisecond)
 	require.Len(t, e.runs(), 3)
 }
+
+// A host that shuts down would take the calls of its peers along when its process ends.
+func TestHostThatShutsDownCarriesNoCalls(t *testing.T) {
+	l := newLog()
+	var cut atomic.Bool
+	a, b, c := newHost(t, "a", disconnectableLog(l.Functions(), &cut, refuses)), newHost(t, "b", l.Functions()), newHost(t, "c", l.Functions())
+	b.listenPeers(t)
+	c.listenPeers(t)
+	a.knowPeers(b, c)
+	b.drain.fire("stop")
+	cut.Store(true)
+	err := a.peers.Call(context.Background(), b.self.Peers, kindLogCall, &logCall{Newest: "x"}, nil)
+	require.True(t, outcome.HasReason(err, outcome.ReasonDraining), "%v", err)
+	require.Equal(t, outcome.NotRun, outcome.AsError(err).Outcome)
+	for range 4 {
+		_, err = a.c.Log.Newest(context.Background(), "x")
+		require.NoError(t, err, "another peer carries the call")
+	}
+}
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -45,6 +45,8 @@
 	shares  map[directory.Incarnation]float64
 	// announced holds the last notice of each server's limit that this host had sent.
 	announced map[directory.Incarnation]announcement
+	// goneAt holds since when servers with a limit are not registered.
+	goneAt map[directory.Incarnation]time.Duration
 	// asking is the number of requests of this host that ask for a permit, by server.
 	asking map[directory.Incarnation]int
 	// failedAt holds when a coordinator last did not answer.
@@ -58,6 +60,7 @@
 		buckets: serverlimit.NewBuckets(), shares: make(map[directory.Incarnation]float64),
 		asking:    make(map[directory.Incarnation]int),
 		announced: make(map[directory.Incarnation]announcement),
+		goneAt:    make(map[directory.Incarnation]time.Duration),
 		failedAt:  make(map[netip.AddrPort]time.Duration),
 	}
 }
@@ -83,16 +86,32 @@
 	return d > 0
 }
 
-// retain forgets the limits of servers that are not in known, by ID.
+// limitMemory is how long the limit of a server that is not registered is kept: its registration may
+// have lapsed while it could not reach the log.
+const limitMemory = 2 * time.Minute
+
+// retain forgets the limits of servers that have not been registered for limitMemory. known holds
+// those that are, by ID.
 func (l *limits) retain(known map[string]directory.Server) {
-	gone := func(s directory.Incarnation) bool { _, ok := known[s.ID]; return !ok }
+	now := boottime.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	gone := func(s directory.Incarnation) bool {
+		if _, ok := known[s.ID]; ok {
+			delete(l.goneAt, s)
+			return false
+		}
+		if _, ok := l.goneAt[s]; !ok {
+			l.goneAt[s] = now
+		}
+		return now-l.goneAt[s] > limitMemory
+	}
 	l.book.Retain(func(s directory.Incarnation) bool { return !gone(s) })
 	l.known.Store(int64(l.book.Len()))
 	maps.DeleteFunc(l.sent, func(s directory.Incarnation, _ map[backend.Purpose]int) bool { return gone(s) })
 	maps.DeleteFunc(l.shares, func(s directory.Incarnation, _ float64) bool { return gone(s) })
 	maps.DeleteFunc(l.announced, func(s directory.Incarnation, _ announcement) bool { return gone(s) })
+	maps.DeleteFunc(l.goneAt, func(_ directory.Incarnation, at time.Duration) bool { return now-at > limitMemory })
 }
 
 // limitKey returns the incarnation that a request is meant for.
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -333,3 +333,31 @@
 	require.Less(t, got.since(time.Time{}), 60)
 	require.Positive(t, got.since(time.Time{}))
 }
+
+// Guards against a limit that all hosts learn anew by sending, after the registration of its server
+// had lapsed for a moment.
+func TestLimitIsKeptWhileARegistrationLapses(t *testing.T) {
+	g := startHosts(t, newLog().Functions(), 1)[0]
+	g.table(nil)
+	s, got := limitedServer(t, "a", "desk", "1")
+	g.register(s.Server)
+	for len(s.runs()) == 0 {
+		if a, err := g.Do(context.Background(), call(g)); err == nil {
+			a.Close()
+		}
+	}
+	limited, _ := g.limits.wait(s.Server)
+	require.True(t, limited)
+	g.fleet.put(s.ID, nil, 1, time.Now())
+	g.fleet.readDone(nil)
+	_, registered := g.fleet.server(s.ID)
+	require.False(t, registered)
+	g.register(s.Server)
+	limited, _ = g.limits.wait(s.Server)
+	require.True(t, limited)
+	require.Positive(t, got.since(time.Time{}))
+	again := s.Server
+	again.Born = s.Born.Add(time.Second)
+	limited, _ = g.limits.wait(again)
+	require.False(t, limited, "another incarnation has stated no limit")
+}
