Newest records are asked for by partition

Cause: the log's call for the newest record of each key took a topic and asked for its partition 0, so a keyed topic could be used with one partition only, and a reader got all keys or none.

Change: Newest and NewestAfter take a partition. A host that carries the call for a peer of an earlier version finds no number in it, which is partition 0 as before.

--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -133,7 +133,7 @@
 	keys := make(map[string]bool)
 	offsets := make(map[string]int64)
 	sent := time.Now()
-	n, err := readNewest(f.g.ctx, f.g.c.Log, f.topic, func(r partitionlog.KeyedRecord) {
+	n, err := readNewest(f.g.ctx, f.g.c.Log, partitionlog.Partition{Topic: f.topic}, func(r partitionlog.KeyedRecord) {
 		keys[r.Key] = true
 		offsets[r.Key] = r.Offset
 		f.put(r.Key, r.Value, r.Offset)
--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -15,9 +15,11 @@
 type logCall struct {
 	Append *partitionlog.AppendRequest `msgpack:"a"`
 	Read   *partitionlog.ReadRequest   `msgpack:"r"`
-	// Newest is the topic whose newest records are asked for: the page after the key After if Paged
-	// is set, and all of them for a host of an earlier version, which sets none of both.
+	// Newest is the topic whose newest records are asked for, in the partition Number: the page
+	// after the key After if Paged is set, and all of them for a host of an earlier version, which
+	// sets none of these.
 	Newest  string                    `msgpack:"n"`
+	Number  int                       `msgpack:"p"`
 	After   string                    `msgpack:"f"`
 	Paged   bool                      `msgpack:"g"`
 	Join    *partitionlog.JoinRequest `msgpack:"j"`
@@ -83,14 +85,15 @@
 
 // newest returns the page that is asked for, or all pages together.
 func (q *logCall) newest(ctx context.Context, l partitionlog.Log) (partitionlog.Newest, error) {
+	from := partitionlog.Partition{Topic: q.Newest, Number: q.Number}
 	switch {
 	case q.Paged && q.After != "":
-		return l.NewestAfter(ctx, q.Newest, q.After)
+		return l.NewestAfter(ctx, from, q.After)
 	case q.Paged:
-		return l.Newest(ctx, q.Newest)
+		return l.Newest(ctx, from)
 	}
 	var r partitionlog.Newest
-	s, err := readNewest(ctx, l, q.Newest, func(k partitionlog.KeyedRecord) { r.Records = append(r.Records, k) })
+	s, err := readNewest(ctx, l, from, func(k partitionlog.KeyedRecord) { r.Records = append(r.Records, k) })
 	r.End = s.end
 	return r, err
 }
--- a/pier/gateway/newest.go
+++ b/pier/gateway/newest.go
@@ -15,14 +15,14 @@
 	whole bool
 }
 
-// readNewest reads the newest record of each key of a topic and calls put for each. Only one page
+// readNewest reads the newest record of each key of a partition and calls put for each. Only one page
 // is held in memory at a time.
-func readNewest(ctx context.Context, l partitionlog.Log, topic string, put func(r partitionlog.KeyedRecord)) (newestState, error) {
+func readNewest(ctx context.Context, l partitionlog.Log, from partitionlog.Partition, put func(r partitionlog.KeyedRecord)) (newestState, error) {
 	after := ""
 	asked := map[string]bool{"": true}
 	s := newestState{end: -1}
 	for {
-		p, err := readNewestPage(ctx, l, topic, after)
+		p, err := readNewestPage(ctx, l, from, after)
 		if err != nil {
 			return newestState{}, err
 		}
@@ -46,11 +46,11 @@
 	}
 }
 
-func readNewestPage(ctx context.Context, l partitionlog.Log, topic, after string) (partitionlog.Newest, error) {
+func readNewestPage(ctx context.Context, l partitionlog.Log, from partitionlog.Partition, after string) (partitionlog.Newest, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
 	defer cancel()
 	if after == "" {
-		return l.Newest(ctx, topic)
+		return l.Newest(ctx, from)
 	}
-	return l.NewestAfter(ctx, topic, after)
+	return l.NewestAfter(ctx, from, after)
 }
--- a/pier/gateway/oddrecords_test.go
+++ b/pier/gateway/oddrecords_test.go
@@ -26,11 +26,11 @@
 	calls int
 }
 
-func (p *keyedPages) newest(ctx context.Context, topic string) (partitionlog.Newest, error) {
-	return p.newestAfter(ctx, topic, "")
+func (p *keyedPages) newest(ctx context.Context, at partitionlog.Partition) (partitionlog.Newest, error) {
+	return p.newestAfter(ctx, at, "")
 }
 
-func (p *keyedPages) newestAfter(_ context.Context, _, after string) (partitionlog.Newest, error) {
+func (p *keyedPages) newestAfter(_ context.Context, _ partitionlog.Partition, after string) (partitionlog.Newest, error) {
 	p.calls++
 	r := partitionlog.Newest{End: int64(len(p.keys))}
 	for i, k := range p.keys {
@@ -64,7 +64,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := &keyedPages{keys: c.keys}
 			seen := make(map[string]bool)
-			n, err := readNewest(context.Background(), partitionlog.Log{Newest: p.newest, NewestAfter: p.newestAfter}, "t",
+			n, err := readNewest(context.Background(), partitionlog.Log{Newest: p.newest, NewestAfter: p.newestAfter}, partitionlog.Partition{Topic: "t"},
 				func(r partitionlog.KeyedRecord) { seen[r.Key] = true })
 			require.NoError(t, err)
 			require.Equal(t, c.whole, n.whole)
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -93,12 +93,12 @@
 			a := l.do(ctx, &logCall{Read: &q})
 			return a.Page, a.err()
 		},
-		Newest: func(ctx context.Context, topic string) (partitionlog.Newest, error) {
-			a := l.do(ctx, &logCall{Newest: topic, Paged: true})
+		Newest: func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
+			a := l.do(ctx, &logCall{Newest: p.Topic, Number: p.Number, Paged: true})
 			return a.Newest, a.err()
 		},
-		NewestAfter: func(ctx context.Context, topic, key string) (partitionlog.Newest, error) {
-			a := l.do(ctx, &logCall{Newest: topic, After: key, Paged: true})
+		NewestAfter: func(ctx context.Context, p partitionlog.Partition, key string) (partitionlog.Newest, error) {
+			a := l.do(ctx, &logCall{Newest: p.Topic, Number: p.Number, After: key, Paged: true})
 			return a.Newest, a.err()
 		},
 		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -53,17 +53,17 @@
 			}
 			return p, err
 		},
-		Newest: func(ctx context.Context, topic string) (partitionlog.Newest, error) {
+		Newest: func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
 			if cut.Load() {
 				return partitionlog.Newest{}, fail(ctx)
 			}
-			return l.Newest(ctx, topic)
+			return l.Newest(ctx, p)
 		},
-		NewestAfter: func(ctx context.Context, topic, key string) (partitionlog.Newest, error) {
+		NewestAfter: func(ctx context.Context, p partitionlog.Partition, key string) (partitionlog.Newest, error) {
 			if cut.Load() {
 				return partitionlog.Newest{}, fail(ctx)
 			}
-			return l.NewestAfter(ctx, topic, key)
+			return l.NewestAfter(ctx, p, key)
 		},
 		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
 			if cut.Load() {
@@ -398,7 +398,7 @@
 	require.True(t, outcome.HasReason(err, outcome.ReasonDraining), "%v", err)
 	require.Equal(t, outcome.NotRun, outcome.AsError(err).Outcome)
 	for range 4 {
-		_, err = a.c.Log.Newest(context.Background(), "x")
+		_, err = a.c.Log.Newest(context.Background(), partitionlog.Partition{Topic: "x"})
 		require.NoError(t, err, "another peer carries the call")
 	}
 }
--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -94,7 +94,7 @@
 	ctx, cancel := context.WithTimeout(ctx, preferredDriversTimeout)
 	defer cancel()
 	all := make(map[string]driverRecord)
-	n, err := readNewest(ctx, p.g.c.Log, preferredDriversTopic, func(k partitionlog.KeyedRecord) {
+	n, err := readNewest(ctx, p.g.c.Log, partitionlog.Partition{Topic: preferredDriversTopic}, func(k partitionlog.KeyedRecord) {
 		var v driverRecord
 		if err := msgpack.Unmarshal(k.Value, &v); err != nil {
 			p.g.unreadable.skipped(preferredDriversTopic, err, zap.String("model", k.Key))
--- a/pier/memlog/memlog.go
+++ b/pier/memlog/memlog.go
@@ -200,17 +200,17 @@
 // newestPageKeys is the number of keys in a page of the newest records.
 const newestPageKeys = 500
 
-func (l *Log) newest(ctx context.Context, topic string) (partitionlog.Newest, error) {
-	return l.newestAfter(ctx, topic, "")
+func (l *Log) newest(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
+	return l.newestAfter(ctx, p, "")
 }
 
-func (l *Log) newestAfter(_ context.Context, topic, after string) (partitionlog.Newest, error) {
+func (l *Log) newestAfter(_ context.Context, at partitionlog.Partition, after string) (partitionlog.Newest, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, topic)
+		return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, at.Topic)
 	}
-	p := l.getPartition(partitionlog.Partition{Topic: topic})
+	p := l.getPartition(at)
 	m := make(map[string]partitionlog.KeyedRecord)
 	for i, b := range p.records {
 		if k, v, ok := partitionlog.DecodeKeyed(b); ok {
--- a/pier/partitionlog/partitionlog.go
+++ b/pier/partitionlog/partitionlog.go
@@ -80,8 +80,8 @@
 	Offset int64
 }
 
-// Newest is a page of the state of a keyed topic: the newest record of each key that was not
-// deleted. The pages of a topic are read one after the other and are not one snapshot.
+// Newest is a page of the state of a partition of a keyed topic: the newest record of each key
+// that was not deleted. The pages of a partition are read one after the other and are not one snapshot.
 type Newest struct {
 	Records []KeyedRecord
 	// End is the offset from which to read the records that follow the page.
@@ -119,10 +119,11 @@
 	// Read returns records from an offset on, or an empty page after ReadRequest.Wait. It
 	// fails with ReasonExpired if the record at that offset is no longer kept.
 	Read func(ctx context.Context, q ReadRequest) (Page, error)
-	// Newest returns the first page of the newest records of the keys of a keyed topic.
-	Newest func(ctx context.Context, topic string) (Newest, error)
+	// Newest returns the first page of the newest records of the keys in a partition of a
+	// keyed topic.
+	Newest func(ctx context.Context, p Partition) (Newest, error)
 	// NewestAfter returns the page that follows a key.
-	NewestAfter func(ctx context.Context, topic, key string) (Newest, error)
+	NewestAfter func(ctx context.Context, p Partition, key string) (Newest, error)
 	// Join enters a member into a consumer group or renews its membership, and returns the
 	// partitions that are assigned to it.
 	Join func(ctx context.Context, q JoinRequest) (Membership, error)
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -120,7 +120,7 @@
 }
 
 func (s *store) newest(w http.ResponseWriter, r *http.Request) {
-	n, err := s.log.Newest(r.Context(), partitionOf(r).Topic)
+	n, err := s.log.Newest(r.Context(), partitionOf(r))
 	if err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
