A test of steps read back after the loss of all hosts, known to be red

Each host that starts without a view of a partition replays all of it for the first step that it is asked for, in pages of 512 KB. After the loss of all hosts they all do so at once: the log serves pages that their hosts have given up after 400 to 800 ms and ask for again, and refuses the rest. No view gets on, and a reader that turns to another host meets the same there.

The test runs 24 whole hosts over a log of four partitions of some 3 MB whose reads share 16 MB/s, and which refuses reads while more than 2 s of work waits; hosts have links of 60 Mbit/s. They follow the log for 4 s, the 96 steps are ended, all hosts are closed and start again, and 96 readers try a host at a time, 2.5 s each, for 12 s.

--- /dev/null
+++ b/pier/gateway/readback_test.go
@@ -0,0 +1,379 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+const (
+	// sharedLogLatency is the time that a sharedLog needs for a call without data.
+	sharedLogLatency = 5 * time.Millisecond
+	// sharedLogMaxBacklog is the work that may wait at a sharedLog before it refuses reads.
+	sharedLogMaxBacklog = 2 * time.Second
+	// hostLinkRate is the rate of a host's link, in bytes per second.
+	hostLinkRate = 60e6 / 8
+)
+
+// line carries data at a constant rate, in the order in which it is taken. It is safe for
+// concurrent use.
+type line struct {
+	// rate is in bytes per second.
+	rate float64
+
+	mu sync.Mutex
+	// free is when all data that was taken has been carried.
+	free time.Time
+	// carried is the size of all data that was taken, in bytes.
+	carried int
+}
+
+// take adds n bytes and returns when they will have been carried.
+func (l *line) take(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	l.carried += n
+	return l.free
+}
+
+// backlog returns the time until all data that was taken has been carried.
+func (l *line) backlog() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Until(l.free)
+}
+
+// total returns the size of all data that was taken.
+func (l *line) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.carried
+}
+
+// sharedLog is a log whose reads share one rate. An answer is charged when the log serves it,
+// even if its reader gives up meanwhile. Reads are refused while too much work waits.
+type sharedLog struct {
+	log   partitionlog.Log
+	reads *line
+}
+
+// forHost returns the log as a host with a link of its own reaches it.
+func (s *sharedLog) forHost() partitionlog.Log {
+	link := &line{rate: hostLinkRate}
+	newest := func(ctx context.Context, p partitionlog.Partition, after string) (partitionlog.Newest, error) {
+		if err := s.admitRead(ctx); err != nil {
+			return partitionlog.Newest{}, err
+		}
+		r, err := s.log.NewestAfter(ctx, p, after)
+		if err != nil {
+			return r, err
+		}
+		n := 0
+		for _, k := range r.Records {
+			n += len(k.Key) + len(k.Value)
+		}
+		return r, s.carry(ctx, link, n)
+	}
+	return partitionlog.Log{
+		Append: func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+			if err := s.begin(ctx); err != nil {
+				return partitionlog.AppendResult{}, err
+			}
+			return s.log.Append(ctx, q)
+		},
+		Read: func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+			if err := s.admitRead(ctx); err != nil {
+				return partitionlog.Page{}, err
+			}
+			p, err := s.log.Read(ctx, q)
+			if err != nil {
+				return p, err
+			}
+			return p, s.carry(ctx, link, encodedSize(p.Records))
+		},
+		Newest: func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
+			return newest(ctx, p, "")
+		},
+		NewestAfter: newest,
+		Join: func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
+			if err := s.begin(ctx); err != nil {
+				return partitionlog.Membership{}, err
+			}
+			return s.log.Join(ctx, q)
+		},
+		Leave: s.log.Leave,
+		Members: func(ctx context.Context, group string) ([]string, error) {
+			if err := s.begin(ctx); err != nil {
+				return nil, err
+			}
+			return s.log.Members(ctx, group)
+		},
+	}
+}
+
+// begin waits for the time of a call without data.
+func (s *sharedLog) begin(ctx context.Context) error {
+	if !backoff.Sleep(ctx, sharedLogLatency) {
+		return outcome.Refuse(outcome.ReasonDeadline, "call to the log")
+	}
+	return nil
+}
+
+// admitRead is begin for a read, which is refused while too much work waits.
+func (s *sharedLog) admitRead(ctx context.Context) error {
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
+	if s.reads.backlog() > sharedLogMaxBacklog {
+		return outcome.Refuse(outcome.ReasonLogDown, "too much work waits")
+	}
+	return nil
+}
+
+// carry waits until an answer has been read from the log and has reached its host.
+func (s *sharedLog) carry(ctx context.Context, link *line, n int) error {
+	if !backoff.Sleep(ctx, time.Until(s.reads.take(n))) || !backoff.Sleep(ctx, time.Until(link.take(n))) {
+		return outcome.Ambiguous(outcome.ReasonDeadline, "answer of the log", ctx.Err())
+	}
+	return nil
+}
+
+const (
+	// fixedPortStart and fixedPortEnd bound the ports of hosts that start again. They lie below
+	// the ephemeral ports, which the kernel gives to outgoing connections.
+	fixedPortStart = 12000
+	fixedPortEnd   = 18000
+	// fixedPortBlock is the distance between the first ports of two test processes.
+	fixedPortBlock = 100
+)
+
+// fixedAddresses returns n local addresses on which nothing listens.
+func fixedAddresses(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	const ports = fixedPortEnd - fixedPortStart
+	first := os.Getpid() * fixedPortBlock
+	var r []netip.AddrPort
+	for i := 0; i < ports && len(r) < n; i++ {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", fixedPortStart+(first+i)%ports))
+		if err != nil {
+			continue
+		}
+		r = append(r, netip.MustParseAddrPort(l.Addr().String()))
+		require.NoError(t, l.Close())
+	}
+	require.Len(t, r, n)
+	return r
+}
+
+// startWholeHosts starts a host with all its loops at each address.
+func startWholeHosts(t *testing.T, at []netip.AddrPort, l *sharedLog) []*Gateway {
+	t.Helper()
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	var r []*Gateway
+	for i, a := range at {
+		g := newHostAt(t, fmt.Sprint("h", i), a, l.forHost())
+		g.s.Listen.Callers, g.s.Listen.Health = anyPort, anyPort
+		g.c.Handler = func(*Gateway) http.Handler { return http.NotFoundHandler() }
+		require.NoError(t, g.Start())
+		r = append(r, g)
+	}
+	return r
+}
+
+// stopHosts stops all hosts at the same time, without a drain.
+func stopHosts(l []*Gateway) {
+	var w sync.WaitGroup
+	for _, g := range l {
+		w.Go(g.Close)
+	}
+	w.Wait()
+}
+
+// storedStep is a step whose items all have results in the log.
+type storedStep struct {
+	id      string
+	results []*stepjournal.Result
+}
+
+const (
+	storedItems = 8
+	// storedRounds is the number of records of progress of a step's first item. Each further
+	// item has one more than the one before.
+	storedRounds = 12
+)
+
+// storeStep appends the records of a step, most of which are records of progress: the text of
+// each item grows by a line from one to the next.
+func storeStep(t *testing.T, l partitionlog.Log, id string) *storedStep {
+	t.Helper()
+	s := newStep(id, storedItems)
+	s.Submitted = time.Now()
+	b, err := stepjournal.Accepted(s, stepjournal.Driver{Host: "lost"}, 256<<10)
+	require.NoError(t, err)
+	appendToStep(t, l, id, b...)
+	r := &storedStep{id: id}
+	text := ""
+	for n := int64(1); len(r.results) < storedItems; n++ {
+		text += fmt.Sprintf("%-127s\n", fmt.Sprint(id, ", event ", n))
+		for i := len(r.results); i < storedItems; i++ {
+			if n <= storedRounds+int64(i) {
+				saveItem(t, l, id, &stepjournal.Progress{ItemIndex: i, Text: text, LastEvent: n, Versions: []int64{1}})
+				continue
+			}
+			r.finish(t, l, &stepjournal.Result{
+				Step: id, ItemIndex: i, ID: s.Items[i].ID, State: stepjournal.Completed, Text: text, Versions: []int64{1},
+			})
+		}
+	}
+	return r
+}
+
+// saveItem appends the progress of an item.
+func saveItem(t *testing.T, l partitionlog.Log, step string, p *stepjournal.Progress) {
+	t.Helper()
+	b, err := stepjournal.Saved(step, p)
+	require.NoError(t, err)
+	appendToStep(t, l, step, b)
+}
+
+// finish appends the result of an item.
+func (s *storedStep) finish(t *testing.T, l partitionlog.Log, r *stepjournal.Result) {
+	t.Helper()
+	b, err := stepjournal.Finished(r)
+	require.NoError(t, err)
+	appendToStep(t, l, s.id, b)
+	s.results = append(s.results, r)
+}
+
+// end appends the end of the step.
+func (s *storedStep) end(t *testing.T, l partitionlog.Log) {
+	t.Helper()
+	b, err := stepjournal.Ended(s.id, time.Now())
+	require.NoError(t, err)
+	appendToStep(t, l, s.id, b)
+}
+
+// appendToStep appends records to the partition of a step.
+func appendToStep(t *testing.T, l partitionlog.Log, step string, b ...[]byte) {
+	t.Helper()
+	p := partitionlog.Partition{Topic: stepjournal.Topic, Number: stepjournal.PartitionOf(step, testParts)}
+	_, err := l.Append(context.Background(), partitionlog.AppendRequest{
+		Partition: p, Records: b, ExpectedEnd: partitionlog.NoCondition,
+	})
+	require.NoError(t, err)
+}
+
+const (
+	// readBackTry bounds one read of a reader, readBackTime all of them.
+	readBackTry  = 2500 * time.Millisecond
+	readBackTime = 12 * time.Second
+	// readBackPause is the time between a read that failed and the next one.
+	readBackPause = 50 * time.Millisecond
+)
+
+// reader reads the results of a step, each time from another host.
+type reader struct {
+	hosts []*Gateway
+	rand  *rand.Rand
+	id    string
+	got   []*stepjournal.Result
+}
+
+// run reads until all results are there. It returns the last error if the time is up, and
+// unknown-step at once: the log holds the step.
+func (r *reader) run(ctx context.Context) error {
+	last := outcome.Refuse(outcome.ReasonDeadline, r.id)
+	for ctx.Err() == nil {
+		done, err := r.read(ctx)
+		if done || outcome.HasReason(err, outcome.ReasonUnknownStep) {
+			return err
+		}
+		if err != nil {
+			last = outcome.AsError(err)
+			backoff.Sleep(ctx, readBackPause)
+		}
+	}
+	return last
+}
+
+// read reads once, and reports whether all results are there.
+func (r *reader) read(ctx context.Context) (done bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readBackTry)
+	defer cancel()
+	l, err := r.hosts[r.rand.IntN(len(r.hosts))].Results(ctx, r.id, len(r.got), time.Second)
+	if err != nil {
+		return false, err
+	}
+	r.got = append(r.got, l.Results...)
+	return len(r.got) == l.Total, nil
+}
+
+// readBack reads all steps from the hosts at the same time, and returns why those that were not
+// read to their end were not.
+func readBack(t *testing.T, hosts []*Gateway, steps []*storedStep) map[string]string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), readBackTime)
+	defer cancel()
+	errs := make([]error, len(steps))
+	readers := make([]*reader, len(steps))
+	var w sync.WaitGroup
+	for i, s := range steps {
+		readers[i] = &reader{hosts: hosts, rand: rand.New(rand.NewPCG(1, uint64(i))), id: s.id}
+		w.Go(func() { errs[i] = readers[i].run(ctx) })
+	}
+	w.Wait()
+	unread := make(map[string]string)
+	for i, s := range steps {
+		if errs[i] != nil {
+			unread[s.id] = errs[i].Error()
+			continue
+		}
+		require.Equal(t, s.results, readers[i].got)
+	}
+	return unread
+}
+
+// All hosts are lost after steps were accepted, finished and ended, and start again without
+// their views of the partitions. Every step must be read back in time from any of them, although
+// the log does not serve the whole of each partition to each host in that time.
+func TestStepsAreReadBackAfterAllHostsAreLost(t *testing.T) {
+	const hosts, steps = 24, 96
+	const lifetime = 4 * time.Second
+	m := newLog().Functions()
+	var stored []*storedStep
+	for i := range steps {
+		stored = append(stored, storeStep(t, m, fmt.Sprint("s", i)))
+	}
+	l := &sharedLog{log: m, reads: &line{rate: 16e6}}
+	at := fixedAddresses(t, hosts)
+	before := startWholeHosts(t, at, l)
+	time.Sleep(lifetime)
+	for _, s := range stored {
+		s.end(t, m)
+	}
+	stopHosts(before)
+	carried, start := l.reads.total(), time.Now()
+	after := startWholeHosts(t, at, l)
+	unread := readBack(t, after, stored)
+	t.Logf("the log served %d KB in %s", (l.reads.total()-carried)>>10, time.Since(start).Round(time.Millisecond))
+	stopHosts(after)
+	require.Empty(t, unread, "%d of %d steps were not read back in %s", len(unread), steps, readBackTime)
+}
