A step is forgotten when the log holds none of its records, not by the time of day

Hosts dropped a step when its Submitted, written by the clock of another host, lay further back than the retention by their own clock. With clocks that differ by more than that, or after one stepped, a step was dropped whose records the log still held: hosts answered that it is unknown, and a repeated submission started a new entry, so that results were listed at other positions.

Fold.DropExpired drops an entry once the log holds no record that names the step, going by the first retained offset of a page, and only when all records of that page's log are applied. Fold.SkipTo no longer keeps entries beside records that were never read, as the positions of later results are not known then: such steps are cut off (Fold.CutOff) until the log holds none of their records. A repeated submission of one starts no new list.

Age of an entry: Entry.ObservedAt is the boot time at which this host first read the step, Entry.Age a lower bound of its age. NewFold takes the clock.

Both pass now.

--- /dev/null
+++ b/pier/gateway/clocks_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/settings"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// clockErrors holds by how much the time of day of one host differs from that of another.
+var clockErrors = map[string]time.Duration{
+	"days behind": -72 * time.Hour, "behind": -400 * time.Second, "ahead": 400 * time.Second, "days ahead": 72 * time.Hour,
+}
+
+// acceptAt appends the records of a step that a host accepted when its clock told a time.
+func acceptAt(t *testing.T, v *view, s *stepjournal.Step, d stepjournal.Driver, at time.Time) {
+	t.Helper()
+	s.Submitted = at
+	b, err := stepjournal.Accepted(s, d, 1<<20)
+	require.NoError(t, err)
+	_, err = v.append(context.Background(), b)
+	require.NoError(t, err)
+}
+
+func appendResult(t *testing.T, v *view, s *stepjournal.Step, i int) {
+	t.Helper()
+	b, err := stepjournal.Finished(&stepjournal.Result{Step: s.ID, ItemIndex: i, ID: s.Items[i].ID, State: stepjournal.Completed})
+	require.NoError(t, err)
+	_, err = v.append(context.Background(), [][]byte{b})
+	require.NoError(t, err)
+}
+
+// A step is accepted by a host whose clock is wrong, and submitted again to one whose clock is
+// right. No host may forget it or list its results at other positions.
+func TestStepFromHostWithWrongClockIsKept(t *testing.T) {
+	for name, off := range clockErrors {
+		t.Run(name, func(t *testing.T) {
+			l := newLog()
+			a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
+			a.s.Log.Retention, b.s.Log.Retention = settings.Duration(time.Minute), settings.Duration(time.Minute)
+			s := newStep("s", 2)
+			v := a.journal.get("s")
+			acceptAt(t, v, s, a.self, time.Now().Add(off))
+			appendResult(t, v, s, 1)
+			require.Equal(t, "s-1", waitResults(t, b, "s", 1)[0].ID)
+			acceptAt(t, v, s, b.self, time.Now())
+			appendResult(t, v, s, 0)
+			appendResult(t, v, s, 1)
+			for _, g := range []*Gateway{a, b} {
+				r := waitResults(t, g, "s", 2)
+				require.Equal(t, []string{"s-1", "s-0"}, []string{r[0].ID, r[1].ID})
+			}
+		})
+	}
+}
+
+// The records of a step expire: hosts drop it.
+func TestExpiredStepIsDropped(t *testing.T) {
+	l := newLog()
+	a := newHost(t, "a", l.Functions())
+	v := a.journal.get("s")
+	acceptAt(t, v, newStep("s", 1), a.self, time.Now())
+	require.NoError(t, v.sync(context.Background()))
+	_, _, known := v.entry("s")
+	require.True(t, known)
+	a.append(t, v.partition())
+	l.Expire(v.partition(), 1)
+	require.NoError(t, v.sync(context.Background()))
+	_, _, known = v.entry("s")
+	require.False(t, known)
+}
+
+// append appends a record that means nothing.
+func (g *Gateway) append(t *testing.T, p partitionlog.Partition) {
+	t.Helper()
+	_, err := g.c.Log.Append(context.Background(), partitionlog.AppendRequest{Partition: p, Records: [][]byte{{0xc1}}, ExpectedEnd: partitionlog.NoCondition})
+	require.NoError(t, err)
+}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/stepjournal"
@@ -78,7 +79,7 @@
 	defer j.mu.Unlock()
 	v := j.views[n]
 	if v == nil {
-		v = &view{j: j, n: n, fold: stepjournal.NewFold(), end: -1, changed: make(chan struct{})}
+		v = &view{j: j, n: n, fold: stepjournal.NewFold(stepjournal.FoldConfig{Now: boottime.Now}), end: -1, changed: make(chan struct{})}
 		j.views[n] = v
 	}
 	return v
@@ -218,6 +219,7 @@
 		}
 		v.j.cache.put(cacheKey{v.n, at}, b)
 	}
+	v.fold.DropExpired(p.First, p.End)
 	v.end = max(v.end, p.End)
 	if v.fold.Next >= p.End && sent.After(v.freshAt) {
 		v.freshAt = sent
@@ -225,7 +227,6 @@
 	if len(p.Records) > 0 {
 		close(v.changed)
 		v.changed = make(chan struct{})
-		v.fold.DropBefore(time.Now().Add(-v.j.g.s.Log.Retention.D()))
 	}
 }
 
--- a/pier/stepjournal/fold.go
+++ b/pier/stepjournal/fold.go
@@ -1,6 +1,7 @@
 package stepjournal
 
 import (
+	"maps"
 	"time"
 
 	"mulberrypier.example/pier/bug"
@@ -19,8 +20,12 @@
 	Driver Driver
 	// Takeovers is the number of times that the driver changed.
 	Takeovers int
-	// Submitted is when the step was accepted, by the clock of the host that accepted it.
+	// Submitted is when the step was accepted, by the clock of the host that accepted it. It
+	// is for people to read: the clocks of hosts differ, so no decision rests on it.
 	Submitted time.Time
+	// ObservedAt is a time at which the step had been accepted, by FoldConfig.Now. It may lie
+	// after the acceptance, never before.
+	ObservedAt time.Duration
 	// Ended reports whether the trainer ended the step.
 	Ended bool
 	// Results holds the offsets of the result records in the order in which they were
@@ -31,8 +36,13 @@
 	ProgressOffsets map[int]int64
 	// hasResult reports, by index of the item, whether the item has a result.
 	hasResult []bool
+	// last is the offset of the newest record that names the step, whatever its effect.
+	last int64
 }
 
+// Age returns how long ago the step was accepted, at least, at a time of FoldConfig.Now.
+func (e *Entry) Age(now time.Duration) time.Duration { return max(0, now-e.ObservedAt) }
+
 // HasResult reports whether the item at index i has a result. It is false for an index out
 // of range.
 func (e *Entry) HasResult(i int) bool { return i >= 0 && i < len(e.hasResult) && e.hasResult[i] }
@@ -40,13 +50,26 @@
 // Open reports whether the step has not ended and some of its items have no result.
 func (e *Entry) Open() bool { return !e.Ended && len(e.Results) < e.Total }
 
-// Fold is the state of one partition, computed by replaying its records in order. It
-// depends on nothing but the records, so all hosts arrive at the same state. It is not
-// safe for concurrent use.
+// FoldConfig holds the dependencies of a Fold.
+type FoldConfig struct {
+	// Now returns the time by a clock of this host that never steps. It only sets
+	// Entry.ObservedAt.
+	Now func() time.Duration
+}
+
+// Fold is the state of one partition, computed by replaying its records in order. But for
+// Entry.ObservedAt it depends on nothing but the records and on which of them the log holds,
+// so all hosts arrive at the same state. It is not safe for concurrent use.
 type Fold struct {
 	// Next is the offset of the record to apply next; it never decreases.
 	Next  int64
+	now   func() time.Duration
 	steps map[string]*Entry
+	// skipped is set once records were skipped that had expired.
+	skipped bool
+	// cutOff holds the steps of which records were skipped, as far as that can be told, with
+	// the offset of the newest record that names the step. None of them is in steps.
+	cutOff map[string]int64
 	// pendingChunks holds the records read so far of a step whose last chunk has not been
 	// read.
 	pendingChunks [][]byte
@@ -58,7 +81,9 @@
 }
 
 // NewFold returns the state of an empty partition.
-func NewFold() *Fold { return &Fold{steps: make(map[string]*Entry)} }
+func NewFold(c FoldConfig) *Fold {
+	return &Fold{now: c.Now, steps: make(map[string]*Entry), cutOff: make(map[string]int64)}
+}
 
 // Step returns the entry of the step with the given id, or nil if there is none.
 func (f *Fold) Step(id string) *Entry { return f.steps[id] }
@@ -67,29 +92,44 @@
 // not modify it.
 func (f *Fold) Steps() map[string]*Entry { return f.steps }
 
-// DropBefore removes the steps that were submitted before t. The log drops their records
-// at the end of its retention, so their texts can no longer be read.
-func (f *Fold) DropBefore(t time.Time) {
-	for id, e := range f.steps {
-		if e.Submitted.Before(t) {
-			delete(f.steps, id)
-		}
+// CutOff reports whether the log may hold records of a step whose earlier records have expired
+// unread. Nothing can be said of such a step: not that it is unknown, nor where its results
+// are listed.
+func (f *Fold) CutOff(id string) bool {
+	_, ok := f.cutOff[id]
+	return ok
+}
+
+// DropExpired removes the steps of which the log holds no record, given that it held those at
+// the offsets [first, end) at some time. It does nothing until these are applied, as a step
+// may be named by any of them.
+func (f *Fold) DropExpired(first, end int64) {
+	if f.Next < end {
+		return
 	}
+	maps.DeleteFunc(f.steps, func(_ string, e *Entry) bool { return e.last < first })
+	maps.DeleteFunc(f.cutOff, func(_ string, last int64) bool { return last < first })
 }
 
 // SkipTo moves on to offset to if that lies ahead of Next. It is used when the records in
-// between have expired from the log.
+// between have expired from the log. All steps known so far are cut off, since results may be
+// among these records.
 func (f *Fold) SkipTo(to int64) {
-	if to > f.Next {
-		f.Next, f.pendingChunks = to, nil
+	if to <= f.Next {
+		return
+	}
+	f.Next, f.pendingChunks, f.skipped = to, nil, true
+	for id, e := range f.steps {
+		f.cutOff[id] = e.last
 	}
+	clear(f.steps)
 }
 
 // Apply applies the record at offset Next and increments Next. A record that cannot be
 // decoded is skipped and counted in Unreadable, and the error is returned.
 //
 // Records of unknown steps, takeovers from a host that is not the driver, and repeated
-// results have no effect.
+// results have no effect, except that the log still holds a record of the step.
 func (f *Fold) Apply(b []byte) error {
 	offset := f.Next
 	f.Next++
@@ -99,6 +139,7 @@
 		f.Unreadable++
 		return err
 	}
+	f.name(offset, e)
 	if e.Kind == kindAccepted {
 		return f.acceptChunk(offset, e, b)
 	}
@@ -123,10 +164,24 @@
 	return nil
 }
 
+// name notes that the record at an offset names its step. If records were skipped, one that
+// does not begin an unknown step shows that its beginning was among them.
+func (f *Fold) name(offset int64, e *envelope) {
+	if s := f.steps[e.Step]; s != nil {
+		s.last = offset
+		return
+	}
+	begins := e.Kind == kindAccepted && (e.Chunk == 0 || e.Chunk == len(f.pendingChunks))
+	if f.CutOff(e.Step) || f.skipped && !begins {
+		f.cutOff[e.Step] = offset
+	}
+}
+
 // acceptChunk adds a chunk of an accepted step and creates the step's entry once all chunks
 // were read. The chunks of a step are appended in one call, so their offsets are
 // contiguous and any other record in between means that the step is incomplete. A step
-// whose id is known already is ignored.
+// whose id is known already is ignored, and so is one that is cut off: it starts no new list of
+// results while the log holds a record of the list before.
 func (f *Fold) acceptChunk(offset int64, e *envelope, b []byte) error {
 	if e.Chunk == 0 {
 		f.pendingChunks, f.pendingFrom = nil, offset
@@ -142,7 +197,7 @@
 	}
 	p := f.pendingChunks
 	f.pendingChunks = nil
-	if f.steps[e.Step] != nil {
+	if f.steps[e.Step] != nil || f.CutOff(e.Step) {
 		return nil
 	}
 	s, err := DecodeStep(p)
@@ -152,7 +207,8 @@
 	}
 	f.steps[e.Step] = &Entry{
 		ID: e.Step, From: f.pendingFrom, To: offset + 1, Total: len(s.Items), Driver: e.Driver,
-		Submitted: s.Submitted, ProgressOffsets: make(map[int]int64), hasResult: make([]bool, len(s.Items)),
+		Submitted: s.Submitted, ObservedAt: f.now(), last: offset,
+		ProgressOffsets: make(map[int]int64), hasResult: make([]bool, len(s.Items)),
 	}
 	return nil
 }
--- a/pier/stepjournal/fold_test.go
+++ b/pier/stepjournal/fold_test.go
@@ -11,6 +11,9 @@
 	"pgregory.net/rapid"
 )
 
+// standing is a clock that stands still.
+func standing() time.Duration { return 0 }
+
 func generateStep(t *rapid.T, id string) *Step {
 	s := &Step{ID: id, Model: "m", Submitted: time.Unix(100, 0)}
 	for i := range rapid.IntRange(1, 6).Draw(t, "items") {
@@ -27,7 +30,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var log [][]byte
 		steps := []*Step{generateStep(t, "a"), generateStep(t, "b")}
-		f := NewFold()
+		f := NewFold(FoldConfig{Now: standing})
 		seenResults := make(map[string][]int64)
 		for range rapid.IntRange(1, 60).Draw(t, "appends") {
 			s := rapid.SampledFrom(steps).Draw(t, "step")
@@ -72,7 +75,7 @@
 				seenResults[id] = append([]int64(nil), e.Results...)
 			}
 		}
-		g := NewFold()
+		g := NewFold(FoldConfig{Now: standing})
 		for _, b := range log {
 			_ = g.Apply(b)
 		}
@@ -106,7 +109,7 @@
 }
 
 func TestTakeoverWantsTheDriverItFollows(t *testing.T) {
-	f := NewFold()
+	f := NewFold(FoldConfig{Now: standing})
 	apply := func(b []byte, err error) {
 		require.NoError(t, err)
 		require.NoError(t, f.Apply(b))
@@ -126,7 +129,7 @@
 	f.Add(b)
 	f.Add([]byte{0xc1})
 	f.Fuzz(func(_ *testing.T, b []byte) {
-		x := NewFold()
+		x := NewFold(FoldConfig{Now: standing})
 		_ = x.Apply(b)
 		_, _ = DecodeResult(b)
 		_, _ = DecodeProgress(b)
