Samples are given up by the age of their step as measured here

A driver compared the time of day that another host had written into the step with its own. With clocks 400 s apart it gave samples up at once, or minutes late. It now uses Entry.Age, a lower bound measured on the boot-time clock: a sample may be given up late, never early.

TestStepFromHostWithWrongClockIsGivenUpInTime on the old code: behind, given up after 264.607µs of 500ms; ahead, "got 0 of 1 results in time" (20 s). It passes now.

--- a/pier/gateway/clocks_test.go
+++ b/pier/gateway/clocks_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/settings"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -59,6 +61,31 @@
 	}
 }
 
+// A step is accepted by a host whose clock is wrong and runs at another. Its samples must be
+// given up when they have had their time, no sooner, and not never.
+func TestStepFromHostWithWrongClockIsGivenUpInTime(t *testing.T) {
+	const abandonAfter = 500 * time.Millisecond
+	for name, off := range clockErrors {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newLog()
+			g := newHost(t, "a", l.Functions())
+			g.s.Log.Retention = settings.Duration(1000 * time.Hour)
+			g.table(func(gen, _ *routetable.Route) { gen.AbandonAfter = abandonAfter })
+			e := startServer(t, "e1", "engines", func(_ *server, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			g.register(e.Server)
+			s := newStep("s", 1)
+			v := g.journal.get("s")
+			began := time.Now()
+			acceptAt(t, v, s, g.self, began.Add(off))
+			g.steps.startDriving(route(g), s, v)
+			r := waitResults(t, g, "s", 1)
+			require.Equal(t, stepjournal.Dead, r[0].State)
+			require.Greater(t, time.Since(began), abandonAfter)
+		})
+	}
+}
+
 // The records of a step expire: hosts drop it.
 func TestExpiredStepIsDropped(t *testing.T) {
 	l := newLog()
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -24,8 +24,8 @@
 	driveMaxViewAge = 10 * time.Second
 	// watchedTimeout is how long a step counts as watched after the last query for it.
 	watchedTimeout = 2 * time.Second
-	// abandonMargin is added to the time after which the route gives samples up, since the
-	// clocks of hosts differ.
+	// abandonMargin is added to the time after which the route gives samples up. It covers the
+	// small difference in rate of the clocks of hosts and of trainers.
 	abandonMargin = 3 * time.Second
 )
 
@@ -137,7 +137,7 @@
 			d.finish(i)
 		}
 	}
-	if d.route.AbandonAfter > 0 && time.Since(e.Submitted) > d.route.AbandonAfter+abandonMargin {
+	if d.route.AbandonAfter > 0 && e.Age(boottime.Now()) > d.route.AbandonAfter+abandonMargin {
 		d.giveUp()
 	}
 	return changed, true
