A step of which records expired unread is not denied

A host that starts when part of a step's records have expired, or that falls behind the log, cannot tell the step's state. It answered 404, which a trainer takes for the loss of the step. It answers 503 (log-down) now, so that the trainer asks another host. A step that no record in the log names is unknown as before.

TestStepOfWhichRecordsExpiredUnreadIsNotDenied on the old code: "not-run: unknown-step: s". It passes now.

--- a/pier/gateway/clocks_test.go
+++ b/pier/gateway/clocks_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/settings"
@@ -86,6 +87,23 @@
 	}
 }
 
+// A step's records have all expired: it is unknown. Some of them have: this host cannot tell.
+func TestStepOfWhichRecordsExpiredUnreadIsNotDenied(t *testing.T) {
+	l := newLog()
+	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
+	s := newStep("s", 2)
+	v := a.journal.get("s")
+	acceptAt(t, v, s, a.self, time.Now())
+	appendResult(t, v, s, 1)
+	l.Expire(v.partition(), 1)
+	_, err := b.Results(context.Background(), "s", 0, 0)
+	require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
+	l.Expire(v.partition(), 2)
+	appendResult(t, v, newStep("other", 1), 0)
+	_, err = b.Results(context.Background(), "s", 0, 0)
+	require.True(t, outcome.HasReason(err, outcome.ReasonUnknownStep), "%v", err)
+}
+
 // The records of a step expire: hosts drop it.
 func TestExpiredStepIsDropped(t *testing.T) {
 	l := newLog()
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -273,6 +273,14 @@
 	return e, v.changed, true
 }
 
+// cutOff reports whether the log may hold records of a step that the view cannot interpret, since
+// those before them expired unread.
+func (v *view) cutOff(step string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fold.CutOff(step)
+}
+
 // savedProgress returns the offsets of the newest progress records of a step's unfinished
 // items, by item.
 func (v *view) savedProgress(step string) map[int]int64 {
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -185,7 +185,8 @@
 }
 
 // ensureKnown returns nil if the view knows a step, if need be after a sync. Its error is
-// unknown-step if there is no such step, and log-down if the log does not answer.
+// unknown-step if there is no such step, and log-down if the log does not answer or the step's
+// records have expired in part before the view read them.
 func (v *view) ensureKnown(ctx context.Context, id string) error {
 	if _, _, ok := v.entry(id); ok {
 		return nil
@@ -193,10 +194,13 @@
 	if err := v.sync(ctx); err != nil {
 		return outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
 	}
-	if _, _, ok := v.entry(id); !ok {
-		return outcome.Refuse(outcome.ReasonUnknownStep, id)
+	if _, _, ok := v.entry(id); ok {
+		return nil
 	}
-	return nil
+	if v.cutOff(id) {
+		return outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
+	}
+	return outcome.Refuse(outcome.ReasonUnknownStep, id)
 }
 
 // readList reads a step's results from a position on, up to maxListBytes but at least one.
