A leaving server is known by its start, whatever time of day that was

The directory kept one mark of leaving a server id and took the incarnation with the later start for the newer one. The start is a time of day of the server: when its clock went back between two starts, the mark of the incarnation that runs was not kept, and its next registration made it a server that takes work again.

TestStatementOfLeavingOutlivesTheRegistration, "another life, of an earlier time of day, leaves too", on the old code: "expected: true, actual: false". It passes now. TestLeavingServersAreForgottenInTheEnd looks the mark up under its new key.

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -71,15 +71,9 @@
 	dirty bool
 	// removedCount is the number of entries whose registration was removed.
 	removedCount int
-	// leaving holds, by id, the incarnations that stated in an answer that they leave.
-	leaving map[string]leavingMark
-}
-
-// leavingMark identifies an incarnation that leaves by the time at which it started.
-// keepUntil is when the mark may be dropped if the incarnation is not registered.
-type leavingMark struct {
-	born      time.Time
-	keepUntil time.Time
+	// leaving holds the incarnations that stated in an answer that they leave, each with the
+	// time at which it may be forgotten if it is not registered.
+	leaving map[Incarnation]time.Time
 }
 
 type entry struct {
@@ -99,7 +93,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*entry), leaving: make(map[string]leavingMark)}
+	return &Directory{servers: make(map[string]*entry), leaving: make(map[Incarnation]time.Time)}
 }
 
 // Register adds or replaces the registration of a server. A registration that only renews
@@ -114,7 +108,8 @@
 		d.removedCount--
 	}
 	n := &entry{s: s, registered: s}
-	n.s.Leaving = s.Leaving || d.isLeaving(s.ID, s.Born)
+	_, leaves := d.leaving[s.Incarnation()]
+	n.s.Leaving = s.Leaving || leaves
 	d.servers[s.ID] = n
 	d.dirty = true
 }
@@ -123,9 +118,7 @@
 // answer that it leaves. Its registration does not undo that. It returns true if a
 // registered server was not known to be leaving.
 func (d *Directory) ObserveLeaving(id string, born, now time.Time) bool {
-	if m, ok := d.leaving[id]; !ok || !born.Before(m.born) {
-		d.leaving[id] = leavingMark{born: born, keepUntil: now.Add(leavingMemory)}
-	}
+	d.leaving[Incarnation{ID: id, Born: born.UnixNano()}] = now.Add(leavingMemory)
 	e := d.servers[id]
 	if e == nil || e.s.Leaving || !e.s.Born.Equal(born) {
 		return false
@@ -135,18 +128,14 @@
 	return true
 }
 
-func (d *Directory) isLeaving(id string, born time.Time) bool {
-	m, ok := d.leaving[id]
-	return ok && m.born.Equal(born)
-}
-
-// forgetLeaving drops the marks of incarnations that were replaced or are gone for long.
+// forgetLeaving drops the marks of incarnations that have not been registered for long. Which of
+// two incarnations of a server is the newer one does not follow from when they started, as the
+// server's clock may have stepped in between.
 func (d *Directory) forgetLeaving(now time.Time) {
-	for id, m := range d.leaving {
-		e := d.servers[id]
-		replaced := e != nil && m.born.Before(e.s.Born)
-		if replaced || e == nil && now.After(m.keepUntil) {
-			delete(d.leaving, id)
+	for k, keepUntil := range d.leaving {
+		e := d.servers[k.ID]
+		if now.After(keepUntil) && (e == nil || e.s.Incarnation() != k) {
+			delete(d.leaving, k)
 		}
 	}
 }
--- a/pier/directory/directory_test.go
+++ b/pier/directory/directory_test.go
@@ -118,10 +118,16 @@
 		after func(d *Directory)
 		want  bool
 	}{
-		"renewed":            {func(d *Directory) { d.Register(reg(2, born)) }, true},
-		"removed and back":   {func(d *Directory) { d.Unregister("s", start); d.Snapshot(start); d.Register(reg(3, born)) }, true},
-		"another life":       {func(d *Directory) { d.Register(reg(1, born.Add(time.Second))) }, false},
-		"stated by an older": {func(d *Directory) { d.Register(reg(1, born.Add(time.Second))); d.ObserveLeaving("s", born, start) }, false},
+		"renewed":          {func(d *Directory) { d.Register(reg(2, born)) }, true},
+		"removed and back": {func(d *Directory) { d.Unregister("s", start); d.Snapshot(start); d.Register(reg(3, born)) }, true},
+		"another life":     {func(d *Directory) { d.Register(reg(1, born.Add(time.Second))) }, false},
+		"another life, of an earlier time of day, leaves too": {func(d *Directory) {
+			d.Register(reg(1, born.Add(-time.Second)))
+			d.ObserveLeaving("s", born.Add(-time.Second), start)
+			d.Register(reg(2, born.Add(-time.Second)))
+		}, true},
+		"another life, of an earlier time of day": {func(d *Directory) { d.Register(reg(1, born.Add(-time.Second))) }, false},
+		"stated by an older":                      {func(d *Directory) { d.Register(reg(1, born.Add(time.Second))); d.ObserveLeaving("s", born, start) }, false},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -147,6 +153,6 @@
 	d.Snapshot(start.Add(leavingMemory))
 	require.Len(t, d.leaving, 2)
 	d.Snapshot(start.Add(leavingMemory + 1))
-	require.Contains(t, d.leaving, "stays")
+	require.Contains(t, d.leaving, Incarnation{ID: "stays", Born: start.UnixNano()})
 	require.Len(t, d.leaving, 1)
 }
