A host says when its time of day was stepped

Package wallclock compares the time of day with the time since boot once a second; a change by more than a second is a step. The host counts it (mulberrypier_wall_clock_steps_total, _wall_clock_step_seconds) and writes one line each 10 s at most. A reading in which the process was stopped is left out.

--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -136,6 +136,7 @@
 	watch      *watch
 	orders     *orders
 	drain      *drainer
+	wallClock  *wallClock
 
 	servers []*http.Server
 	// listeners are those of servers.
@@ -183,6 +184,7 @@
 	g.watch = newWatch(g)
 	g.orders = newOrders(g)
 	g.drain = newDrainer(g)
+	g.wallClock = newWallClock(g)
 	bug.SetSink(func(i bug.Invariant, w string) {
 		g.metrics.bugs.WithLabelValues(string(i)).Inc()
 		g.log.Error("bug: invariant broken", zap.String("invariant", string(i)), zap.String("what", w))
@@ -217,7 +219,7 @@
 			return err
 		}
 	}
-	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run, g.suspects.run} {
+	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run, g.suspects.run, g.wallClock.run} {
 		g.wg.Go(f)
 	}
 	g.log.Info("host: started", zap.String("host", g.self.Host), zap.String("domain", g.s.Domain))
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -30,9 +30,12 @@
 	origins     *prometheus.CounterVec
 	checkpoints *prometheus.CounterVec
 	opened      prometheus.Counter
-	plain       prometheus.Histogram
-	sample      prometheus.Histogram
-	accept      prometheus.Histogram
+	// wallClockSteps and wallClockStep tell of steps of the time of day.
+	wallClockSteps prometheus.Counter
+	wallClockStep  prometheus.Gauge
+	plain          prometheus.Histogram
+	sample         prometheus.Histogram
+	accept         prometheus.Histogram
 }
 
 func newMetrics() *metrics {
@@ -71,7 +74,13 @@
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
-	m.registry.MustRegister(m.opened)
+	m.wallClockSteps = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "mulberrypier_wall_clock_steps_total", Help: "Steps of this host's time of day by more than a second.",
+	})
+	m.wallClockStep = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "mulberrypier_wall_clock_step_seconds", Help: "By how much the last step set the time of day ahead.",
+	})
+	m.registry.MustRegister(m.opened, m.wallClockSteps, m.wallClockStep)
 	m.plain = histogram("plain_seconds", "Time of plain requests, from their arrival to their answer.")
 	m.sample = histogram("sample_seconds", "Time of samples, from their first start to their result.")
 	m.accept = histogram("accept_seconds", "Time from the arrival of a step to its acceptance.")
