A step that is cut off is not accepted anew

A host that knows that records of a step expired unread accepted the step again, and all hosts ignored the record as long as the log names the step: the trainer was told that it is accepted, and its results were not listed. It refuses with log-down now, so that the trainer asks another host.

TestStepOfWhichRecordsExpiredUnreadIsNotDenied on the code before: Accept returned nil. It passes now.

--- a/pier/gateway/clocks_test.go
+++ b/pier/gateway/clocks_test.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// A step's records have all expired: it is unknown. Some of them have: this host cannot tell.
+// Some of a step's records have expired: this host can neither tell its state nor begin it anew.
+// All of them have: it is unknown.
 func TestStepOfWhichRecordsExpiredUnreadIsNotDenied(t *testing.T) {
 	l := newLog()
 	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
@@ -98,6 +99,9 @@
 	l.Expire(v.partition(), 1)
 	_, err := b.Results(context.Background(), "s", 0, 0)
 	require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
+	b.table(nil)
+	err = b.Accept(context.Background(), route(b), newStep("s", 2))
+	require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
 	l.Expire(v.partition(), 2)
 	appendResult(t, v, newStep("other", 1), 0)
 	_, err = b.Results(context.Background(), "s", 0, 0)
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -61,6 +61,9 @@
 	if known {
 		return nil
 	}
+	if v.cutOff(s.ID) {
+		return outcome.Refuse(outcome.ReasonLogDown, s.ID).After(unavailableRetryAfter)
+	}
 	s.Submitted = time.Now()
 	driver, claim := p.g.preferred.choose(ctx, s.Model)
 	b, err := stepjournal.Accepted(s, driver, p.g.s.Log.RecordBytes)
