Tests of checkpoints on the real path

A host without a view of a partition reads what follows the checkpoint: the test fails without checkpoints, when the host reads all 1.6 MB of the partition. A checkpoint that is odd, of another partition or missing hides no step, and one that the log refuses to give has no step denied.

--- /dev/null
+++ b/pier/gateway/checkpoint_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/memlog"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// The number of bytes and of records with which fillPartition fills a partition.
+const (
+	filledRecords     = 200
+	filledRecordBytes = 8 << 10
+)
+
+// fillPartition stores a step "s" with one result, and in front of it records of another step in
+// the same partition that saved its progress. It returns a view that has read them all.
+func fillPartition(t *testing.T, g *Gateway) *view {
+	t.Helper()
+	v := g.journal.get("s")
+	before := newStep(partitionMate(t, g), 1)
+	acceptAt(t, v, before, g.self, time.Now())
+	for i := range filledRecords {
+		b, err := stepjournal.Saved(before.ID, &stepjournal.Progress{Text: strings.Repeat("x", filledRecordBytes), LastEvent: int64(i + 1)})
+		require.NoError(t, err)
+		_, err = v.append(context.Background(), [][]byte{b})
+		require.NoError(t, err)
+	}
+	s := newStep("s", 1)
+	acceptAt(t, v, s, g.self, time.Now())
+	appendResult(t, v, s, 0)
+	require.NoError(t, v.sync(context.Background()))
+	return v
+}
+
+// partitionMate returns the ID of another step in the partition of the step "s".
+func partitionMate(t *testing.T, g *Gateway) string {
+	t.Helper()
+	for i := range 100 {
+		if id := fmt.Sprint("mate-", i); g.journal.get(id) == g.journal.get("s") {
+			return id
+		}
+	}
+	require.Fail(t, "no step shares the partition")
+	return ""
+}
+
+// writeCheckpoint has a view write a checkpoint and waits for it to be in the log.
+func writeCheckpoint(t *testing.T, v *view, l *memlog.Log) {
+	t.Helper()
+	v.saveCheckpoint()
+	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
+	require.Eventually(t, func() bool {
+		n, err := l.Functions().Newest(context.Background(), at)
+		return err == nil && len(n.Records) == 1
+	}, 5*time.Second, 5*time.Millisecond)
+}
+
+// countReads returns a log that counts the bytes of the journal that are read from it.
+func countReads(l partitionlog.Log, bytes *atomic.Int64) partitionlog.Log {
+	read := l.Read
+	l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		p, err := read(ctx, q)
+		if q.Partition.Topic == stepjournal.Topic {
+			bytes.Add(int64(encodedSize(p.Records)))
+		}
+		return p, err
+	}
+	return l
+}
+
+// Guards against a host that replays a whole partition for a read of one step.
+func TestHostWithoutViewReadsWhatFollowsTheCheckpoint(t *testing.T) {
+	l := newLog()
+	writeCheckpoint(t, fillPartition(t, newHost(t, "a", l.Functions())), l)
+	var read atomic.Int64
+	b := newHost(t, "b", countReads(l.Functions(), &read))
+	r, err := b.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, r.Results, 1)
+	require.Less(t, read.Load(), int64(filledRecords*filledRecordBytes/10))
+}
+
+// A checkpoint that cannot be read must neither hide a step nor have it denied.
+func TestStepIsReadWhateverTheCheckpoint(t *testing.T) {
+	tests := map[string]struct {
+		value []byte
+		fails bool
+		known bool
+	}{
+		"odd bytes":                {value: []byte("odd"), known: true},
+		"none":                     {known: true},
+		"log refuses the topic":    {fails: true},
+		"of another partition too": {value: otherCheckpoint(t), known: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLog()
+			v := fillPartition(t, newHost(t, "a", l.Functions()))
+			f := l.Functions()
+			if c.value != nil {
+				_, err := f.Append(context.Background(), partitionlog.AppendRequest{
+					Partition: partitionlog.Partition{Topic: checkpointsTopic, Number: v.n},
+					Records:   [][]byte{partitionlog.EncodeKeyed(checkpointKey, c.value)}, ExpectedEnd: partitionlog.NoCondition,
+				})
+				require.NoError(t, err)
+			}
+			newest := f.Newest
+			f.Newest = func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
+				if c.fails && p.Topic == checkpointsTopic {
+					return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, p.Topic)
+				}
+				return newest(ctx, p)
+			}
+			r, err := newHost(t, "b", f).Results(context.Background(), "s", 0, 0)
+			if !c.known {
+				require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
+				return
+			}
+			require.NoError(t, err)
+			require.Len(t, r.Results, 1)
+		})
+	}
+}
+
+// otherCheckpoint returns a checkpoint of a partition that no log here has.
+func otherCheckpoint(t *testing.T) []byte {
+	t.Helper()
+	b, ok := stepjournal.NewFold(stepjournal.FoldConfig{Now: func() time.Duration { return 0 }}).Checkpoint(testParts + 1)
+	require.True(t, ok)
+	return b
+}
+
+func TestCheckpointIsDue(t *testing.T) {
+	tests := map[string]struct {
+		c    checkpoints
+		want bool
+	}{
+		"nothing new":                {checkpoints{}, false},
+		"much, while appends go on":  {checkpoints{bytesBehind: checkpointBytes, appliedAt: time.Minute}, true},
+		"little, while they go on":   {checkpoints{bytesBehind: checkpointBytes - 1, appliedAt: time.Minute}, false},
+		"little, after a pause":      {checkpoints{bytesBehind: checkpointIdleBytes, appliedAt: time.Minute - checkpointIdleTime}, true},
+		"very little, after a pause": {checkpoints{bytesBehind: checkpointIdleBytes - 1}, false},
+		"much, another just written": {checkpoints{bytesBehind: checkpointBytes, writtenAt: time.Minute - minCheckpointInterval/2}, false},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, x.want, x.c.due(time.Minute)) })
+	}
+}
