A sample whose last event is torn is not taken for a complete one

Cause: package bufio drops the error of a read that ends a line without a line break, and package net/http reports the early end of a body with a length once only and io.EOF from then on; after a reset, or on a body that lasts until the close, the next read gives io.EOF as well. Package gateway wrapped that io.EOF into the error of the torn event, and the reader of samples took any error that wraps io.EOF for the end of a whole stream. The sample was scored and listed with the text up to the torn event.

Change: an error of the reader of events never wraps io.EOF, and a backend.Response returns the same error to each further read, so that a body that broke off is neither read as a whole one nor is its connection used again.

--- a/pier/backend/pool_test.go
+++ b/pier/backend/pool_test.go
@@ -141,6 +141,33 @@
 	}
 }
 
+// Guards against a body that broke off and is taken for a complete one by a reader that reads on.
+func TestBrokenBodyStaysBroken(t *testing.T) {
+	tests := map[string]string{
+		"length":  "Content-Length: 10\r\n\r\nabc",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"trailer": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+	}
+	for name, rest := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, _ := startServer(t, func(c net.Conn, _ int, id, _ string) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\n"+rest)
+				_ = c.Close()
+			})
+			r, err := NewPool(Config{Dialect: dialect}).Do(context.Background(), Request{Server: "s", Address: a, Method: "GET", Target: "/", Host: "h", ID: "1"})
+			require.NoError(t, err)
+			defer r.Close()
+			_, first := io.ReadAll(r)
+			require.Error(t, first)
+			for range 3 {
+				_, err = io.ReadAll(r)
+				require.Equal(t, first, err)
+			}
+			require.False(t, r.complete)
+		})
+	}
+}
+
 func TestShortBodyIsNoWholeAnswer(t *testing.T) {
 	a, _ := startServer(t, func(c net.Conn, _ int, id, _ string) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 10\r\n\r\nabc", id)
--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -25,16 +25,22 @@
 	stop func() bool
 	// complete is set once the body was read to its end.
 	complete bool
+	// err is the error that ended the body, io.EOF if it is complete, nil before that.
+	err error
 	// closing is set if the server closes the connection after this answer.
 	closing bool
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body. After an error, each
+// further call returns the same: package net/http reports the end of a body that broke off once only,
+// and the body as complete from then on.
 func (r *Response) Read(b []byte) (int, error) {
-	n, err := r.body.Read(b)
-	if err == io.EOF {
-		r.complete = true
+	if r.err != nil {
+		return 0, r.err
 	}
+	n, err := r.body.Read(b)
+	r.err = err
+	r.complete = err == io.EOF
 	return n, err
 }
 
--- a/pier/gateway/events.go
+++ b/pier/gateway/events.go
@@ -37,7 +37,7 @@
 }
 
 // next returns the next event, io.EOF after a stream that ended properly, or an
-// *outcome.Error.
+// *outcome.Error, which never wraps io.EOF.
 func (e *events) next() (*event, error) {
 	n := &event{id: -1}
 	var data []string
@@ -51,6 +51,9 @@
 		if outcome.HasReason(err, outcome.ReasonAnswerTooLarge) {
 			return nil, err
 		}
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, "stream", err)
 		}
--- a/pier/gateway/events_test.go
+++ b/pier/gateway/events_test.go
@@ -41,6 +41,7 @@
 						require.ErrorIs(t, err, io.EOF)
 					} else {
 						require.True(t, outcome.HasReason(err, c.reason), "%v", err)
+						require.NotErrorIs(t, err, io.EOF)
 					}
 					break
 				}
