A rejection of an item whose answer broke off does not give the item up

Cause: a 422 of an engine says that the item can never run, and the sample is listed as dead. The status was taken from the head alone, whatever became of the rest of the answer.

Change: a 422 whose body breaks off is a failed run like any other lost connection; the item runs again. A 500 counts as a failed attempt as before once its head is whole. The errors of bodies that are discarded are now kept as causes.

Seen failing on the old code: TestNoResultComesFromCutAnswers, the four rows of rejections (closed and reset, with a length and chunked): items whose 422 broke off in its body were listed as dead. All pass now.

--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -167,13 +167,13 @@
 	switch {
 	case r.NotRun():
 		u.refused(r, busyRetryAfter)
-		discard(r)
+		brokenOff := discard(r)
 		end()
-		return nil, outcome.Refuse(outcome.ReasonQueueFull, u.s.ID).After(busyRetryAfter)
+		return nil, outcome.RefuseWithCause(outcome.ReasonQueueFull, u.s.ID, brokenOff).After(busyRetryAfter)
 	case r.Status >= http.StatusInternalServerError && idempotent && more:
-		discard(r)
+		brokenOff := discard(r)
 		end()
-		return nil, outcome.Ambiguous(outcome.ReasonServerError, u.s.ID, nil)
+		return nil, outcome.Ambiguous(outcome.ReasonServerError, u.s.ID, brokenOff)
 	case !idempotent && impliesNotRun(r.Status):
 		end()
 		return nil, outcome.Ambiguous(outcome.ReasonServerError, u.s.ID, nil)
@@ -191,10 +191,11 @@
 	return a, nil
 }
 
-// discard reads a short body to its end, so that its connection can be reused.
-func discard(r *backend.Response) {
-	// After a failure, closing the response closes the connection instead.
-	_, _ = io.Copy(io.Discard, io.LimitReader(r, maxBufferedBytes))
+// discard reads a short body to its end, so that its connection can be reused. Its error shows that
+// the body broke off; closing the response closes the connection then.
+func discard(r io.Reader) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(r, maxBufferedBytes))
+	return err
 }
 
 // impliesNotRun reports whether a status tells a caller that its request was not executed.
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -305,22 +305,25 @@
 	}
 }
 
-// checkStatus returns the failure that the status of an answer stands for, or nil.
+// checkStatus returns the failure that the status of an answer stands for, or nil. A rejection of the
+// item counts only if its answer is whole, as the item is given up for it.
 func (s *sample) checkStatus(r *backend.Response, u *reservation) error {
 	if r.Status == http.StatusOK {
 		u.accepted()
 		return nil
 	}
-	discard(r)
+	brokenOff := discard(r)
 	switch {
 	case r.NotRun():
 		u.refused(r, refusedBackoff)
-		return outcome.Refuse(outcome.ReasonQueueFull, u.s.ID)
+		return outcome.RefuseWithCause(outcome.ReasonQueueFull, u.s.ID, brokenOff)
+	case r.Status == http.StatusUnprocessableEntity && brokenOff != nil:
+		return outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, brokenOff)
 	case r.Status == http.StatusUnprocessableEntity:
 		return outcome.Ambiguous(outcome.ReasonBadRequest, u.s.ID, nil)
 	}
 	s.failures.observe(r.Status)
-	return outcome.Ambiguous(outcome.ReasonServerError, u.s.ID+" "+strconv.Itoa(r.Status), nil)
+	return outcome.Ambiguous(outcome.ReasonServerError, u.s.ID+" "+strconv.Itoa(r.Status), brokenOff)
 }
 
 // log logs how the sample ended and how long each phase took.
