A score is taken only from a whole answer of its scorer

Cause: a score is the stamp in the head of a scorer's answer. Of an answer that is longer than what a host buffers (256 KiB), or for which it has no memory, only the beginning had been read when the score was taken; what broke off after that counted as whole.

Change: the rest of the answer is read to its end first. If it breaks off, the scorer is asked again.

Seen failing on the old code: TestNoScoreComesFromLongCutAnswers (with a length; until the close, with a reset): the sample was listed with the score of the answer that broke off.

--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// readRest reads the answer to its end. Its error shows that the answer broke off.
+func (a *Answer) readRest() error {
+	if a.Rest == nil {
+		return nil
+	}
+	_, err := io.Copy(io.Discard, a.Rest)
+	return err
+}
+
 // Do sends a plain request to a server, and to others as far as the route's kind and number
 // of attempts allow. Errors are of type *outcome.Error; the outcome is not-run only if no
 // server can have executed the request.
--- a/pier/gateway/scoring.go
+++ b/pier/gateway/scoring.go
@@ -119,9 +119,15 @@
 		return c
 	}
 	defer a.Close()
-	if a.Status/100 == 2 {
-		c.score = a.Header.Get(s.d.g.c.Dialect.ServerStamp)
+	if a.Status/100 != 2 {
+		return c
+	}
+	if err := a.readRest(); err != nil {
+		s.d.g.log.Info("sample: answer of the scorer broke off; it is asked again", zap.String("id", s.item.ID),
+			zap.String("scorer-id", q.ID), zap.String("server", a.Server.ID), zap.Error(err))
+		return c
 	}
+	c.score = a.Header.Get(s.d.g.c.Dialect.ServerStamp)
 	return c
 }
 
