Reads of steps tell in which stage they failed or took long

Seen: after a loss of power at all hosts, accepted steps could not be read for long, and no line had a step's id.

Cause: neither a read that failed nor one that took long was logged; pages that were given up were not counted.

Change: each read (results, body, end) is followed through its stages: lookup of the preferred drivers, their answers, replay of the partition, wait, records.

--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -129,6 +129,7 @@
 	streams   *streams
 	journal   *journal
 	steps     *steps
+	stepReads *stepReads
 	preferred *preferred
 	logHealth *logHealth
 	// unreadable reports records of the log that cannot be read.
@@ -180,6 +181,7 @@
 	g.streams = newStreams(g)
 	g.journal = newJournal(g)
 	g.steps = newSteps(g)
+	g.stepReads = newStepReads(g)
 	g.preferred = newPreferred(g)
 	g.watch = newWatch(g)
 	g.orders = newOrders(g)
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -109,6 +109,8 @@
 	running bool
 	// checkpoints is what is known of the partition's checkpoints.
 	checkpoints checkpoints
+	// replay counts what was read to replay the partition.
+	replay replayCount
 	// queue holds records to append; flushing is set while flush appends them.
 	queue    [][]byte
 	flushing bool
@@ -199,10 +201,12 @@
 	if err != nil {
 		if v.j.g.ctx.Err() == nil {
 			v.j.g.logHealth.failed(stepjournal.Topic, partitionName(v.partition()), err)
+			v.pageGivenUp(pageReplay, maxJournalReadBytes, err)
 		}
 		return err
 	}
 	v.j.g.logHealth.answered(partitionName(v.partition()))
+	v.pageRead(pageReplay, p.Records)
 	v.apply(p, sent)
 	return nil
 }
@@ -246,6 +250,7 @@
 
 // sync returns once the view has every record that was in the partition at the call.
 func (v *view) sync(ctx context.Context) error {
+	defer enterStage(ctx, stageReplay)()
 	asked := time.Now()
 	for {
 		v.reading.Lock()
@@ -330,34 +335,3 @@
 	}
 	return r
 }
-
-// records returns up to n records from an offset on, but at least one. Those in the cache
-// are returned without a read of the log.
-func (v *view) records(ctx context.Context, from int64, n int) ([][]byte, error) {
-	var r [][]byte
-	for i := range n {
-		b, ok := v.j.cache.get(cacheKey{v.n, from + int64(i)})
-		if !ok {
-			break
-		}
-		r = append(r, b)
-	}
-	if len(r) > 0 {
-		return r, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, readSlack)
-	defer cancel()
-	p, err := v.j.g.c.Log.Read(ctx, partitionlog.ReadRequest{
-		Partition: v.partition(), From: from, MaxBytes: maxReadBytes,
-	})
-	if err != nil {
-		return nil, err
-	}
-	if len(p.Records) == 0 {
-		return nil, outcome.Refuse(outcome.ReasonLogDown, "journal record is missing")
-	}
-	for i, b := range p.Records {
-		v.j.cache.put(cacheKey{v.n, from + int64(i)}, b)
-	}
-	return p.Records[:min(n, len(p.Records))], nil
-}
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -29,7 +29,15 @@
 	anew        *prometheus.CounterVec
 	origins     *prometheus.CounterVec
 	checkpoints *prometheus.CounterVec
-	opened      prometheus.Counter
+	stepReads   *prometheus.CounterVec
+	// journalBytes counts by purpose the bytes of records of the journal that arrived, bytesGivenUp
+	// the bytes that were asked for in pages that did not.
+	journalBytes *prometheus.CounterVec
+	pagesGivenUp *prometheus.CounterVec
+	bytesGivenUp *prometheus.CounterVec
+	// stepReadStages is the time of reads of steps by stage.
+	stepReadStages *prometheus.HistogramVec
+	opened         prometheus.Counter
 	// wallClockSteps and wallClockStep tell of steps of the time of day.
 	wallClockSteps prometheus.Counter
 	wallClockStep  prometheus.Gauge
@@ -70,6 +78,15 @@
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
+	m.stepReads = counter("step_reads_total", "Reads of steps, by call and result.", "call", "result")
+	m.journalBytes = counter("journal_read_bytes_total", "Bytes of the journal's records that were read, by purpose.", "purpose")
+	m.pagesGivenUp = counter("journal_pages_given_up_total", "Pages of the journal that were asked for and did not arrive, by purpose and reason.", "purpose", "reason")
+	m.bytesGivenUp = counter("journal_bytes_given_up_total", "Bytes asked for in pages of the journal that did not arrive, by purpose and reason.", "purpose", "reason")
+	m.stepReadStages = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "mulberrypier_step_read_stage_seconds", Help: "Time of reads of steps, by stage.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+	}, []string{"stage"})
+	m.registry.MustRegister(m.stepReadStages)
 	m.checkpoints = counter("journal_checkpoints_total", "Checkpoints of partitions of the journal, by what this host did with them.", "event")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
--- a/pier/gateway/stepquery.go
+++ b/pier/gateway/stepquery.go
@@ -81,7 +81,10 @@
 // queryStep queries all preferred drivers and returns the first answer. ok is false if none
 // knows the step or answers in time.
 func (p *preferred) queryStep(ctx context.Context, q stepQuery) (*stepAnswer, bool) {
+	leave := enterStage(ctx, stageLookup)
 	p.refresh(ctx)
+	leave()
+	defer enterStage(ctx, stageDrivers)()
 	p.mu.Lock()
 	drivers := make(map[string]stepjournal.Driver)
 	for _, r := range p.all {
--- /dev/null
+++ b/pier/gateway/stepresults.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// maxListBytes bounds the total size of the texts in one answer to a trainer.
+const maxListBytes = 480 << 10
+
+// ResultPage is a contiguous part of a step's results.
+type ResultPage struct {
+	// Total is the number of results that the step will have.
+	Total int
+	// Results are the results from the requested position on.
+	Results []*stepjournal.Result
+}
+
+// Results returns the results of a step from a position on. If there are none yet, it waits
+// for up to wait. Errors are of type *outcome.Error; unknown-step means that there is no
+// such step.
+func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (*ResultPage, error) {
+	ctx, r := g.stepReads.begin(ctx, "results", id, wait)
+	p, err := g.results(ctx, id, after, wait)
+	r.end(err)
+	return p, err
+}
+
+func (g *Gateway) results(ctx context.Context, id string, after int, wait time.Duration) (*ResultPage, error) {
+	if _, ok := g.journal.following(id); !ok {
+		if a, ok := g.preferred.queryStep(ctx, stepQuery{Step: id, After: after, Wait: wait}); ok {
+			return &ResultPage{Total: a.Total, Results: a.Results}, nil
+		}
+	}
+	v := g.journal.follow(id)
+	if err := v.ensureKnown(ctx, id); err != nil {
+		return nil, err
+	}
+	return v.results(ctx, id, after, wait)
+}
+
+// results is Results for a step that the view knows.
+func (v *view) results(ctx context.Context, id string, after int, wait time.Duration) (*ResultPage, error) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for waiting := true; ; {
+		e, changed, ok := v.entry(id)
+		if !ok {
+			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
+		}
+		if after < len(e.Results) {
+			return v.readList(ctx, &e, after)
+		}
+		if len(e.Results) == e.Total || !waiting {
+			return &ResultPage{Total: e.Total}, nil
+		}
+		if v.waitForChange(ctx, changed, t.C) {
+			continue
+		}
+		// Another host may have listed more. Only a view synced after the call may answer
+		// with an empty list.
+		if err := v.sync(ctx); err != nil {
+			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
+		}
+		waiting = false
+	}
+}
+
+// waitForChange waits until changed is closed. It returns false if the time is up, the context
+// has ended, or the host drains before that.
+func (v *view) waitForChange(ctx context.Context, changed <-chan struct{}, timeUp <-chan time.Time) bool {
+	defer enterStage(ctx, stageWait)()
+	select {
+	case <-changed:
+		return true
+	case <-timeUp:
+	case <-ctx.Done():
+	case <-v.j.g.drain.started():
+	}
+	return false
+}
+
+// ensureKnown returns nil if the view knows a step, if need be after a sync. Its error is
+// unknown-step if there is no such step, and log-down if the log does not answer or the step's
+// records have expired in part before the view read them.
+func (v *view) ensureKnown(ctx context.Context, id string) error {
+	if _, _, ok := v.entry(id); ok {
+		return nil
+	}
+	if err := v.sync(ctx); err != nil {
+		return outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
+	}
+	if _, _, ok := v.entry(id); ok {
+		return nil
+	}
+	if v.cutOff(id) {
+		return outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
+	}
+	return outcome.Refuse(outcome.ReasonUnknownStep, id)
+}
+
+// readList reads a step's results from a position on, up to maxListBytes but at least one.
+func (v *view) readList(ctx context.Context, e *stepjournal.Entry, after int) (*ResultPage, error) {
+	defer enterStage(ctx, stageRecords)()
+	l := &ResultPage{Total: e.Total}
+	n := 0
+	for _, at := range e.Results[after:] {
+		b, err := v.records(ctx, at, 1)
+		if err != nil {
+			if len(l.Results) > 0 {
+				break
+			}
+			return nil, outcome.Refuse(outcome.ReasonLogDown, e.ID).After(unavailableRetryAfter)
+		}
+		r, err := stepjournal.DecodeResult(b[0])
+		if err != nil {
+			return nil, outcome.Ambiguous(outcome.ReasonLogDown, e.ID, err)
+		}
+		if n += len(r.Text); n > maxListBytes && len(l.Results) > 0 {
+			break
+		}
+		l.Results = append(l.Results, r)
+	}
+	return l, nil
+}
+
+// Body returns the body of one of a step's items.
+func (g *Gateway) Body(ctx context.Context, id, item string) ([]byte, error) {
+	ctx, r := g.stepReads.begin(ctx, "body", id, 0)
+	b, err := g.body(ctx, id, item)
+	r.end(err)
+	return b, err
+}
+
+func (g *Gateway) body(ctx context.Context, id, item string) ([]byte, error) {
+	if _, ok := g.journal.following(id); !ok {
+		if a, ok := g.preferred.queryStep(ctx, stepQuery{Step: id, Item: item}); ok {
+			return a.Body, nil
+		}
+	}
+	return g.journal.follow(id).body(ctx, id, item)
+}
+
+// body reads the body of an item from the log.
+func (v *view) body(ctx context.Context, id, item string) ([]byte, error) {
+	s, err := v.loadStep(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range s.Items {
+		if i.ID == item {
+			return i.Body, nil
+		}
+	}
+	return nil, outcome.Refuse(outcome.ReasonUnknownName, item)
+}
+
+// loadStep reads an accepted step from the log.
+func (v *view) loadStep(ctx context.Context, id string) (*stepjournal.Step, error) {
+	if err := v.ensureKnown(ctx, id); err != nil {
+		return nil, err
+	}
+	defer enterStage(ctx, stageRecords)()
+	e, _, _ := v.entry(id)
+	var b [][]byte
+	for at := e.From; at < e.To; {
+		r, err := v.records(ctx, at, int(e.To-at))
+		if err != nil {
+			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
+		}
+		b = append(b, r...)
+		at += int64(len(r))
+	}
+	s, err := stepjournal.DecodeStep(b)
+	if err != nil {
+		return nil, outcome.Ambiguous(outcome.ReasonLogDown, id, err)
+	}
+	return s, nil
+}
+
+// End ends a step for good. A nil error means that the end is stored in the log. Ending a
+// step again is no error.
+func (g *Gateway) End(ctx context.Context, id string) error {
+	ctx, r := g.stepReads.begin(ctx, "end", id, 0)
+	err := g.end(ctx, id)
+	r.end(err)
+	return err
+}
+
+func (g *Gateway) end(ctx context.Context, id string) error {
+	v, ok := g.journal.following(id)
+	if !ok {
+		_, ok = g.preferred.queryStep(ctx, stepQuery{Step: id, After: math.MaxInt32})
+	}
+	if !ok {
+		v.use()
+		if err := v.ensureKnown(ctx, id); err != nil {
+			return err
+		}
+	}
+	if e, _, _ := v.entry(id); e.Ended {
+		return nil
+	}
+	b, err := stepjournal.Ended(id, time.Now())
+	if err != nil {
+		return err
+	}
+	if _, err := v.append(ctx, [][]byte{b}); err != nil {
+		return outcome.AsError(err).After(unavailableRetryAfter)
+	}
+	g.log.Info("step: ended", zap.String("id", id))
+	g.steps.stop(id)
+	return nil
+}
