--- /dev/null
+++ b/pier/gateway/congestedlog_test.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// congestedLog serves the reads of all hosts one after the other at a limited rate. An answer for
+// which nobody waits any more takes its time all the same.
+type congestedLog struct {
+	partitionlog.Log
+	// rate is the number of bytes served in a second, latency the time of a call besides.
+	rate    int
+	latency time.Duration
+
+	mu sync.Mutex
+	// busyUntil is when all answers that were asked for will be served.
+	busyUntil time.Time
+}
+
+// maxWork is the time of waiting work with which a congestedLog refuses further calls.
+const maxWork = 2 * time.Second
+
+// serve waits until n bytes were served.
+func (l *congestedLog) serve(ctx context.Context, n int) error {
+	l.mu.Lock()
+	now := time.Now()
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	if l.busyUntil.Sub(now) > maxWork {
+		l.mu.Unlock()
+		return outcome.Refuse(outcome.ReasonLogDown, "503")
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(n) * time.Second / time.Duration(l.rate))
+	t := time.NewTimer(l.busyUntil.Sub(now) + l.latency)
+	l.mu.Unlock()
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return outcome.Ambiguous(outcome.ReasonLogDown, "read", ctx.Err())
+	}
+}
+
+func (l *congestedLog) functions() partitionlog.Log {
+	f := l.Log
+	f.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		p, err := l.Log.Read(ctx, q)
+		if err != nil {
+			return p, err
+		}
+		n := 0
+		for _, b := range p.Records {
+			n += len(b)
+		}
+		return p, l.serve(ctx, n)
+	}
+	f.Newest = func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
+		if err := l.serve(ctx, 1<<10); err != nil {
+			return partitionlog.Newest{}, err
+		}
+		return l.Log.Newest(ctx, p)
+	}
+	f.Members = func(ctx context.Context, group string) ([]string, error) {
+		if err := l.serve(ctx, 1<<10); err != nil {
+			return nil, err
+		}
+		return l.Log.Members(ctx, group)
+	}
+	return f
+}
+
+// putStep appends a finished step of n results, each with a text of some size, and further records
+// up to a size of its partition.
+func putStep(t *testing.T, l partitionlog.Log, id string, n, textBytes, partitionBytes int) {
+	t.Helper()
+	put := func(b ...[]byte) {
+		_, err := l.Append(context.Background(), partitionlog.AppendRequest{
+			Partition: stepPartition(id), Records: b, ExpectedEnd: partitionlog.NoCondition,
+		})
+		require.NoError(t, err)
+	}
+	for size := 0; size < partitionBytes; size += textBytes {
+		b, err := stepjournal.Saved("other", &stepjournal.Progress{Text: string(make([]byte, textBytes))})
+		require.NoError(t, err)
+		put(b)
+	}
+	s := newStep(id, n)
+	s.Submitted = time.Now()
+	b, err := stepjournal.Accepted(s, stepjournal.Driver{Host: "gone"}, 256<<10)
+	require.NoError(t, err)
+	put(b...)
+	for i := range n {
+		b, err := stepjournal.Finished(&stepjournal.Result{Step: id, ItemIndex: i, State: stepjournal.Completed, Text: string(make([]byte, textBytes))})
+		require.NoError(t, err)
+		put(b)
+	}
+}
+
+func stepPartition(id string) partitionlog.Partition {
+	return partitionlog.Partition{Topic: stepjournal.Topic, Number: stepjournal.PartitionOf(id, testParts)}
+}
+
+// All hosts have just started, and each trainer reads its step from another one. Their pages
+// waited behind each other until none was whole in time, and were asked for again. Each host must
+// come to the end of the partition.
+func TestColdHostsReadStepsFromACongestedLog(t *testing.T) {
+	const hosts = 24
+	l := newLog()
+	putStep(t, l.Functions(), "s", 4, 8<<10, 1<<20)
+	c := &congestedLog{Log: l.Functions(), rate: 6 << 20, latency: 5 * time.Millisecond}
+	var w sync.WaitGroup
+	took := make([]time.Duration, hosts)
+	start := time.Now()
+	for i := range hosts {
+		g := newHost(t, "h", c.functions())
+		w.Go(func() {
+			for time.Since(start) < 15*time.Second {
+				p, err := g.Results(context.Background(), "s", 0, time.Second)
+				if err == nil && len(p.Results) == 4 {
+					took[i] = time.Since(start)
+					return
+				}
+			}
+		})
+	}
+	w.Wait()
+	for _, d := range took {
+		require.Positive(t, d, "a host could not read the step: %v", took)
+	}
+}
+
+// slowPages returns a log in which no page of the journal above some size is whole in time.
+func slowPages(l partitionlog.Log, maxBytes int) partitionlog.Log {
+	read := l.Read
+	l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if q.Partition.Topic == stepjournal.Topic && q.Wait == 0 && q.MaxBytes > maxBytes {
+			<-ctx.Done()
+			return partitionlog.Page{}, outcome.Ambiguous(outcome.ReasonLogDown, "read", ctx.Err())
+		}
+		return read(ctx, q)
+	}
+	return l
+}
+
+// A page that was not whole in time was asked for again in the same size, again and again.
+func TestPageThatDoesNotArriveIsAskedForInASmallerSize(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 8<<10, 256<<10)
+	g := newHost(t, "a", slowPages(l.Functions(), 40<<10))
+	v := g.journal.get("s")
+	require.NoError(t, v.sync(context.Background()))
+	e, _, ok := v.entry("s")
+	require.True(t, ok)
+	require.Len(t, e.Results, 2)
+}
+
+// Pages of the journal that did not arrive in time counted as calls that the log turns away, and
+// were asked for again through peers, while the log answered all other calls.
+func TestSlowPagesAreNoTurningAway(t *testing.T) {
+	l := newLog()
+	a, b := newHost(t, "a", slowPages(l.Functions(), 0)), newHost(t, "b", l.Functions())
+	b.listenPeers(t)
+	a.knowPeers(b)
+	for range 3 {
+		_, err := a.c.Log.Members(context.Background(), watchGroup)
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(context.Background(), readSlack)
+		_, err = a.c.Log.Read(ctx, partitionlog.ReadRequest{Partition: stepPartition("s"), MaxBytes: 1})
+		cancel()
+		require.Error(t, err)
+		require.False(t, a.peerLog.directFails())
+	}
+	require.Zero(t, metric(t, a, `log_calls_via_peers_total{result="answered"}`))
+}
+
+// Views of a host shared its link, so that no page was whole in time.
+func TestFewPagesAreReadAtOnce(t *testing.T) {
+	l := newLog().Functions()
+	var now, most atomic.Int64
+	read := l.Read
+	l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		n := now.Add(1)
+		defer now.Add(-1)
+		for o := most.Load(); n > o && !most.CompareAndSwap(o, n); o = most.Load() {
+		}
+		time.Sleep(20 * time.Millisecond)
+		return read(ctx, q)
+	}
+	g := newHost(t, "a", l)
+	var w sync.WaitGroup
+	for n := range 12 {
+		w.Go(func() { require.NoError(t, g.journal.view(n).sync(context.Background())) })
+	}
+	w.Wait()
+	require.EqualValues(t, maxPagesAtOnce, most.Load())
+}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -21,8 +21,6 @@
 	appendTimeout = 1500 * time.Millisecond
 	// maxAppendBytes bounds the total size of the records of one append.
 	maxAppendBytes = 512 << 10
-	// maxJournalReadBytes bounds the size of the answer to a read of a partition.
-	maxJournalReadBytes = 512 << 10
 	// maxCacheBytes bounds the total size of the records that are cached for trainers to read.
 	maxCacheBytes = 768 << 10
 	// maxAppendBackoff bounds the backoff between attempts to append.
@@ -36,10 +34,13 @@
 	// views holds the views by partition. A view is created at its first use and kept.
 	views map[int]*view
 	cache *cache
+	pace  *journalPace
 }
 
 func newJournal(g *Gateway) *journal {
-	return &journal{g: g, views: make(map[int]*view), cache: newCache(maxCacheBytes)}
+	return &journal{
+		g: g, views: make(map[int]*view), cache: newCache(maxCacheBytes), pace: newJournalPace(),
+	}
 }
 
 // follow returns the view of a step's partition and keeps it following the log.
@@ -79,7 +80,10 @@
 	defer j.mu.Unlock()
 	v := j.views[n]
 	if v == nil {
-		v = &view{j: j, n: n, fold: stepjournal.NewFold(stepjournal.FoldConfig{Now: boottime.Now}), end: -1, changed: make(chan struct{})}
+		v = &view{
+			j: j, n: n, reading: make(chan struct{}, 1), fold: stepjournal.NewFold(stepjournal.FoldConfig{Now: boottime.Now}),
+			end: -1, changed: make(chan struct{}),
+		}
 		j.views[n] = v
 	}
 	return v
@@ -91,9 +95,9 @@
 	// n is the number of the partition.
 	n int
 
-	// reading is held while the view catches up with the log, so that concurrent callers
-	// read records only once. Long-poll reads at the end of the log don't hold it.
-	reading sync.Mutex
+	// reading holds an entry while the view catches up with the log, so that concurrent
+	// callers read records only once. Long-poll reads at the end of the log don't need it.
+	reading chan struct{}
 
 	mu sync.Mutex
 	// fold is the state replayed from the partition's records.
@@ -144,17 +148,21 @@
 }
 
 func (v *view) run() {
+	failures := 0
 	for v.j.g.ctx.Err() == nil && !v.stopIfIdle() {
 		var err error
 		end := v.j.g.peerLog.outageEnd()
 		if v.behind() {
-			err = v.catchUp(v.j.g.ctx)
+			err = v.catchUp(v.j.g.ctx, time.Now())
 		} else {
 			err = v.read(v.j.g.ctx, readWait)
 		}
-		if err != nil {
-			retrySleep(v.j.g.ctx, end, logRetryDelay)
+		if err == nil {
+			failures = 0
+			continue
 		}
+		failures++
+		retrySleep(v.j.g.ctx, end, v.j.pace.delay(failures))
 	}
 }
 
@@ -166,33 +174,53 @@
 	return v.fold.Next < v.end || v.end < 0
 }
 
-// catchUp reads the next records without waiting for new ones.
-func (v *view) catchUp(ctx context.Context) error {
-	v.reading.Lock()
-	defer v.reading.Unlock()
-	return v.readNext(ctx)
+// catchUp reads the next page without waiting for new records, unless the view has read up to
+// the end since asked. A page is read to its end, and kept, also if ctx ends meanwhile.
+func (v *view) catchUp(ctx context.Context, asked time.Time) error {
+	select {
+	case v.reading <- struct{}{}:
+	case <-ctx.Done():
+		return outcome.Refuse(outcome.ReasonOf(ctx), "journal")
+	}
+	done := make(chan error, 1)
+	v.j.g.wg.Go(func() {
+		defer func() { <-v.reading }()
+		var err error
+		if v.staleAt(asked) {
+			err = v.readInTurn()
+		}
+		done <- err
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return outcome.Refuse(outcome.ReasonOf(ctx), "journal")
+	}
 }
 
-// readNext reads the next records without waiting for new ones, first of all the newest
-// checkpoint. The caller holds reading.
-func (v *view) readNext(ctx context.Context) error {
-	if err := v.restore(ctx); err != nil {
+// readInTurn is read without a wait, first of all of the newest checkpoint. Pages of a view that
+// is behind are large, and are read in turn; the time allowed for a page begins with its turn.
+func (v *view) readInTurn() error {
+	if err := v.restore(v.j.g.ctx); err != nil {
 		return err
 	}
-	return v.read(ctx, 0)
+	if v.behind() {
+		if err := v.j.pace.takeTurn(v.j.g.ctx); err != nil {
+			return err
+		}
+		defer v.j.pace.endTurn()
+	}
+	return v.read(v.j.g.ctx, 0)
 }
 
 // read reads and applies the next records, waiting for the first for up to wait. Records
 // that the log no longer holds are skipped.
 func (v *view) read(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
-	defer cancel()
-	v.mu.Lock()
-	from := v.fold.Next
-	v.mu.Unlock()
+	from, _ := v.position()
 	sent := time.Now()
-	p, err := v.j.g.c.Log.Read(ctx, partitionlog.ReadRequest{
-		Partition: v.partition(), From: from, MaxBytes: maxJournalReadBytes, Wait: wait,
+	p, err := v.fetch(ctx, pageReplay, partitionlog.ReadRequest{
+		From: from, MaxBytes: v.j.pace.pageBytes(), Wait: wait,
 	})
 	if outcome.HasReason(err, partitionlog.ReasonExpired) {
 		v.skip(p.First)
@@ -201,12 +229,10 @@
 	if err != nil {
 		if v.j.g.ctx.Err() == nil {
 			v.j.g.logHealth.failed(stepjournal.Topic, partitionName(v.partition()), err)
-			v.pageGivenUp(pageReplay, maxJournalReadBytes, err)
 		}
 		return err
 	}
 	v.j.g.logHealth.answered(partitionName(v.partition()))
-	v.pageRead(pageReplay, p.Records)
 	v.apply(p, sent)
 	return nil
 }
@@ -250,25 +276,26 @@
 
 // sync returns once the view has every record that was in the partition at the call.
 func (v *view) sync(ctx context.Context) error {
+	return v.syncUntil(ctx, func() bool { return false })
+}
+
+// syncUntil is sync, but returns as soon as the records that were read so far are enough.
+func (v *view) syncUntil(ctx context.Context, enough func() bool) error {
 	defer enterStage(ctx, stageReplay)()
 	asked := time.Now()
-	for {
-		v.reading.Lock()
-		var err error
-		if v.staleAt(asked) {
-			err = v.readNext(ctx)
+	failures := 0
+	for !enough() && v.staleAt(asked) {
+		err := v.catchUp(ctx, asked)
+		if err == nil {
+			failures = 0
+			continue
 		}
-		v.reading.Unlock()
-		if err != nil {
+		failures++
+		if !v.retry(ctx, err, failures) {
 			return err
 		}
-		if !v.staleAt(asked) {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return outcome.Refuse(outcome.ReasonDeadline, "journal")
-		}
 	}
+	return nil
 }
 
 // staleAt reports whether the view may lack records that were in the partition at t.
--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 )
 
+// maxPageFailures bounds the attempts in a row to read a page that its reader waits for.
+const maxPageFailures = 4
+
 // pagePurpose is what a page of the journal is read for. It is also a label value of metrics.
 type pagePurpose string
 
@@ -17,20 +22,45 @@
 	pageRecords pagePurpose = "records"
 )
 
-// pageRead counts the records of a page.
-func (v *view) pageRead(purpose pagePurpose, records [][]byte) {
+// fetch reads a page of the partition in the time allowed. What becomes of a page that is not
+// waited for tells in which size to ask for the next one.
+func (v *view) fetch(ctx context.Context, purpose pagePurpose, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+	limited, cancel := context.WithTimeout(ctx, q.Wait+readSlack)
+	defer cancel()
+	q.Partition = v.partition()
+	sent := time.Now()
+	p, err := v.j.g.c.Log.Read(limited, q)
+	if outcome.HasReason(err, partitionlog.ReasonExpired) {
+		return p, err
+	}
+	if err != nil {
+		v.pageGivenUp(purpose, q.MaxBytes, err)
+		if q.Wait == 0 && ctx.Err() == nil {
+			v.j.pace.failed(q.MaxBytes, err)
+		}
+		return p, err
+	}
+	n := v.pageRead(purpose, p.Records)
+	if q.Wait == 0 {
+		v.j.pace.done(q.MaxBytes, n, time.Since(sent))
+	}
+	return p, nil
+}
+
+// pageRead counts the records of a page, and returns their size.
+func (v *view) pageRead(purpose pagePurpose, records [][]byte) int {
 	n := 0
 	for _, b := range records {
 		n += len(b)
 	}
 	v.j.g.metrics.journalBytes.WithLabelValues(string(purpose)).Add(float64(n))
-	if purpose != pageReplay {
-		return
+	if purpose == pageReplay {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.replay.pages++
+		v.replay.bytes += n
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.replay.pages++
-	v.replay.bytes += n
+	return n
 }
 
 // pageGivenUp counts a page that was asked for and did not arrive as a whole.
@@ -47,11 +77,36 @@
 	v.replay.lastError = err
 }
 
+// fetchRecords reads a page of the partition. A page that fails is read again while that may help.
+func (v *view) fetchRecords(ctx context.Context, from int64) (partitionlog.Page, error) {
+	for failures := 1; ; failures++ {
+		p, err := v.fetch(ctx, pageRecords, partitionlog.ReadRequest{
+			From: from, MaxBytes: min(v.j.pace.pageBytes(), maxReadBytes),
+		})
+		if err == nil || !v.retry(ctx, err, failures) {
+			return p, err
+		}
+	}
+}
+
+// retry reports, after a delay, whether a page is to be read again of which a number of attempts
+// in a row failed: not if the log refuses it by all paths, or the caller no longer waits.
+func (v *view) retry(ctx context.Context, err error, failures int) bool {
+	refused := !isTimeout(err) && v.j.g.peerLog.directFails()
+	if failures >= maxPageFailures || refused || outcome.HasReason(err, partitionlog.ReasonExpired) {
+		return false
+	}
+	return backoff.Sleep(ctx, v.j.pace.delay(failures))
+}
+
+// isTimeout reports whether a page did not arrive in time.
+func isTimeout(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+
 // pageFailure returns why a page did not arrive, as a label value of metrics.
 func pageFailure(err error) string {
 	e := outcome.AsError(err)
 	switch {
-	case errors.Is(err, context.DeadlineExceeded):
+	case isTimeout(err):
 		return "timeout"
 	case e.Outcome == outcome.NotRun:
 		return "refused"
@@ -87,16 +142,10 @@
 	if len(r) > 0 {
 		return r, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, readSlack)
-	defer cancel()
-	p, err := v.j.g.c.Log.Read(ctx, partitionlog.ReadRequest{
-		Partition: v.partition(), From: from, MaxBytes: maxReadBytes,
-	})
+	p, err := v.fetchRecords(ctx, from)
 	if err != nil {
-		v.pageGivenUp(pageRecords, maxReadBytes, err)
 		return nil, err
 	}
-	v.pageRead(pageRecords, p.Records)
 	if len(p.Records) == 0 {
 		return nil, outcome.Refuse(outcome.ReasonLogDown, "journal record is missing")
 	}
--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -6,6 +6,7 @@
 
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
 )
 
 // kindLogCall is the kind of a message that carries a call to the log.
@@ -51,6 +52,21 @@
 	return q.Append == nil || q.Append.ExpectedEnd == partitionlog.NoCondition
 }
 
+// isLarge reports whether the call is a read that may have a large answer: one of the journal
+// that does not wait for new records.
+func (q *logCall) isLarge() bool {
+	return q.Read != nil && q.Read.Partition.Topic == stepjournal.Topic && q.Read.Wait == 0
+}
+
+// peersWorthAsking returns the number of peers to ask after a direct call failed at a host that
+// the log does not turn away. They cannot help a large read that the log is too busy for.
+func (q *logCall) peersWorthAsking() int {
+	if q.isLarge() {
+		return 1
+	}
+	return maxPeersAsked
+}
+
 // wait returns how long the log may hold the call back.
 func (q *logCall) wait() time.Duration {
 	if q.Read != nil {
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -134,7 +134,7 @@
 func (l *peerLog) do(ctx context.Context, q *logCall) *logAnswer {
 	d := doneCall{q: q}
 	if l.directFails() {
-		if l.askPeers(ctx, &d); d.settled(ctx) {
+		if l.askPeers(ctx, &d, maxPeersAsked); d.settled(ctx) {
 			return d.answer
 		}
 		d.add(l.askDirect(ctx, q))
@@ -142,17 +142,17 @@
 	}
 	d.add(l.askDirectFirst(ctx, q))
 	if !d.settled(ctx) {
-		l.askPeers(ctx, &d)
+		l.askPeers(ctx, &d, q.peersWorthAsking())
 	}
 	return d.answer
 }
 
 // askDirectFirst is askDirect with part of the time kept for a peer, if there is one and the
-// call may be repeated.
+// call may be repeated. A large read needs all of its time.
 func (l *peerLog) askDirectFirst(ctx context.Context, q *logCall) *logAnswer {
 	_, ok := l.nextPeer()
 	end, limited := ctx.Deadline()
-	if !ok || !limited || !q.repeatable() {
+	if !ok || !limited || !q.repeatable() || q.isLarge() {
 		return l.askDirect(ctx, q)
 	}
 	left := time.Until(end) - q.wait()
@@ -176,15 +176,19 @@
 	a := q.make(callCtx, l.direct)
 	// A call that was given up, or whose caller no longer waits, tells nothing of the path.
 	if a.answered() || !errors.Is(callCtx.Err(), context.Canceled) {
-		l.observeDirect(a, sent)
+		l.observeDirect(q, a, sent)
 	}
 	return a
 }
 
 // observeDirect records whether a direct call that was sent at a time was answered.
-func (l *peerLog) observeDirect(a *logAnswer, sent time.Duration) {
+func (l *peerLog) observeDirect(q *logCall, a *logAnswer, sent time.Duration) {
 	now := boottime.Now()
 	l.mu.Lock()
+	if !a.answered() && q.isLarge() && isTimeout(a.Err) && l.paths.Congested(now) {
+		l.mu.Unlock()
+		return
+	}
 	l.paths.Direct(a.answered(), now)
 	fails := l.paths.DirectFails(now)
 	changed := fails != l.turnedAway
@@ -234,9 +238,9 @@
 	return ctx.Err() == nil
 }
 
-// askPeers makes a call through one peer after another.
-func (l *peerLog) askPeers(ctx context.Context, d *doneCall) {
-	for range maxPeersAsked {
+// askPeers makes a call through one peer after another, at most n.
+func (l *peerLog) askPeers(ctx context.Context, d *doneCall, n int) {
+	for range n {
 		p, ok := l.nextPeer()
 		if !ok {
 			return
--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -90,13 +90,17 @@
 // unknown-step if there is no such step, and log-down if the log does not answer or the step's
 // records have expired in part before the view read them.
 func (v *view) ensureKnown(ctx context.Context, id string) error {
-	if _, _, ok := v.entry(id); ok {
+	known := func() bool {
+		_, _, ok := v.entry(id)
+		return ok
+	}
+	if known() {
 		return nil
 	}
-	if err := v.sync(ctx); err != nil {
+	if err := v.syncUntil(ctx, known); err != nil {
 		return outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
 	}
-	if _, _, ok := v.entry(id); ok {
+	if known() {
 		return nil
 	}
 	if v.cutOff(id) {
--- a/pier/logpath/logpath.go
+++ b/pier/logpath/logpath.go
@@ -26,6 +26,9 @@
 	// maxSilence is how long direct calls may get no answer, once one has failed, before
 	// others go through peers.
 	maxSilence = 800 * time.Millisecond
+	// congestionMargin is by how much a large read may outlast maxSilence until its failure is
+	// noticed.
+	congestionMargin = 200 * time.Millisecond
 	// peerAvoidTime is how long a peer that failed is not asked again.
 	peerAvoidTime = 2 * time.Second
 	// maxPeerFailures is the number of peers that may fail in a row before no peer is asked
@@ -105,6 +108,13 @@
 	c.failures++
 }
 
+// Congested reports whether a large read that failed at now shows a slow or busy log rather than
+// one that turns this host away: other calls of the host were answered meanwhile. Such a failure
+// is no failed direct call, and no peer can help.
+func (c *Chooser) Congested(now time.Duration) bool {
+	return c.answeredAt > 0 && now-c.answeredAt <= maxSilence+congestionMargin
+}
+
 // Via records whether a call through a peer was answered by the log.
 func (c *Chooser) Via(a netip.AddrPort, answered bool, now time.Duration) {
 	if answered {
--- a/pier/logpath/logpath_test.go
+++ b/pier/logpath/logpath_test.go
@@ -132,3 +132,26 @@
 		require.LessOrEqual(t, n, 10, a)
 	}
 }
+
+// Large reads that fail while the log answers other calls show that it is slow. They counted as
+// calls that it turns away.
+func TestCongested(t *testing.T) {
+	tests := map[string]struct {
+		answeredAt, now time.Duration
+		want            bool
+	}{
+		"never answered":         {0, time.Second, false},
+		"answered just now":      {time.Hour, time.Hour, true},
+		"answered while it read": {time.Hour, time.Hour + maxSilence, true},
+		"silent for longer":      {time.Hour, time.Hour + maxSilence + 2*congestionMargin, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := New(address(0))
+			if c.answeredAt > 0 {
+				p.Direct(true, c.answeredAt)
+			}
+			require.Equal(t, c.want, p.Congested(c.now))
+		})
+	}
+}
