--- a/pier/stepjournal/expiry_test.go
+++ b/pier/stepjournal/expiry_test.go
@@ -225,6 +225,7 @@
 			case "read":
 				h.skipped = h.skipped || h.fold.Next < l.first
 				l.read(h.fold, rapid.Int64Range(1, 20).Draw(t, "records"))
+				checkPositions(t, whole, h)
 			case "expire":
 				l.first = rapid.Int64Range(l.first, l.end()).Draw(t, "first")
 			case "clock":
@@ -242,6 +243,19 @@
 	})
 }
 
+// checkPositions checks that a host that may lack the newest records lists results where one lists
+// them that never lacked any.
+func checkPositions(t *rapid.T, whole *Fold, h *clockHost) {
+	for id, e := range h.fold.Steps() {
+		w := whole.Step(id)
+		require.NotNil(t, w, "step %s", id)
+		if e.From == w.From {
+			require.LessOrEqual(t, len(e.Results), len(w.Results))
+			require.Equal(t, append([]int64{}, w.Results[:len(e.Results)]...), append([]int64{}, e.Results...))
+		}
+	}
+}
+
 // checkHost compares a host that has read all records with one that never lacked any.
 func checkHost(t *rapid.T, l *expiringLog, whole *Fold, h *clockHost) {
 	for id, e := range whole.Steps() {
