--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -33,6 +33,7 @@
 }
 
 func (g *Gateway) results(ctx context.Context, id string, after int, wait time.Duration) (*ResultPage, error) {
+	began := time.Now()
 	if _, ok := g.journal.following(id); !ok {
 		if a, ok := g.preferred.queryStep(ctx, stepQuery{Step: id, After: after, Wait: wait}); ok {
 			return &ResultPage{Total: a.Total, Results: a.Results}, nil
@@ -42,7 +43,7 @@
 	if err := v.ensureKnown(ctx, id); err != nil {
 		return nil, err
 	}
-	return v.results(ctx, id, after, wait)
+	return v.results(ctx, id, after, max(wait-time.Since(began), 0))
 }
 
 // results is Results for a step that the view knows.
