A read of a step that cannot be served in its time is refused in time

Seen: callers asked another host after 2.5 s without a word of the first one.

Cause: results, bodies and ends had no bound but the front's 5 s. Callers of one partition waited behind each other for its lock, each for a page's time.

Change: results are answered within their wait and 1.2 s, bodies within 2 s, ends within 2.2 s, of which at most 1.2 s pass until the step is known. A caller that runs out of time is told log-down, not-run, with Retry-After.

Accept, takeovers and loads were checked: Accept waits 0.2 s for the preferred drivers and 1.5 s for an append and reads nothing else; takeovers have the bound of the sync before them, and loads that of the attempts for a page.

--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"mulberrypier.example/pier/outcome"
@@ -206,3 +207,40 @@
 	w.Wait()
 	require.EqualValues(t, maxPagesAtOnce, most.Load())
 }
+
+// The log is silent, and callers of one step waited behind each other, each for the time of a page.
+// Each must be told soon, with the time after which to ask again, and that nothing was done.
+func TestReadOfAStepIsRefusedInTime(t *testing.T) {
+	tests := map[string]struct {
+		call  func(g *Gateway) error
+		limit time.Duration
+	}{
+		"results": {func(g *Gateway) error {
+			_, err := g.Results(context.Background(), "s", 0, 500*time.Millisecond)
+			return err
+		}, 500*time.Millisecond + resultsSlack},
+		"body": {func(g *Gateway) error {
+			_, err := g.Body(context.Background(), "s", "s-0")
+			return err
+		}, bodyTimeout},
+		"end": {func(g *Gateway) error { return g.End(context.Background(), "s") }, endTimeout},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newHost(t, "a", slowPages(newLog().Functions(), 0))
+			var w sync.WaitGroup
+			for range 8 {
+				w.Go(func() {
+					start := time.Now()
+					e := outcome.AsError(c.call(g))
+					assert.Less(t, time.Since(start), c.limit+300*time.Millisecond)
+					assert.Equal(t, outcome.ReasonLogDown, e.Reason)
+					assert.Equal(t, outcome.NotRun, e.Outcome)
+					assert.Positive(t, e.RetryAfter)
+				})
+			}
+			w.Wait()
+		})
+	}
+}
--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -11,8 +11,18 @@
 	"mulberrypier.example/pier/stepjournal"
 )
 
-// maxListBytes bounds the total size of the texts in one answer to a trainer.
-const maxListBytes = 480 << 10
+const (
+	// resultsSlack is by how much a read of results may outlast its wait. Beyond it the caller is
+	// told to ask again, which it may do at another host.
+	resultsSlack = 1200 * time.Millisecond
+	// bodyTimeout and endTimeout bound the time to read a body and to end a step, of which
+	// knowTimeout may pass until it is known that there is such a step.
+	bodyTimeout = 2 * time.Second
+	endTimeout  = 2200 * time.Millisecond
+	knowTimeout = 1200 * time.Millisecond
+	// maxListBytes bounds the total size of the texts in one answer to a trainer.
+	maxListBytes = 480 << 10
+)
 
 // ResultPage is a contiguous part of a step's results.
 type ResultPage struct {
@@ -24,8 +34,10 @@
 
 // Results returns the results of a step from a position on. If there are none yet, it waits
 // for up to wait. Errors are of type *outcome.Error; unknown-step means that there is no
-// such step.
+// such step. It returns within wait and resultsSlack.
 func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (*ResultPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+resultsSlack)
+	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "results", id, wait)
 	p, err := g.results(ctx, id, after, wait)
 	r.end(err)
@@ -135,8 +147,10 @@
 	return l, nil
 }
 
-// Body returns the body of one of a step's items.
+// Body returns the body of one of a step's items, within bodyTimeout.
 func (g *Gateway) Body(ctx context.Context, id, item string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, bodyTimeout)
+	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "body", id, 0)
 	b, err := g.body(ctx, id, item)
 	r.end(err)
@@ -190,8 +204,10 @@
 }
 
 // End ends a step for good. A nil error means that the end is stored in the log. Ending a
-// step again is no error.
+// step again is no error. It returns within endTimeout.
 func (g *Gateway) End(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "end", id, 0)
 	err := g.end(ctx, id)
 	r.end(err)
@@ -199,15 +215,9 @@
 }
 
 func (g *Gateway) end(ctx context.Context, id string) error {
-	v, ok := g.journal.following(id)
-	if !ok {
-		_, ok = g.preferred.queryStep(ctx, stepQuery{Step: id, After: math.MaxInt32})
-	}
-	if !ok {
-		v.use()
-		if err := v.ensureKnown(ctx, id); err != nil {
-			return err
-		}
+	v, err := g.viewToEnd(ctx, id)
+	if err != nil {
+		return err
 	}
 	if e, _, _ := v.entry(id); e.Ended {
 		return nil
@@ -223,3 +233,18 @@
 	g.steps.stop(id)
 	return nil
 }
+
+// viewToEnd returns the view of the partition of a step that exists.
+func (g *Gateway) viewToEnd(ctx context.Context, id string) (*view, error) {
+	ctx, cancel := context.WithTimeout(ctx, knowTimeout)
+	defer cancel()
+	v, ok := g.journal.following(id)
+	if ok {
+		return v, nil
+	}
+	if _, ok := g.preferred.queryStep(ctx, stepQuery{Step: id, After: math.MaxInt32}); ok {
+		return v, nil
+	}
+	v.use()
+	return v, v.ensureKnown(ctx, id)
+}
