A list of results answers with what it has, and progress takes no memory from results

Seen: a list of long results was read to its full 480 KB, page by page, before the first result was answered, so that on a slow log none was in time. Records of progress, which the log holds in large numbers, took the place of results in memory.

Cause: the time of readList was not bounded; every record that a view read was cached.

Change: readList reads no further than 0.5 s once it has a result. Records of progress are not cached. A host that shuts down begins no page.

Result: go test ./gateway ./logpath ./readpace ./stepjournal passes. Seen failing before: TestListAnswersWithWhatItHasInTime (1.5 s), TestProgressLeavesResultsInMemory (199 kB read again). TestConsecutiveResultsAreReadWithFewCalls (40 results, one call) passed before, too.

--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/stepjournal"
@@ -244,3 +245,71 @@
 		})
 	}
 }
+
+// The first results were held back until all others of a long list were read, or the time was up
+// and none was answered.
+func TestListAnswersWithWhatItHasInTime(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 8, 100<<10, 0)
+	g := newHost(t, "a", l.Functions())
+	v := g.journal.get("s")
+	require.NoError(t, v.sync(context.Background()))
+	g.journal.cache = newCache(0)
+	read := g.peerLog.direct.Read
+	g.peerLog.direct.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if !backoff.Sleep(ctx, 300*time.Millisecond) {
+			return partitionlog.Page{}, outcome.Ambiguous(outcome.ReasonLogDown, "read", ctx.Err())
+		}
+		return read(ctx, q)
+	}
+	e, _, ok := v.entry("s")
+	require.True(t, ok)
+	start := time.Now()
+	p, err := v.readList(context.Background(), &e, 0)
+	require.NoError(t, err)
+	require.NotEmpty(t, p.Results)
+	require.Less(t, time.Since(start), listTime+400*time.Millisecond)
+}
+
+// Records of progress, which nobody reads, took the place of the results in memory.
+func TestProgressLeavesResultsInMemory(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	g := newHost(t, "a", l.Functions())
+	v := g.journal.get("s")
+	require.NoError(t, v.sync(context.Background()))
+	for range 20 {
+		b, err := stepjournal.Saved("s", &stepjournal.Progress{ItemIndex: 1, Text: string(make([]byte, 64<<10))})
+		require.NoError(t, err)
+		_, err = v.append(context.Background(), [][]byte{b})
+		require.NoError(t, err)
+	}
+	require.NoError(t, v.sync(context.Background()))
+	e, _, ok := v.entry("s")
+	require.True(t, ok)
+	_, err := v.readList(context.Background(), &e, 0)
+	require.NoError(t, err)
+	require.Zero(t, metric(t, g, `journal_read_bytes_total{purpose="records"}`))
+}
+
+// Consecutive results must not be read with a call each.
+func TestConsecutiveResultsAreReadWithFewCalls(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 40, 1<<10, 0)
+	g := newHost(t, "a", l.Functions())
+	v := g.journal.get("s")
+	require.NoError(t, v.sync(context.Background()))
+	g.journal.cache = newCache(maxCacheBytes)
+	calls := 0
+	read := g.peerLog.direct.Read
+	g.peerLog.direct.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		calls++
+		return read(ctx, q)
+	}
+	e, _, ok := v.entry("s")
+	require.True(t, ok)
+	p, err := v.readList(context.Background(), &e, 0)
+	require.NoError(t, err)
+	require.Len(t, p.Results, 40)
+	require.Equal(t, 1, calls)
+}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -182,6 +182,10 @@
 	case <-ctx.Done():
 		return outcome.Refuse(outcome.ReasonOf(ctx), "journal")
 	}
+	if v.j.g.ctx.Err() != nil {
+		<-v.reading
+		return outcome.Refuse(outcome.ReasonCancelled, "journal")
+	}
 	done := make(chan error, 1)
 	v.j.g.wg.Go(func() {
 		defer func() { <-v.reading }()
@@ -259,7 +263,7 @@
 			v.j.g.unreadable.skipped(stepjournal.Topic, err, zap.Int("part", v.n), zap.Int64("offset", at))
 			continue
 		}
-		v.j.cache.put(cacheKey{v.n, at}, b)
+		v.keep(at, b)
 		v.checkpoints.bytesBehind += len(b)
 	}
 	v.fold.DropExpired(p.First, p.End)
--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -8,6 +8,7 @@
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
 )
 
 // maxPageFailures bounds the attempts in a row to read a page that its reader waits for.
@@ -128,6 +129,14 @@
 	return v.fold.Next, v.end
 }
 
+// keep caches a record, but for progress: it is read only if a step gets another driver, and
+// would take the place of the results that trainers read.
+func (v *view) keep(at int64, b []byte) {
+	if !stepjournal.IsProgress(b) {
+		v.j.cache.put(cacheKey{v.n, at}, b)
+	}
+}
+
 // records returns up to n records from an offset on, but at least one. Those in the cache
 // are returned without a read of the log.
 func (v *view) records(ctx context.Context, from int64, n int) ([][]byte, error) {
@@ -150,7 +159,7 @@
 		return nil, outcome.Refuse(outcome.ReasonLogDown, "journal record is missing")
 	}
 	for i, b := range p.Records {
-		v.j.cache.put(cacheKey{v.n, from + int64(i)}, b)
+		v.keep(from+int64(i), b)
 	}
 	return p.Records[:min(n, len(p.Records))], nil
 }
--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -20,6 +20,8 @@
 	bodyTimeout = 2 * time.Second
 	endTimeout  = 2200 * time.Millisecond
 	knowTimeout = 1200 * time.Millisecond
+	// listTime bounds the time to read further results once there is one to answer with.
+	listTime = 500 * time.Millisecond
 	// maxListBytes bounds the total size of the texts in one answer to a trainer.
 	maxListBytes = 480 << 10
 )
@@ -122,12 +124,21 @@
 	return outcome.Refuse(outcome.ReasonUnknownStep, id)
 }
 
-// readList reads a step's results from a position on, up to maxListBytes but at least one.
+// readList reads a step's results from a position on, up to maxListBytes but at least one, and no
+// further after listTime.
 func (v *view) readList(ctx context.Context, e *stepjournal.Entry, after int) (*ResultPage, error) {
 	defer enterStage(ctx, stageRecords)()
+	more, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
 	l := &ResultPage{Total: e.Total}
 	n := 0
 	for _, at := range e.Results[after:] {
+		if len(l.Results) > 0 {
+			if more.Err() != nil {
+				break
+			}
+			ctx = more
+		}
 		b, err := v.records(ctx, at, 1)
 		if err != nil {
 			if len(l.Results) > 0 {
