A planned stop answers requests whose bodies are still on their way

Cause: at the end of the grace period the contexts of all requests end, but the read of a request's body does not look at its context. A request whose caller sent its body slowly was held until the process ended and cut without an answer. It had not run, but its caller cannot know that.

Change: the end of the context ends the read of the body, by the read deadline of its connection, and the request is refused (503, not run) with the reason of the end.

--- a/pier/gateway/bodies.go
+++ b/pier/gateway/bodies.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -35,18 +37,30 @@
 }
 
 // ReadBody reads the body of a request of at most limit bytes. If the host has no memory for it, the
-// request is refused, before any of a body of known length is read. Errors are of type *outcome.Error.
+// request is refused, before any of a body of known length is read. A body that is still on its way when
+// the request's context ends, as at the end of a planned stop, is waited for no longer. Errors are of
+// type *outcome.Error.
 func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
 	b := &Body{g: g}
 	if r.ContentLength > limit {
 		return nil, outcome.Refuse(outcome.ReasonTooLarge, "body")
 	}
 	body := http.MaxBytesReader(w, r.Body, limit)
+	c := http.NewResponseController(w)
+	stop := context.AfterFunc(r.Context(), func() {
+		if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
+			g.log.Warn("request: its body cannot be given up", zap.Error(err))
+		}
+	})
+	defer stop()
 	err := b.read(body, r.ContentLength)
 	if err == nil {
 		return b, nil
 	}
 	b.Release()
+	if r.Context().Err() != nil {
+		return nil, outcome.RefuseWithCause(outcome.ReasonOf(r.Context()), "body", err)
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
