An empty answer, or a document, is not the end of a sample's text

Cause: an engine that was to continue a text and answered 200 with an empty body ended the text there: the end of the body was taken for the end of the generation, whatever the head said. A document of another kind whose lines look like the next event was added to the text.

Change: a 200 that states another kind than events is a failed run. An answer without events ends a continued text only if its head states a stream of events; otherwise the text is discarded and the sample begins anew, so that engines that state no kind can end it as well.

Plain text is taken as no statement, as package net/http states it for any stream.

--- a/pier/gateway/events.go
+++ b/pier/gateway/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -13,6 +14,22 @@
 // maxEventBytes bounds the size of an event of a stream, with all its lines.
 const maxEventBytes = 64 << 10
 
+// statesEvents reports whether the head of an answer states that its body is a stream of events.
+func statesEvents(h http.Header) bool { return mediaType(h) == "text/event-stream" }
+
+// statesOther reports whether it states that the body is something else. Plain text is what servers state
+// of a body whose kind they do not know.
+func statesOther(h http.Header) bool {
+	t := mediaType(h)
+	return t != "" && t != "text/plain" && t != "text/event-stream"
+}
+
+// mediaType returns the media type of a body without parameters, empty if none is stated.
+func mediaType(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // event is one complete event of a stream.
 type event struct {
 	id   int64
--- a/pier/gateway/samplewriter.go
+++ b/pier/gateway/samplewriter.go
@@ -23,6 +23,9 @@
 	anewServersFull anewReason = "servers-full"
 	// anewServerReplaced means that the server had started again under its id.
 	anewServerReplaced anewReason = "server-replaced"
+	// anewNoEvents means that a server was to continue the text and sent neither an event nor the
+	// head of a stream of events.
+	anewNoEvents anewReason = "no-events"
 )
 
 // hasText reports whether a part of the text was generated that a server has to continue.
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -75,6 +75,8 @@
 	ReasonUnconfirmed Reason = "unconfirmed-incarnation"
 	// ReasonServerLeft means that the server left, or started again, while the request waited.
 	ReasonServerLeft Reason = "server-left"
+	// ReasonNotEvents means that a server sent something else than the events that it was asked for.
+	ReasonNotEvents Reason = "not-events"
 )
 
 // Error is the error of a request that ended without an answer.
