A stream that is taken up brings only the events that follow

Cause: a host passed any answer to the request that takes up a stream on to its caller. A 200 with the text of an error, a document, nothing at all or the events of another place looked like the rest of the stream and like its end.

Change: before anything of a successful answer reaches the caller the host waits for its first event, which must follow the last one that the caller has, and passes on only whole events, each of which must follow the one before: the next id at engines, a higher one at other services, whose ids need not be consecutive. An answer that is something else gives 502; one that leaves the order later breaks off. An answer without events is the end of a stream only if its head states events.

Seen failing on the old code: TestCallerFindsNoErrorInItsStream, 15 rows (the 200s of JSON, text and unknown kind, empty ones, events from the first, with a gap or again, a head or an error's text in place of an event): a whole 200 with that body. Error statuses and heads that break off gave no such answer before either. All rows pass now, as do TestStreamThatIsTakenUpBringsWholeEvents, which also cuts the answer at each byte, and TestContinuation.

--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -89,6 +90,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.checkContinuation(t, a); err != nil {
+		s.g.log.Info("stream: the server does not go on with it", zap.String("id", c.ID), zap.String("resumes", t.resumes),
+			zap.Int64("after-event", t.after), zap.String("server", a.Server.ID), zap.Int("status", a.Status), zap.Error(err))
+		a.Close()
+		return nil, err
+	}
 	s.answered(c, t, a)
 	return a, nil
 }
@@ -207,6 +214,27 @@
 	a.Rest = b
 }
 
+// checkContinuation fails if a successful answer does not go on with the stream where the request asked
+// for. It waits for the first event, so that nothing of such an answer reaches the caller.
+func (s *streams) checkContinuation(t resumption, a *Answer) error {
+	if t.after == 0 || a.Status/100 != 2 || a.Rest == nil {
+		return nil
+	}
+	if statesOther(a.Header) {
+		return outcome.Ambiguous(outcome.ReasonNotEvents, a.Server.ID+" "+a.Header.Get("Content-Type"), nil)
+	}
+	b := newContinuation(a.Rest, s.g.c.Dialect.EventVersion, t.after+1, s.g.isEngine(a.Server.Service))
+	a.Rest = b
+	err := b.fill()
+	if errors.Is(err, io.EOF) && !statesEvents(a.Header) {
+		return outcome.Ambiguous(outcome.ReasonNotEvents, a.Server.ID, nil)
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // continuedAt labels a continuation by what began the stream and what continues it.
 func continuedAt(writer, runs directory.Software) string {
 	switch {
