A list of servers goes on with the page that failed

A host that starts reads the newest record of each server in pages of 500 keys. If one page failed, it asked for all of them again. After the loss of all hosts they all read the list at the same time; a log that refuses one page in three then lets no host get to the end of six, while it serves the first ones over and over.

The reading is kept, and goes on with the page that it could not get. After 20 attempts in a row without a page it begins anew, in case the log cannot go on after a key that has gone since.

--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -53,6 +53,8 @@
 	// known. endReadAt is when the last read that reached the end of the topic was sent.
 	writtenAfter time.Time
 	endReadAt    time.Time
+	// starting is the reading of the newest records that has not come to its end, nil if there is none.
+	starting *followerStart
 	// ahead holds the offsets of the newest records that lie behind next, so that no key returns
 	// to an older value when the records in between are read.
 	ahead map[string]int64
@@ -127,31 +129,71 @@
 	f.put(k, v, offset)
 }
 
-// restart reads the newest record of each key and drops the keys that are gone.
+// maxStartFailures is the number of pages that may fail in a row before the newest records are read
+// from the first page again.
+const maxStartFailures = 20
+
+// followerStart is a reading of the newest record of each key by a follower.
+type followerStart struct {
+	listing *listing
+	// keys holds the keys that were read, offsets those of their records.
+	keys    map[string]bool
+	offsets map[string]int64
+	// sent is when the first page was asked for.
+	sent time.Time
+	// failures is the number of attempts in a row that brought no page.
+	failures int
+}
+
+func newFollowerStart(topic string) *followerStart {
+	return &followerStart{
+		listing: newListing(partitionlog.Partition{Topic: topic}), keys: make(map[string]bool), offsets: make(map[string]int64), sent: time.Now(),
+	}
+}
+
+// restart reads the newest record of each key and drops the keys that are gone. If it fails, the
+// next call goes on with the page that could not be read: many hosts may start at the same time,
+// and the log has each page to serve to each of them.
 func (f *follower) restart() error {
 	f.writtenAfter = time.Time{}
-	keys := make(map[string]bool)
-	offsets := make(map[string]int64)
-	sent := time.Now()
-	n, err := readNewest(f.g.ctx, f.g.c.Log, partitionlog.Partition{Topic: f.topic}, func(r partitionlog.KeyedRecord) {
-		keys[r.Key] = true
-		offsets[r.Key] = r.Offset
+	if f.starting == nil {
+		f.starting = newFollowerStart(f.topic)
+	}
+	s := f.starting
+	after := s.listing.after
+	err := s.listing.read(f.g.ctx, f.g.c.Log, func(r partitionlog.KeyedRecord) {
+		s.keys[r.Key] = true
+		s.offsets[r.Key] = r.Offset
 		f.put(r.Key, r.Value, r.Offset)
 	})
 	if err != nil {
+		f.startFailed(s.listing.after != after)
 		return err
 	}
-	maps.DeleteFunc(offsets, func(_ string, o int64) bool { return o < n.end })
-	if n.whole {
-		f.retainKeys(keys)
+	f.starting = nil
+	maps.DeleteFunc(s.offsets, func(_ string, o int64) bool { return o < s.listing.end })
+	if s.listing.whole {
+		f.retainKeys(s.keys)
 	} else {
 		f.g.log.Warn("log: keys cannot be listed to their end; those missing are known once they are written again",
-			zap.String("topic", f.topic), zap.Int("keys", len(keys)))
+			zap.String("topic", f.topic), zap.Int("keys", len(s.keys)))
 	}
-	f.ahead, f.next, f.endReadAt = offsets, n.end, sent
+	f.ahead, f.next, f.endReadAt = s.offsets, s.listing.end, s.sent
 	return nil
 }
 
+// startFailed has the newest records read from the first page again if too many attempts in a row
+// brought none.
+func (f *follower) startFailed(progressed bool) {
+	if progressed {
+		f.starting.failures = 0
+	}
+	f.starting.failures++
+	if f.starting.failures > maxStartFailures {
+		f.starting = nil
+	}
+}
+
 // tables holds the configuration and the newest version of each model.
 type tables struct {
 	g        *Gateway
--- a/pier/gateway/newest.go
+++ b/pier/gateway/newest.go
@@ -15,37 +15,59 @@
 	whole bool
 }
 
-// readNewest reads the newest record of each key of a partition and calls put for each. Only one page
-// is held in memory at a time.
-func readNewest(ctx context.Context, l partitionlog.Log, from partitionlog.Partition, put func(r partitionlog.KeyedRecord)) (newestState, error) {
-	after := ""
-	asked := map[string]bool{"": true}
-	s := newestState{end: -1}
+// listing reads the newest record of each key of a partition, page by page. A reading that failed goes
+// on with the page that it could not read.
+type listing struct {
+	newestState
+	// from is the partition whose records are read.
+	from partitionlog.Partition
+	// after is the last key of the pages that were read, asked holds those after which pages were
+	// asked for.
+	after string
+	asked map[string]bool
+}
+
+func newListing(from partitionlog.Partition) *listing {
+	return &listing{newestState: newestState{end: -1}, from: from, asked: make(map[string]bool)}
+}
+
+// read reads the pages that are left and calls put for each record. Only one page is held in memory
+// at a time.
+func (l *listing) read(ctx context.Context, log partitionlog.Log, put func(r partitionlog.KeyedRecord)) error {
 	for {
-		p, err := readNewestPage(ctx, l, from, after)
+		p, err := readNewestPage(ctx, log, l.from, l.after)
 		if err != nil {
-			return newestState{}, err
+			return err
 		}
 		// The end as of the first page lets a reader that goes on from there see all later
 		// changes, some of them twice.
-		if s.end < 0 {
-			s.end = p.End
+		if l.end < 0 {
+			l.end = p.End
 		}
 		for _, r := range p.Records {
 			put(r)
 		}
-		s.whole = !p.More
+		l.whole = !p.More
+		l.asked[l.after] = true
 		if !p.More || len(p.Records) == 0 {
-			return s, nil
+			return nil
 		}
-		after = p.Records[len(p.Records)-1].Key
-		if asked[after] {
-			return s, nil
+		l.after = p.Records[len(p.Records)-1].Key
+		if l.asked[l.after] {
+			return nil
 		}
-		asked[after] = true
 	}
 }
 
+// readNewest reads the newest record of each key of a partition at once.
+func readNewest(ctx context.Context, log partitionlog.Log, from partitionlog.Partition, put func(r partitionlog.KeyedRecord)) (newestState, error) {
+	l := newListing(from)
+	if err := l.read(ctx, log, put); err != nil {
+		return newestState{}, err
+	}
+	return l.newestState, nil
+}
+
 func readNewestPage(ctx context.Context, l partitionlog.Log, from partitionlog.Partition, after string) (partitionlog.Newest, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
 	defer cancel()
