Preferred drivers are read once for all that wait, also from a slow log

Each step and each reader of a step that a host does not follow had the preferred drivers read, gave that up after 200 ms, and the next began it again: with a log that takes 300 ms for an answer no host ever learnt them, while the log served every reading. After the loss of all hosts a restarted driver did not reclaim its models either, and asked 2.9 times a second.

There is one reading at a time. A step waits for it for 200 ms as before and then goes on without; the reading itself goes on, for the next one.

TestPreferredDriversAreReadFromASlowLog: not known within 5 s before, with one reading now.

--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -29,7 +29,8 @@
 	// preferredDriversMaxAge is how long the preferred drivers are used before they are
 	// read again.
 	preferredDriversMaxAge = 2 * time.Second
-	// preferredDriversTimeout is how long reading the preferred drivers may delay a step.
+	// preferredDriversTimeout is how long reading the preferred drivers may delay a step. The
+	// reading itself goes on, for the next step.
 	preferredDriversTimeout = 200 * time.Millisecond
 	// preferredCheckInterval is the time between two checks whether a model has a preferred
 	// driver that is smaller than this host. It is longer by preferredRankStep for each rank.
@@ -69,6 +70,15 @@
 	readAt time.Time
 	// end is the end offset of the topic as of readAt.
 	end int64
+	// reading is the reading in progress, nil if there is none.
+	reading *driversReading
+}
+
+// driversReading is a reading of the preferred drivers, for all that wait for it.
+type driversReading struct {
+	// done is closed at the end. After it, ok reports whether the drivers were read.
+	done chan struct{}
+	ok   bool
 }
 
 func newPreferred(g *Gateway) *preferred { return &preferred{g: g, all: make(map[string]driverRecord)} }
@@ -82,19 +92,63 @@
 	return p.all[model], current
 }
 
-// refresh reads the preferred drivers if they are older than preferredDriversMaxAge. It
-// returns false if that fails; those known may then be out of date.
+// refresh has the preferred drivers read if they are older than preferredDriversMaxAge. It
+// returns false if that fails or takes too long; those known may then be out of date.
 func (p *preferred) refresh(ctx context.Context) bool {
-	p.mu.Lock()
-	fresh := time.Since(p.readAt) < preferredDriversMaxAge
-	p.mu.Unlock()
-	if fresh {
-		return true
-	}
 	ctx, cancel := context.WithTimeout(ctx, preferredDriversTimeout)
 	defer cancel()
+	return p.await(ctx)
+}
+
+// await is refresh with the time that ctx leaves.
+func (p *preferred) await(ctx context.Context) bool {
+	r := p.startReading()
+	if r == nil {
+		return true
+	}
+	select {
+	case <-r.done:
+		return r.ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// startReading returns the reading in progress, which it begins if need be. It returns nil if the
+// drivers known are recent.
+func (p *preferred) startReading() *driversReading {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.readAt) < preferredDriversMaxAge {
+		return nil
+	}
+	if p.reading == nil {
+		r := &driversReading{done: make(chan struct{})}
+		p.reading = r
+		p.g.wg.Go(func() { p.read(r) })
+	}
+	return p.reading
+}
+
+// read carries out a reading. Its result is dropped if the drivers have changed meanwhile.
+func (p *preferred) read(r *driversReading) {
+	defer close(r.done)
+	all, end, err := p.readAll()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reading != r {
+		return
+	}
+	p.reading = nil
+	if err == nil {
+		p.all, p.readAt, p.end, r.ok = all, time.Now(), end, true
+	}
+}
+
+// readAll reads the preferred drivers and the end offset of their topic.
+func (p *preferred) readAll() (map[string]driverRecord, int64, error) {
 	all := make(map[string]driverRecord)
-	n, err := readNewest(ctx, p.g.c.Log, partitionlog.Partition{Topic: preferredDriversTopic}, func(k partitionlog.KeyedRecord) {
+	n, err := readNewest(p.g.ctx, p.g.c.Log, partitionlog.Partition{Topic: preferredDriversTopic}, func(k partitionlog.KeyedRecord) {
 		var v driverRecord
 		if err := msgpack.Unmarshal(k.Value, &v); err != nil {
 			p.g.unreadable.skipped(preferredDriversTopic, err, zap.String("model", k.Key))
@@ -104,13 +158,10 @@
 	})
 	if err != nil {
 		p.g.logHealth.failed(preferredDriversTopic, preferredDriversTopic, err)
-		return false
+		return nil, 0, err
 	}
 	p.g.logHealth.answered(preferredDriversTopic)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.all, p.readAt, p.end = all, time.Now(), n.end
-	return true
+	return all, n.end, nil
 }
 
 // choose returns the driver for a new step of a model, and reports whether this host should
@@ -216,7 +267,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.all[model] = r
+	p.all[model], p.reading = r, nil
 	p.mu.Unlock()
 	p.g.log.Info("preferred drivers: this host is that of the model", zap.String("model", model),
 		zap.Float64("share", r.Share))
@@ -225,14 +276,14 @@
 // forget has the preferred drivers read again at their next use.
 func (p *preferred) forget() {
 	p.mu.Lock()
-	p.readAt = time.Time{}
+	p.readAt, p.reading = time.Time{}, nil
 	p.mu.Unlock()
 }
 
 // reclaim makes a restarted host the preferred driver of the models of its previous
 // incarnation. It retries until the preferred drivers can be read.
 func (p *preferred) reclaim() {
-	for !p.refresh(p.g.ctx) {
+	for !p.await(p.g.ctx) {
 		if !backoff.Sleep(p.g.ctx, logRetryDelay) {
 			return
 		}
--- a/pier/gateway/preferreddriver_test.go
+++ b/pier/gateway/preferreddriver_test.go
@@ -4,14 +4,18 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/memlog"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/stepjournal"
 )
 
@@ -217,3 +221,32 @@
 	require.True(t, b.steps.isDriving("s") || len(e.runs()) == 1)
 	waitResults(t, b, "s", 1)
 }
+
+// Guards against readings of the preferred drivers that are given up and begun again for each step
+// while the log is slow, and never come to their end.
+func TestPreferredDriversAreReadFromASlowLog(t *testing.T) {
+	const latency = preferredDriversTimeout + 100*time.Millisecond
+	l := newLog()
+	a := newHost(t, "a", l.Functions())
+	a.preferred.claim("m")
+	f := l.Functions()
+	var readings atomic.Int64
+	f.Newest = func(ctx context.Context, at partitionlog.Partition) (partitionlog.Newest, error) {
+		readings.Add(1)
+		if !backoff.Sleep(ctx, latency) {
+			return partitionlog.Newest{}, outcome.Ambiguous(outcome.ReasonDeadline, at.Topic, ctx.Err())
+		}
+		return l.Functions().Newest(ctx, at)
+	}
+	b := newHost(t, "b", f)
+	var w sync.WaitGroup
+	for range 10 {
+		w.Go(func() { b.preferred.lookup(context.Background(), "m") })
+	}
+	w.Wait()
+	require.Eventually(t, func() bool {
+		r, _ := b.preferred.lookup(context.Background(), "m")
+		return r.Driver.Host == a.self.Host
+	}, 5*time.Second, 10*time.Millisecond)
+	require.EqualValues(t, 1, readings.Load())
+}
