A host that starts sends no call before it has read the quarantine

A host that starts reads the topic of requests under which servers ended from its beginning. Until then it knew of none and sent every call on: with a log that takes 200 ms for an answer, a quarantined request ended one more server at each host that got it in that time. After the loss of all hosts that is every host.

Calls to plain services and streams now wait until the host has read the topic to its end once, for 2 s after the start at most; one without time to wait is refused as not run. The first reads don't wait for events.

TestHostThatStartsWaitsForTheQuarantine: one more server ended before, none now.

--- a/pier/gateway/quarantine_test.go
+++ b/pier/gateway/quarantine_test.go
@@ -14,8 +14,10 @@
 	"github.com/stretchr/testify/require"
 
 	"mulberrypier.example/pier/backend"
+	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/quarantine"
 	"mulberrypier.example/pier/routetable"
 )
@@ -206,6 +208,38 @@
 	require.Equal(t, before, sent.count(crashBody))
 }
 
+// All hosts are lost and start again, and the log takes its time. A request under which servers ended
+// must not reach another one before the host that gets it has read what was known of it.
+func TestHostThatStartsWaitsForTheQuarantine(t *testing.T) {
+	l := newLog().Functions()
+	hosts, _, sent := newCrashDeployment(t, l, 2, 6, 400*time.Millisecond)
+	require.Eventually(t, func() bool {
+		repeatCall(hosts, crashBody, 100*time.Millisecond, time.Millisecond)
+		d, _ := hosts[0].suspects.decide(newPlainCall(crashCall(hosts[0], "", crashBody)))
+		return d.Action == quarantine.Refuse && d.After > 5*time.Second
+	}, 15*time.Second, time.Millisecond)
+	hosts[0].fleet.mu.Lock()
+	servers := hosts[0].fleet.byService["desk"]
+	hosts[0].fleet.mu.Unlock()
+	stopHosts(hosts)
+	slow := l
+	slow.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if !backoff.Sleep(ctx, 200*time.Millisecond) {
+			return partitionlog.Page{}, outcome.Ambiguous(outcome.ReasonDeadline, q.Partition.Topic, ctx.Err())
+		}
+		return l.Read(ctx, q)
+	}
+	late := newHost(t, "late", slow)
+	late.table(nil)
+	late.register(servers...)
+	late.wg.Go(late.suspects.run)
+	require.Eventually(t, func() bool { return late.suspects.catchUpEnd.Load() > 0 }, time.Second, time.Millisecond)
+	before := sent.count(crashBody)
+	_, err := late.Do(context.Background(), crashCall(late, "late", crashBody))
+	require.True(t, quarantined(err), "%v", err)
+	require.Equal(t, before, sent.count(crashBody))
+}
+
 // The log is away when servers end. Each host keeps to what it knows by itself; once the log is
 // back, all hosts add up.
 func TestHostsAddUpOnceTheLogIsBack(t *testing.T) {
--- a/pier/gateway/suspects.go
+++ b/pier/gateway/suspects.go
@@ -24,6 +24,9 @@
 const (
 	// suspectsReadWait is how long a read of the topic waits for an event.
 	suspectsReadWait = 2500 * time.Millisecond
+	// maxCatchUp bounds the time after the start for which calls wait until the events of before
+	// are known. A host that cannot read the topic then sends calls as if there were none.
+	maxCatchUp = 2 * time.Second
 	// claimTimeout bounds the time to ask for a trial.
 	claimTimeout = 500 * time.Millisecond
 	// maxWaitingEvents bounds the events that wait for their append; the oldest are dropped.
@@ -43,6 +46,9 @@
 	known atomic.Int64
 	// claims is the number of trials that this host has asked for.
 	claims atomic.Int64
+	// catchUpEnd is when calls stop to wait for the events of before the start: a time since boot,
+	// 0 if none does.
+	catchUpEnd atomic.Int64
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
@@ -67,8 +73,9 @@
 	return partitionlog.Partition{Topic: quarantine.Topic}
 }
 
-// run reads the events of all hosts.
+// run reads the events of all hosts. Calls wait until those of before the start are known.
 func (s *suspects) run() {
+	s.catchUpEnd.Store(int64(boottime.Now() + maxCatchUp))
 	for s.g.ctx.Err() == nil {
 		if err := s.read(); err != nil {
 			if s.g.ctx.Err() == nil {
@@ -81,14 +88,51 @@
 	}
 }
 
+// catchesUp reports whether events of before the start may be unknown, and for how long calls wait
+// for them at most.
+func (s *suspects) catchesUp() (most time.Duration, ok bool) {
+	most = time.Duration(s.catchUpEnd.Load()) - boottime.Now()
+	return most, most > 0
+}
+
+// caughtUp lets the calls go on that wait for the events of before the start. The caller holds mu.
+func (s *suspects) caughtUp() {
+	s.catchUpEnd.Store(0)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// awaitStart waits until the events of before the start are known, and refuses a call that has no time
+// to wait for them.
+func (s *suspects) awaitStart(ctx context.Context, c *plainCall) error {
+	for !c.deferrable() {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		most, ok := s.catchesUp()
+		if !ok {
+			return nil
+		}
+		if !waitForTrial(ctx, c, changed, most) {
+			return outcome.Refuse(outcome.ReasonLogDown, "requests under which servers ended").After(unavailableRetryAfter)
+		}
+	}
+	return nil
+}
+
 func (s *suspects) read() error {
-	ctx, cancel := context.WithTimeout(s.g.ctx, suspectsReadWait+readSlack)
+	wait := suspectsReadWait
+	_, catchesUp := s.catchesUp()
+	if catchesUp {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(s.g.ctx, wait+readSlack)
 	defer cancel()
 	s.mu.Lock()
 	from := s.next
 	s.mu.Unlock()
 	p, err := s.g.c.Log.Read(ctx, partitionlog.ReadRequest{
-		Partition: suspectsPartition(), From: from, MaxBytes: maxReadBytes, Wait: suspectsReadWait,
+		Partition: suspectsPartition(), From: from, MaxBytes: maxReadBytes, Wait: wait,
 	})
 	if outcome.HasReason(err, partitionlog.ReasonExpired) {
 		s.mu.Lock()
@@ -96,7 +140,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	if err != nil || len(p.Records) == 0 {
+	if err != nil {
 		return err
 	}
 	var l []quarantine.Event
@@ -110,8 +154,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(l)
 	s.next = p.From + int64(len(p.Records))
+	if len(p.Records) > 0 {
+		s.apply(l)
+	}
+	if catchesUp && s.next >= p.End {
+		s.caughtUp()
+	}
 	return nil
 }
 
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -66,6 +66,9 @@
 // sendOrTry sends a call to servers as far as what is known of it allows: at once, in a trial
 // that no other host makes at the same time, or not at all.
 func (g *Gateway) sendOrTry(ctx context.Context, c *plainCall) (*Answer, error) {
+	if err := g.suspects.awaitStart(ctx, c); err != nil {
+		return nil, err
+	}
 	tried := make(map[string]bool)
 	for {
 		d, changed := g.suspects.decide(c)
