Only a reader that has a deadline reads a failed page again

A sync before a decision on a step's driver was cut off at 1.6 s, also while pages arrived.

Reads of trainers have deadlines and read again. design/platform.md tells how a host that does not follow a partition reads it.

TestReaderWithoutDeadlineGoesOnAtTheFirstFailure is new, not run on the state before.

--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -162,12 +162,25 @@
 	putStep(t, l.Functions(), "s", 2, 8<<10, 256<<10)
 	g := newHost(t, "a", slowPages(l.Functions(), 40<<10))
 	v := g.journal.get("s")
-	require.NoError(t, v.sync(context.Background()))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, v.sync(ctx))
 	e, _, ok := v.entry("s")
 	require.True(t, ok)
 	require.Len(t, e.Results, 2)
 }
 
+// A host that drives a step reads the progress of its samples one by one. At a log that does not
+// answer, it must not spend the time of several attempts on each.
+func TestReaderWithoutDeadlineGoesOnAtTheFirstFailure(t *testing.T) {
+	g := newHost(t, "a", slowPages(newLog().Functions(), 0))
+	start := time.Now()
+	_, err := g.journal.get("s").records(context.Background(), 0, 1)
+	require.Error(t, err)
+	require.Error(t, g.journal.get("s").sync(context.Background()))
+	require.Less(t, time.Since(start), 2*readSlack+400*time.Millisecond)
+}
+
 // Pages of the journal that did not arrive in time counted as calls that the log turns away, and
 // were asked for again through peers, while the log answered all other calls.
 func TestSlowPagesAreNoTurningAway(t *testing.T) {
--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -91,10 +91,13 @@
 }
 
 // retry reports, after a delay, whether a page is to be read again of which a number of attempts
-// in a row failed: not if the log refuses it by all paths, or the caller no longer waits.
+// in a row failed: not if the log refuses it by all paths, or the caller no longer waits. A caller
+// without a deadline goes on at the first failure, and tries again by itself if need be: a driver
+// must not stand still while the log does.
 func (v *view) retry(ctx context.Context, err error, failures int) bool {
+	_, limited := ctx.Deadline()
 	refused := !isTimeout(err) && v.j.g.peerLog.directFails()
-	if failures >= maxPageFailures || refused || outcome.HasReason(err, partitionlog.ReasonExpired) {
+	if !limited || failures >= maxPageFailures || refused || outcome.HasReason(err, partitionlog.ReasonExpired) {
 		return false
 	}
 	return backoff.Sleep(ctx, v.j.pace.delay(failures))
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -19,8 +19,6 @@
 	// refuses it. There are few, since the caller can turn to another host.
 	acceptAttempts   = 3
 	acceptRetryDelay = 100 * time.Millisecond
-	// syncTimeout bounds the sync before a decision on a step's driver.
-	syncTimeout = 2 * readSlack
 )
 
 // steps accepts the steps of trainers and keeps track of those that this host runs.
@@ -114,9 +112,7 @@
 // synced syncs the view with the log and returns a step's entry. known is false if the log
 // cannot be read or does not hold the step.
 func (p *steps) synced(v *view, id string) (e stepjournal.Entry, known bool) {
-	ctx, cancel := context.WithTimeout(p.g.ctx, syncTimeout)
-	defer cancel()
-	if err := v.sync(ctx); err != nil {
+	if err := v.sync(p.g.ctx); err != nil {
 		p.g.log.Warn("step: journal cannot be read", zap.String("id", id), zap.Error(err))
 		return stepjournal.Entry{}, false
 	}
