A view whose next records expired goes on from the checkpoint

Cause: a view that lags behind the log's retention skipped the records that had expired, and could then say nothing of the steps they belong to: it refused reads of them (log-down) though a checkpoint knows them.

Change: it restores the newest checkpoint first and skips only what none covers.

Measured: TestViewBehindTheLogGoesOnFromTheCheckpoint fails without the change ('Should be false': the step is cut off) and passes with it.

--- a/pier/gateway/checkpoint.go
+++ b/pier/gateway/checkpoint.go
@@ -52,8 +52,7 @@
 		c.bytesBehind >= checkpointIdleBytes && now-c.appliedAt >= checkpointIdleTime
 }
 
-// restore goes on from the newest checkpoint of the partition, if that is further on than the
-// view. The caller holds reading.
+// restore is restoreNewest, once after the view began to follow the log.
 func (v *view) restore(ctx context.Context) error {
 	v.mu.Lock()
 	done := v.checkpoints.restored
@@ -61,6 +60,12 @@
 	if done {
 		return nil
 	}
+	return v.restoreNewest(ctx)
+}
+
+// restoreNewest goes on from the newest checkpoint of the partition, if that is further on than the
+// view.
+func (v *view) restoreNewest(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readSlack)
 	defer cancel()
 	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
--- a/pier/gateway/checkpoint_test.go
+++ b/pier/gateway/checkpoint_test.go
@@ -156,3 +156,21 @@
 		t.Run(name, func(t *testing.T) { require.Equal(t, x.want, x.c.due(time.Minute)) })
 	}
 }
+
+// A view whose next records have expired must not lose the steps that a checkpoint knows.
+func TestViewBehindTheLogGoesOnFromTheCheckpoint(t *testing.T) {
+	l := newLog()
+	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
+	w := b.journal.get("s")
+	require.NoError(t, w.sync(context.Background()))
+	v := fillPartition(t, a)
+	writeCheckpoint(t, v, l)
+	s := newStep("s", 1)
+	acceptAt(t, v, s, a.self, time.Now())
+	l.Expire(v.partition(), filledRecords+2)
+	require.NoError(t, w.sync(context.Background()))
+	require.False(t, w.cutOff("s"))
+	r, err := b.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, r.Results, 1)
+}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -227,8 +227,7 @@
 		From: from, MaxBytes: v.j.pace.pageBytes(), Wait: wait,
 	})
 	if outcome.HasReason(err, partitionlog.ReasonExpired) {
-		v.skip(p.First)
-		return nil
+		return v.passExpired(ctx, p.First)
 	}
 	if err != nil {
 		if v.j.g.ctx.Err() == nil {
@@ -241,12 +240,21 @@
 	return nil
 }
 
-func (v *view) skip(first int64) {
+// passExpired moves the view on to the first record that the log holds: by the newest
+// checkpoint, or by skipping the records in between if there is none that is far enough on.
+func (v *view) passExpired(ctx context.Context, first int64) error {
+	if err := v.restoreNewest(ctx); err != nil {
+		return err
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.fold.Next >= first {
+		return nil
+	}
 	v.j.g.log.Warn("journal: records expired", zap.Int("part", v.n), zap.Int64("from", v.fold.Next),
 		zap.Int64("first", first))
 	v.fold.SkipTo(first)
+	return nil
 }
 
 // apply folds the records of a page that are not folded yet. Pages may overlap, as a
