--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -9,27 +9,37 @@
 
 // metrics holds the counters and histograms of a host.
 type metrics struct {
-	registry    *prometheus.Registry
-	refusals    *prometheus.CounterVec
-	retries     *prometheus.CounterVec
-	samples     *prometheus.CounterVec
-	steps       *prometheus.CounterVec
-	orders      *prometheus.CounterVec
-	logErrors   *prometheus.CounterVec
-	unreadable  *prometheus.CounterVec
-	bugs        *prometheus.CounterVec
-	viaPeers    *prometheus.CounterVec
-	carried     *prometheus.CounterVec
-	limits      *prometheus.CounterVec
-	limited     *prometheus.CounterVec
-	permits     *prometheus.CounterVec
-	serverEnds  *prometheus.CounterVec
-	suspects    *prometheus.CounterVec
-	continued   *prometheus.CounterVec
-	anew        *prometheus.CounterVec
-	origins     *prometheus.CounterVec
-	checkpoints *prometheus.CounterVec
+	registry *prometheus.Registry
+	journalMetrics
+	wallClockMetrics
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	samples    *prometheus.CounterVec
+	steps      *prometheus.CounterVec
+	orders     *prometheus.CounterVec
+	logErrors  *prometheus.CounterVec
+	unreadable *prometheus.CounterVec
+	bugs       *prometheus.CounterVec
+	viaPeers   *prometheus.CounterVec
+	carried    *prometheus.CounterVec
+	limits     *prometheus.CounterVec
+	limited    *prometheus.CounterVec
+	permits    *prometheus.CounterVec
+	serverEnds *prometheus.CounterVec
+	suspects   *prometheus.CounterVec
+	continued  *prometheus.CounterVec
+	anew       *prometheus.CounterVec
+	origins    *prometheus.CounterVec
+	opened     prometheus.Counter
+	plain      prometheus.Histogram
+	sample     prometheus.Histogram
+	accept     prometheus.Histogram
+}
+
+// journalMetrics tells of reads of steps and of what they cost.
+type journalMetrics struct {
 	stepReads   *prometheus.CounterVec
+	checkpoints *prometheus.CounterVec
 	// journalBytes counts by purpose the bytes of records of the journal that arrived, bytesGivenUp
 	// the bytes that were asked for in pages that did not.
 	journalBytes *prometheus.CounterVec
@@ -37,27 +47,23 @@
 	bytesGivenUp *prometheus.CounterVec
 	// stepReadStages is the time of reads of steps by stage.
 	stepReadStages *prometheus.HistogramVec
-	opened         prometheus.Counter
-	// wallClockSteps and wallClockStep tell of steps of the time of day.
+}
+
+// wallClockMetrics tells of steps of the time of day.
+type wallClockMetrics struct {
 	wallClockSteps prometheus.Counter
 	wallClockStep  prometheus.Gauge
-	plain          prometheus.Histogram
-	sample         prometheus.Histogram
-	accept         prometheus.Histogram
 }
 
 func newMetrics() *metrics {
-	m := &metrics{registry: prometheus.NewRegistry()}
+	r := prometheus.NewRegistry()
+	m := &metrics{registry: r, journalMetrics: newJournalMetrics(r), wallClockMetrics: newWallClockMetrics(r)}
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "mulberrypier_" + name, Help: help}, labels)
-		m.registry.MustRegister(c)
-		return c
+		return newCounter(r, name, help, labels...)
 	}
 	histogram := func(name, help string) prometheus.Histogram {
-		h := prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "mulberrypier_" + name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
-		})
-		m.registry.MustRegister(h)
+		h := prometheus.NewHistogram(histogramOpts(name, help))
+		r.MustRegister(h)
 		return h
 	}
 	m.refusals = counter("refusals_total", "Requests refused, by reason.", "reason")
@@ -78,32 +84,55 @@
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
-	m.stepReads = counter("step_reads_total", "Reads of steps, by call and result.", "call", "result")
-	m.journalBytes = counter("journal_read_bytes_total", "Bytes of the journal's records that were read, by purpose.", "purpose")
-	m.pagesGivenUp = counter("journal_pages_given_up_total", "Pages of the journal that were asked for and did not arrive, by purpose and reason.", "purpose", "reason")
-	m.bytesGivenUp = counter("journal_bytes_given_up_total", "Bytes asked for in pages of the journal that did not arrive, by purpose and reason.", "purpose", "reason")
-	m.stepReadStages = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: "mulberrypier_step_read_stage_seconds", Help: "Time of reads of steps, by stage.",
-		Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
-	}, []string{"stage"})
-	m.registry.MustRegister(m.stepReadStages)
-	m.checkpoints = counter("journal_checkpoints_total", "Checkpoints of partitions of the journal, by what this host did with them.", "event")
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
-	m.wallClockSteps = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "mulberrypier_wall_clock_steps_total", Help: "Steps of this host's time of day by more than a second.",
-	})
-	m.wallClockStep = prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "mulberrypier_wall_clock_step_seconds", Help: "By how much the last step set the time of day ahead.",
-	})
-	m.registry.MustRegister(m.opened, m.wallClockSteps, m.wallClockStep)
+	r.MustRegister(m.opened)
 	m.plain = histogram("plain_seconds", "Time of plain requests, from their arrival to their answer.")
 	m.sample = histogram("sample_seconds", "Time of samples, from their first start to their result.")
 	m.accept = histogram("accept_seconds", "Time from the arrival of a step to its acceptance.")
 	return m
 }
 
+func newJournalMetrics(r *prometheus.Registry) journalMetrics {
+	m := journalMetrics{
+		stepReads:      newCounter(r, "step_reads_total", "Reads of steps, by call and result.", "call", "result"),
+		checkpoints:    newCounter(r, "journal_checkpoints_total", "Checkpoints of partitions of the journal, by what this host did with them.", "event"),
+		journalBytes:   newCounter(r, "journal_read_bytes_total", "Bytes of the journal's records that were read, by purpose.", "purpose"),
+		pagesGivenUp:   newCounter(r, "journal_pages_given_up_total", "Pages of the journal that were asked for and did not arrive, by purpose and reason.", "purpose", "reason"),
+		bytesGivenUp:   newCounter(r, "journal_bytes_given_up_total", "Bytes asked for in pages of the journal that did not arrive, by purpose and reason.", "purpose", "reason"),
+		stepReadStages: prometheus.NewHistogramVec(histogramOpts("step_read_stage_seconds", "Time of reads of steps, by stage."), []string{"stage"}),
+	}
+	r.MustRegister(m.stepReadStages)
+	return m
+}
+
+func newWallClockMetrics(r *prometheus.Registry) wallClockMetrics {
+	m := wallClockMetrics{
+		wallClockSteps: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mulberrypier_wall_clock_steps_total", Help: "Steps of this host's time of day by more than a second.",
+		}),
+		wallClockStep: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "mulberrypier_wall_clock_step_seconds", Help: "By how much the last step set the time of day ahead.",
+		}),
+	}
+	r.MustRegister(m.wallClockSteps, m.wallClockStep)
+	return m
+}
+
+func newCounter(r *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "mulberrypier_" + name, Help: help}, labels)
+	r.MustRegister(c)
+	return c
+}
+
+// histogramOpts are the options of a histogram of times, in seconds.
+func histogramOpts(name, help string) prometheus.HistogramOpts {
+	return prometheus.HistogramOpts{
+		Name: "mulberrypier_" + name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+	}
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
