--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -170,6 +170,30 @@
 	require.Len(t, e.Results, 2)
 }
 
+// The log does not answer for many partitions. Their pages must leave turns to the others.
+func TestSilentPartitionsLeaveTurnsToOthers(t *testing.T) {
+	const silent = 8
+	l := newLog().Functions()
+	read := l.Read
+	l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if q.Partition.Number < silent {
+			<-ctx.Done()
+			return partitionlog.Page{}, outcome.Ambiguous(outcome.ReasonLogDown, "read", ctx.Err())
+		}
+		return read(ctx, q)
+	}
+	g := newHost(t, "a", l)
+	for n := range silent {
+		g.journal.followPartition(n)
+	}
+	time.Sleep(4 * readSlack)
+	for n := range 10 {
+		start := time.Now()
+		require.NoError(t, g.journal.view(silent+n).sync(context.Background()))
+		require.Less(t, time.Since(start), readSlack/2)
+	}
+}
+
 // A host that drives a step reads the progress of its samples one by one. At a log that does not
 // answer, it must not spend the time of several attempts on each.
 func TestReaderWithoutDeadlineGoesOnAtTheFirstFailure(t *testing.T) {
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -98,6 +98,9 @@
 	// reading holds an entry while the view catches up with the log, so that concurrent
 	// callers read records only once. Long-poll reads at the end of the log don't need it.
 	reading chan struct{}
+	// failing is set if the last page that was read to catch up failed. The holder of reading
+	// uses it.
+	failing bool
 
 	mu sync.Mutex
 	// fold is the state replayed from the partition's records.
@@ -210,12 +213,15 @@
 		return err
 	}
 	if v.behind() {
-		if err := v.j.pace.takeTurn(v.j.g.ctx); err != nil {
+		end, err := v.j.pace.takeTurn(v.j.g.ctx, v.failing)
+		if err != nil {
 			return err
 		}
-		defer v.j.pace.endTurn()
+		defer end()
 	}
-	return v.read(v.j.g.ctx, 0)
+	err := v.read(v.j.g.ctx, 0)
+	v.failing = err != nil
+	return err
 }
 
 // read reads and applies the next records, waiting for the first for up to wait. Records
--- a/pier/gateway/journalpace.go
+++ b/pier/gateway/journalpace.go
@@ -18,28 +18,48 @@
 type journalPace struct {
 	// turns holds an entry for each page that is being read to replay a partition.
 	turns chan struct{}
+	// again holds an entry for the one of them whose partition failed before.
+	again chan struct{}
 	mu    sync.Mutex
 	pacer *readpace.Pacer
 }
 
 func newJournalPace() *journalPace {
 	return &journalPace{
-		turns: make(chan struct{}, maxPagesAtOnce), pacer: readpace.New(readSlack, rand.Float64),
+		turns: make(chan struct{}, maxPagesAtOnce), again: make(chan struct{}, 1),
+		pacer: readpace.New(readSlack, rand.Float64),
 	}
 }
 
-// takeTurn waits for the turn to read a page. The caller must call endTurn if it returns nil.
-func (p *journalPace) takeTurn(ctx context.Context) error {
+// takeTurn waits for the turn to read a page, and returns the function that ends it. failing is set
+// for a partition whose last page failed: of those, one page is read at a time, so that partitions
+// that the log does not serve leave turns to the others.
+func (p *journalPace) takeTurn(ctx context.Context, failing bool) (end func(), err error) {
+	if !failing {
+		return enter(ctx, p.turns)
+	}
+	endAgain, err := enter(ctx, p.again)
+	if err != nil {
+		return nil, err
+	}
+	endTurn, err := enter(ctx, p.turns)
+	if err != nil {
+		endAgain()
+		return nil, err
+	}
+	return func() { endTurn(); endAgain() }, nil
+}
+
+// enter adds an entry to a channel that bounds them, and returns the function that removes it.
+func enter(ctx context.Context, c chan struct{}) (leave func(), err error) {
 	select {
-	case p.turns <- struct{}{}:
-		return nil
+	case c <- struct{}{}:
+		return func() { <-c }, nil
 	case <-ctx.Done():
-		return outcome.Refuse(outcome.ReasonOf(ctx), "turn to read the journal")
+		return nil, outcome.Refuse(outcome.ReasonOf(ctx), "turn to read the journal")
 	}
 }
 
-func (p *journalPace) endTurn() { <-p.turns }
-
 // pageBytes returns the size in which to ask for the next page.
 func (p *journalPace) pageBytes() int {
 	p.mu.Lock()
