--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,9 +12,7 @@
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/logpath"
-	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
-	"mulberrypier.example/pier/peer"
 )
 
 // A host that the log turns away, or that cannot reach it, makes its calls to the log
@@ -30,22 +27,12 @@
 	// this host again. Each waits for probeTimeout, so that a slow log counts as answering.
 	probeInterval = 150 * time.Millisecond
 	probeTimeout  = 600 * time.Millisecond
-	// membersTimeout bounds the time for reading the group's members.
-	membersTimeout = time.Second
 	// outageSilence is the time without an answer to a direct call after which an answer
 	// shows that an outage has ended.
 	outageSilence = 700 * time.Millisecond
-	// maxPeersAsked bounds the peers that are asked for one call.
-	maxPeersAsked = 3
-	// maxCarried bounds the calls that a host carries at the same time, and
-	// maxCarriedReadBytes the answer to a read among them.
-	maxCarried          = 48
-	maxCarriedReadBytes = 128 << 10
 	// carriedReadFactor is the factor by which a host reads keyed topics less often while
 	// its calls go through peers.
 	carriedReadFactor = 4
-	// peerLinger is how long connections to peers stay open after the last use for a call.
-	peerLinger = 5 * time.Second
 )
 
 // peerLog makes this host's calls to the log, and carries those of peers. It is safe for
@@ -238,74 +225,6 @@
 	return ctx.Err() == nil
 }
 
-// askPeers makes a call through one peer after another, at most n.
-func (l *peerLog) askPeers(ctx context.Context, d *doneCall, n int) {
-	for range n {
-		p, ok := l.nextPeer()
-		if !ok {
-			return
-		}
-		d.add(l.askPeer(ctx, p, d.q))
-		if d.settled(ctx) {
-			return
-		}
-	}
-}
-
-// askPeer makes a call through a peer.
-func (l *peerLog) askPeer(ctx context.Context, p netip.AddrPort, q *logCall) *logAnswer {
-	now := boottime.Now()
-	l.mu.Lock()
-	l.lastAsked[p] = now
-	l.mu.Unlock()
-	var a logAnswer
-	if err := l.g.peers.Call(ctx, p, kindLogCall, q, &a); err != nil {
-		a = logAnswer{Err: outcome.AsError(err)}
-	}
-	if !a.answered() && errors.Is(ctx.Err(), context.Canceled) {
-		return &a
-	}
-	l.mu.Lock()
-	l.paths.Via(p, a.answered(), boottime.Now())
-	l.mu.Unlock()
-	if a.answered() {
-		l.g.metrics.viaPeers.WithLabelValues("answered").Inc()
-		return &a
-	}
-	l.g.metrics.viaPeers.WithLabelValues(string(a.Err.Reason)).Inc()
-	a.Err = a.Err.WithReason(outcome.ReasonLogDown)
-	return &a
-}
-
-// carry makes a call to the log for a peer, directly only.
-func (l *peerLog) carry(ctx context.Context, r *peer.Request) (any, error) {
-	var q logCall
-	if err := peer.Decode(r.Body, &q); err != nil {
-		return nil, err
-	}
-	if l.directFails() {
-		l.g.metrics.carried.WithLabelValues(string(outcome.ReasonLogDown)).Inc()
-		return nil, outcome.Refuse(outcome.ReasonLogDown, "host is turned away itself")
-	}
-	if l.g.drain.leaving() {
-		l.g.metrics.carried.WithLabelValues(string(outcome.ReasonDraining)).Inc()
-		return nil, outcome.Refuse(outcome.ReasonDraining, "host shuts down")
-	}
-	select {
-	case l.carrying <- struct{}{}:
-		defer func() { <-l.carrying }()
-	default:
-		l.g.metrics.carried.WithLabelValues(string(outcome.ReasonQueueFull)).Inc()
-		return nil, outcome.Refuse(outcome.ReasonQueueFull, "calls for peers")
-	}
-	if q.Read != nil {
-		q.Read.MaxBytes = min(q.Read.MaxBytes, maxCarriedReadBytes)
-	}
-	a := l.askDirect(ctx, &q)
-	l.g.metrics.carried.WithLabelValues("done").Inc()
-	return a, nil
-}
-
 // run learns the peers, and probes the direct path while it fails.
 func (l *peerLog) run() {
 	var readAt time.Time
@@ -327,55 +246,3 @@
 	defer cancel()
 	l.askDirect(ctx, &logCall{Members: watchGroup})
 }
-
-// readMembers reads the group's members, which are the peers that carry calls.
-func (l *peerLog) readMembers() {
-	ctx, cancel := context.WithTimeout(l.g.ctx, membersTimeout)
-	defer cancel()
-	a := l.askDirect(ctx, &logCall{Members: watchGroup})
-	if a.Err != nil {
-		l.g.log.Info("log: members of the group cannot be read; peers stay as known", zap.Error(a.err()))
-		return
-	}
-	l.g.limits.setHosts(a.Members)
-	var peers []netip.AddrPort
-	for _, m := range a.Members {
-		if p, ok := peerAddress(m); ok {
-			peers = append(peers, p)
-		}
-	}
-	l.mu.Lock()
-	l.paths.SetPeers(peers)
-	l.mu.Unlock()
-}
-
-// peerAddress returns the peer address in the name of a member, as hostID makes it.
-func peerAddress(member string) (netip.AddrPort, bool) {
-	i := strings.LastIndexByte(member, '@')
-	a, err := netip.ParseAddrPort(member[i+1:])
-	return a, err == nil
-}
-
-// keepOpen keeps the connection to a peer, to which this host sends other messages, open
-// until peerLinger after now.
-func (l *peerLog) keepOpen(a netip.AddrPort, now time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lastAsked[a] = now
-}
-
-// closeIdle closes the connections to peers that were not asked for peerLinger.
-func (l *peerLog) closeIdle(now time.Duration) {
-	l.mu.Lock()
-	var idle []netip.AddrPort
-	for a, t := range l.lastAsked {
-		if now-t > peerLinger {
-			idle = append(idle, a)
-			delete(l.lastAsked, a)
-		}
-	}
-	l.mu.Unlock()
-	for _, a := range idle {
-		l.g.peers.Disconnect(a)
-	}
-}
