A host stays in the group while it takes steps over

The membership was renewed between two checks of the steps. A check that takes a step over reads and appends: 2.35 s with a log that takes 600 ms for a read and loses the append, past the 2 s after which the log may remove the member. Its partitions then went to hosts that have to read them from the start, while the log is slow already.

The membership is renewed by a loop of its own.

--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -96,7 +96,9 @@
 	// rank is the lowest partition that is assigned to this host, or unranked. The lower it
 	// is, the sooner the host takes an expired order lease.
 	rank atomic.Int64
-	// partitions holds the partitions that are assigned to this host.
+	// mu guards partitions, those that are assigned to this host. The slice is replaced, never
+	// modified.
+	mu         sync.Mutex
 	partitions []int
 	// preferredAt is when the preferred drivers were last checked.
 	preferredAt time.Time
@@ -114,20 +116,26 @@
 const unranked = -1
 
 func (w *watch) run() {
-	var generation int64
-	joined := time.Time{}
 	start := time.Now()
+	generation := w.join(0)
+	w.g.wg.Go(func() { w.stay(start, generation) })
 	for w.g.ctx.Err() == nil {
-		if time.Since(joined) >= joinIntervalAt(time.Since(start)) && !w.g.drain.leaving() {
-			joined = time.Now()
-			generation = w.join(generation)
-		}
 		w.checkSteps()
 		w.checkPreferred()
 		backoff.Sleep(w.g.ctx, watchInterval)
 	}
 }
 
+// stay renews the membership in the group, however long the checks of steps take meanwhile.
+func (w *watch) stay(start time.Time, generation int64) {
+	for joined := start; backoff.Sleep(w.g.ctx, joinIntervalAt(time.Since(start))-time.Since(joined)); {
+		joined = time.Now()
+		if !w.g.drain.leaving() {
+			generation = w.join(generation)
+		}
+	}
+}
+
 // joinIntervalAt returns the time between two calls to the group at some time after the
 // start.
 func joinIntervalAt(uptime time.Duration) time.Duration {
@@ -150,22 +158,36 @@
 		return generation
 	}
 	w.g.logHealth.answered(watchGroup)
-	w.partitions = w.partitions[:0]
+	var l []int
 	for _, p := range m.Parts {
-		w.partitions = append(w.partitions, p.Number)
-	}
-	rank := unranked
-	if len(w.partitions) > 0 {
-		rank = slices.Min(w.partitions)
+		l = append(l, p.Number)
 	}
-	w.rank.Store(int64(rank))
+	w.assign(l)
 	if m.Generation != generation {
-		w.g.log.Info("watch: partitions assigned", zap.Int64("generation", m.Generation),
-			zap.Ints("parts", w.partitions))
+		w.g.log.Info("watch: partitions assigned", zap.Int64("generation", m.Generation), zap.Ints("parts", l))
 	}
 	return m.Generation
 }
 
+// assign sets the partitions that are assigned to this host.
+func (w *watch) assign(l []int) {
+	rank := unranked
+	if len(l) > 0 {
+		rank = slices.Min(l)
+	}
+	w.rank.Store(int64(rank))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partitions = l
+}
+
+// assigned returns the partitions that are assigned to this host.
+func (w *watch) assigned() []int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.partitions
+}
+
 // leave leaves the group, so that the partitions are reassigned at once. A restarted host
 // is the same member as before and gets its partitions back at once.
 func (w *watch) leave() {
@@ -242,7 +264,7 @@
 // and those that have no driver. It resumes the steps of this host.
 func (w *watch) stepsByDriver() (byDriver map[netip.AddrPort][]openStep, orphans []openStep) {
 	byDriver = make(map[netip.AddrPort][]openStep)
-	for _, n := range w.partitions {
+	for _, n := range w.assigned() {
 		v := w.g.journal.followPartition(n)
 		if v.staleAt(time.Now().Add(-watchMaxViewAge)) {
 			continue
--- a/pier/gateway/watch_test.go
+++ b/pier/gateway/watch_test.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
 )
 
 func TestMissesAfter(t *testing.T) {
@@ -26,6 +32,51 @@
 	}
 }
 
+// The log takes long for reads and loses appends to steps, and a host has a step to take over. Its membership
+// must not lapse meanwhile: the partitions would go to hosts that have to read them from the start.
+func TestHostStaysInTheGroupWhileItTakesOver(t *testing.T) {
+	l := newLog()
+	a := newHost(t, "a", l.Functions())
+	s := newStep("s", 1)
+	s.Submitted = time.Now()
+	b, err := stepjournal.Accepted(s, stepjournal.Driver{Host: "lost", Peers: a.self.Peers}, 256<<10)
+	require.NoError(t, err)
+	_, err = a.journal.get("s").append(context.Background(), b)
+	require.NoError(t, err)
+	f := l.Functions()
+	f.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		if q.Partition.Topic != stepjournal.Topic {
+			return l.Functions().Append(ctx, q)
+		}
+		<-ctx.Done()
+		return partitionlog.AppendResult{}, outcome.Ambiguous(outcome.ReasonDeadline, q.Partition.Topic, ctx.Err())
+	}
+	f.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if !backoff.Sleep(ctx, 600*time.Millisecond) {
+			return partitionlog.Page{}, outcome.Ambiguous(outcome.ReasonDeadline, q.Partition.Topic, ctx.Err())
+		}
+		return l.Functions().Read(ctx, q)
+	}
+	var mu sync.Mutex
+	var joined []time.Time
+	f.Join = func(ctx context.Context, q partitionlog.JoinRequest) (partitionlog.Membership, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		joined = append(joined, time.Now())
+		return l.Functions().Join(ctx, q)
+	}
+	w := newHost(t, "w", f)
+	w.table(nil)
+	w.wg.Go(w.watch.run)
+	time.Sleep(6 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	for i := 1; i < len(joined); i++ {
+		require.Less(t, joined[i].Sub(joined[i-1]), memberTTL)
+	}
+	require.Less(t, time.Since(joined[len(joined)-1]), memberTTL)
+}
+
 // The log was away while a driver finished its step. It is back, and the driver has appended
 // the last results; a host that watches the step has not read them yet. It must not take the
 // step over and run the samples again.
