What all hosts read after a loss of all hosts; the test's hosts know their topics

The hosts of TestStepsAreReadBackAfterAllHostsAreLost had no names for the topics of configurations and registrations. Calls without a topic are rejected as malformed, which counted as answers of the log, so that no host noticed that it was refused.

--- a/pier/gateway/readback_test.go
+++ b/pier/gateway/readback_test.go
@@ -196,6 +196,7 @@
 		s.Listen.Callers, s.Listen.Health = anyPort, anyPort
 		s.Log.Partitions = x.parts
 		g := newHostFrom(t, s, forHost())
+		g.c.Sources.Operators, g.c.Sources.Servers = "operators", "servers"
 		g.c.Handler = func(*Gateway) http.Handler { return http.NotFoundHandler() }
 		require.NoError(t, g.Start())
 		r = append(r, g)
