A planned stop waits for the calls that it carries for peers

Cause: a host that is idle ends 2.3 s after the SIGTERM. A call to the log that it carried for a peer was no work that it waits for, and was cut: the append took effect, and the peer could not know that.

Change: such calls are unfinished work of a stop, within the grace period. None is taken after the SIGTERM, as before.

Seen failing on the old code: TestPlannedStopAnswersTheCallsItCarries (the peer got connection-lost, outcome unknown). It passes now, three times in a row, as do all tests of the package.

--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -179,9 +179,10 @@
 	}
 }
 
-// hasUnfinishedWork reports whether a step runs here or a record is not in the log yet.
+// hasUnfinishedWork reports whether a step runs here, a record is not in the log yet or a peer waits for
+// a call to the log that this host carries.
 func (g *Gateway) hasUnfinishedWork() bool {
-	return g.steps.count() > 0 || g.journal.hasPending() || g.streams.hasPending()
+	return g.steps.count() > 0 || g.journal.hasPending() || g.streams.hasPending() || g.peerLog.isCarrying()
 }
 
 // releaseSteps releases the incomplete steps, so that other hosts take them over, and waits
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -13,6 +13,7 @@
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/settings"
 	"mulberrypier.example/pier/stepjournal"
 )
 
@@ -402,3 +403,37 @@
 		require.NoError(t, err, "another peer carries the call")
 	}
 }
+
+// Guards against calls to the log that a host which stops carries for a peer and cuts: the append took
+// effect, and the peer cannot know that.
+func TestPlannedStopAnswersTheCallsItCarries(t *testing.T) {
+	l := newLog()
+	var cut atomic.Bool
+	cut.Store(true)
+	slow := l.Functions()
+	appending := make(chan struct{})
+	slow.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		close(appending)
+		time.Sleep(unhealthyDetectionTime + 500*time.Millisecond)
+		return l.Functions().Append(ctx, q)
+	}
+	a, b := newHost(t, "a", disconnectableLog(l.Functions(), &cut, refuses)), newHost(t, "b", slow)
+	b.s.Timing.Grace = settings.Duration(5 * time.Second)
+	for _, g := range []*Gateway{a, b} {
+		g.listenPeers(t)
+	}
+	a.knowPeers(b)
+	answered := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := a.c.Log.Append(ctx, partitionlog.AppendRequest{
+			Partition: partitionlog.Partition{Topic: "x"}, Records: [][]byte{{1}}, ExpectedEnd: 0,
+		})
+		answered <- err
+	}()
+	<-appending
+	b.Drain()
+	b.Close()
+	require.NoError(t, <-answered)
+}
--- a/pier/gateway/peerpath.go
+++ b/pier/gateway/peerpath.go
@@ -95,6 +95,9 @@
 	return a, nil
 }
 
+// isCarrying reports whether this host makes a call for a peer.
+func (l *peerLog) isCarrying() bool { return len(l.carrying) > 0 }
+
 // readMembers reads the group's members, which are the peers that carry calls.
 func (l *peerLog) readMembers() {
 	ctx, cancel := context.WithTimeout(l.g.ctx, membersTimeout)
