Checkpoints hand on only what is known for certain, and never fall behind the log

Cause, found in review: a partition with few records got no checkpoint while less than 32 KB lay behind the last one, so that these expired and a host that started then refused the steps in them (503); a host that had skipped records wrote checkpoints without what others knew; a checkpoint that was made earlier could be appended after a newer one; one that took longer than 0.8 s (0.4 s with peers) was never read, and was asked for through peers; a log that rejects the topic had all reads refused for good; a view that is synced but not followed never looked for a checkpoint again.

Change: a checkpoint is due as well once anything behind it is a quarter of the retention old; none is written while records of the partition cannot be interpreted; it is appended on the condition that none followed the one last seen, one at a time; it has 1.6 s, counts as a large read, and a log that rejects it has the records read instead; integers take as many bytes as they need. A step without items is skipped as unreadable.

--- a/pier/gateway/checkpoint.go
+++ b/pier/gateway/checkpoint.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/boottime"
+	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 )
 
@@ -26,36 +27,61 @@
 	checkpointBytes     = 384 << 10
 	checkpointIdleBytes = 32 << 10
 	checkpointIdleTime  = time.Second
+	// checkpointsPerRetention is how often within the log's retention a checkpoint is written
+	// at least, while there is anything new: the records behind it must not expire.
+	checkpointsPerRetention = 4
 	// minCheckpointInterval is the shortest time between two checkpoints of a partition.
 	minCheckpointInterval = time.Second
+	// checkpointTimeout bounds the time of reading a checkpoint.
+	checkpointTimeout = 2 * readSlack
 )
 
-// checkpoints is what a view knows of its checkpoints.
-type checkpoints struct {
-	// restored is set once the newest checkpoint was looked up since the view last began to
-	// follow the log.
+// checkpointing is what a view knows of the checkpoints of its partition.
+type checkpointing struct {
+	// maxAge is the time after which records are too old to lie behind the checkpoint.
+	maxAge time.Duration
+	// restored is set once the newest checkpoint was read since the view last began to follow
+	// the log.
 	restored bool
-	// bytesBehind is the size of the records that were applied since the last checkpoint.
+	// writing is set while a checkpoint is being written.
+	writing bool
+	// end is the end offset of the checkpoint's partition, partitionlog.NoCondition if it is not known.
+	end int64
+	// bytesBehind is the size of the records that were applied since the last checkpoint, the
+	// first of them at behindSince. appliedAt is when a record was last applied, writtenAt when this
+	// host last tried to write a checkpoint. Times are since boot.
 	bytesBehind int
-	// appliedAt is the time since boot at which a record was last applied, writtenAt that at which
-	// this host last tried to write a checkpoint.
-	appliedAt time.Duration
-	writtenAt time.Duration
+	behindSince time.Duration
+	appliedAt   time.Duration
+	writtenAt   time.Duration
+}
+
+func newCheckpointing(retention time.Duration) checkpointing {
+	return checkpointing{maxAge: retention / checkpointsPerRetention, end: partitionlog.NoCondition}
+}
+
+// applied notes that records of a total size were applied at now.
+func (c *checkpointing) applied(size int, now time.Duration) {
+	if c.bytesBehind == 0 {
+		c.behindSince = now
+	}
+	c.bytesBehind += size
+	c.appliedAt = now
 }
 
 // due reports whether a checkpoint should be written at now.
-func (c *checkpoints) due(now time.Duration) bool {
-	if now-c.writtenAt < minCheckpointInterval {
+func (c *checkpointing) due(now time.Duration) bool {
+	if c.writing || c.bytesBehind == 0 || now-c.writtenAt < minCheckpointInterval {
 		return false
 	}
-	return c.bytesBehind >= checkpointBytes ||
+	return c.bytesBehind >= checkpointBytes || now-c.behindSince >= c.maxAge ||
 		c.bytesBehind >= checkpointIdleBytes && now-c.appliedAt >= checkpointIdleTime
 }
 
-// restore is restoreNewest, once after the view began to follow the log.
-func (v *view) restore(ctx context.Context) error {
+// startFromCheckpoint restores the newest checkpoint once after the view began to follow the log.
+func (v *view) startFromCheckpoint(ctx context.Context) error {
 	v.mu.Lock()
-	done := v.checkpoints.restored
+	done := v.checkpoint.restored
 	v.mu.Unlock()
 	if done {
 		return nil
@@ -64,20 +90,28 @@
 }
 
 // restoreNewest goes on from the newest checkpoint of the partition, if that is further on than the
-// view.
+// view. It fails if the log does not answer. If the log rejects the call there is no checkpoint to
+// be had, and the view reads the partition's records.
 func (v *view) restoreNewest(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readSlack)
+	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
 	defer cancel()
 	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
 	n, err := v.j.g.c.Log.Newest(ctx, at)
 	if err != nil {
 		v.j.g.logHealth.failed(checkpointsTopic, partitionName(at), err)
+	} else {
+		v.j.g.logHealth.answered(partitionName(at))
+	}
+	if err != nil && !outcome.HasReason(err, outcome.ReasonBadRequest) {
 		return err
 	}
-	v.j.g.logHealth.answered(partitionName(at))
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.checkpoints.restored = true
+	v.checkpoint.restored = true
+	if err != nil {
+		return nil
+	}
+	v.checkpoint.end = n.End
 	for _, r := range n.Records {
 		if r.Key == checkpointKey {
 			v.adopt(r.Value)
@@ -96,7 +130,7 @@
 	if v.fold.Next == from {
 		return
 	}
-	v.checkpoints.bytesBehind = 0
+	v.checkpoint.bytesBehind = 0
 	close(v.changed)
 	v.changed = make(chan struct{})
 	v.j.g.metrics.checkpoints.WithLabelValues("restored").Inc()
@@ -104,49 +138,93 @@
 		zap.Int64("next", v.fold.Next), zap.Int("steps", len(v.fold.Steps())), zap.Int("bytes", len(b)))
 }
 
-// saveCheckpoint writes a checkpoint of the view if one is due.
+// saveCheckpoint begins to write a checkpoint of the view if one is due.
 func (v *view) saveCheckpoint() {
 	now := boottime.Now()
 	v.mu.Lock()
-	if !v.checkpoints.due(now) {
-		v.mu.Unlock()
+	defer v.mu.Unlock()
+	if !v.checkpoint.due(now) {
+		return
+	}
+	v.checkpoint.writtenAt, v.checkpoint.writing = now, true
+	v.j.g.wg.Go(v.writeCheckpoint)
+}
+
+// writeCheckpoint writes a checkpoint of the view. It is appended on the condition that no other was
+// since this host last looked, so that an older one never follows a newer one.
+func (v *view) writeCheckpoint() {
+	ctx, cancel := context.WithTimeout(v.j.g.ctx, appendTimeout)
+	defer cancel()
+	defer v.endCheckpoint()
+	if v.checkpointEnd() == partitionlog.NoCondition && v.restoreNewest(ctx) != nil {
 		return
 	}
+	end := v.checkpointEnd()
+	b, behind := v.encodeCheckpoint()
+	if b == nil {
+		return
+	}
+	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
+	a, err := v.j.g.c.Log.Append(ctx, partitionlog.AppendRequest{
+		Partition: at, Records: [][]byte{partitionlog.EncodeKeyed(checkpointKey, b)}, ExpectedEnd: end,
+	})
+	v.checkpointWritten(a.End, behind, err)
+}
+
+// endCheckpoint lets the next checkpoint be written.
+func (v *view) endCheckpoint() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.checkpoint.writing = false
+}
+
+// checkpointEnd returns the end offset of the checkpoint's partition as far as it is known.
+func (v *view) checkpointEnd() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.checkpoint.end
+}
+
+// encodeCheckpoint returns a checkpoint, nil if there can be none now, and the size of the records
+// since the last one that it covers.
+func (v *view) encodeCheckpoint() (b []byte, behind int) {
+	v.mu.Lock()
 	b, ok := v.fold.Checkpoint(v.n)
-	next, behind := v.fold.Next, v.checkpoints.bytesBehind
-	v.checkpoints.writtenAt = now
+	behind = v.checkpoint.bytesBehind
 	v.mu.Unlock()
 	if !ok {
-		return
+		return nil, 0
 	}
 	if limit := v.j.g.s.Log.RecordBytes; len(b) > limit-checkpointMargin {
 		v.j.g.log.Warn("journal: checkpoint is larger than a record; not written", zap.Int("part", v.n),
 			zap.Int("bytes", len(b)), zap.Int("limit", limit))
-		return
+		return nil, 0
 	}
-	v.j.g.wg.Go(func() { v.appendCheckpoint(b, next, behind) })
+	return b, behind
 }
 
 // checkpointMargin is the size of a keyed record without its value, in bytes.
 const checkpointMargin = 1 + len(checkpointKey)
 
-// appendCheckpoint appends a checkpoint of the records before next, behind of whose bytes the
-// previous one lacks.
-func (v *view) appendCheckpoint(b []byte, next int64, behind int) {
-	ctx, cancel := context.WithTimeout(v.j.g.ctx, appendTimeout)
-	defer cancel()
-	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
-	_, err := v.j.g.c.Log.Append(ctx, partitionlog.AppendRequest{
-		Partition: at, Records: [][]byte{partitionlog.EncodeKeyed(checkpointKey, b)}, ExpectedEnd: partitionlog.NoCondition,
-	})
-	if err != nil {
-		v.j.g.logHealth.failed(checkpointsTopic, partitionName(at), err)
-		return
-	}
-	v.j.g.logHealth.answered(partitionName(at))
-	v.j.g.metrics.checkpoints.WithLabelValues("written").Inc()
-	v.j.g.log.Debug("journal: checkpoint written", zap.Int("part", v.n), zap.Int64("next", next), zap.Int("bytes", len(b)))
+// checkpointWritten notes the outcome of an append of a checkpoint that covers behind bytes of
+// records, after which the partition ends at end.
+func (v *view) checkpointWritten(end int64, behind int, err error) {
+	part := partitionName(partitionlog.Partition{Topic: checkpointsTopic, Number: v.n})
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.checkpoints.bytesBehind -= behind
+	switch {
+	case err == nil:
+		v.checkpoint.end = end
+		v.checkpoint.bytesBehind = max(v.checkpoint.bytesBehind-behind, 0)
+		v.checkpoint.behindSince = boottime.Now()
+		v.j.g.logHealth.answered(part)
+		v.j.g.metrics.checkpoints.WithLabelValues("written").Inc()
+		return
+	case outcome.HasReason(err, partitionlog.ReasonMoved):
+		v.j.g.logHealth.answered(part)
+		v.j.g.metrics.checkpoints.WithLabelValues("overtaken").Inc()
+	default:
+		v.j.g.logHealth.failed(checkpointsTopic, part, err)
+	}
+	v.checkpoint.end = partitionlog.NoCondition
 }
--- a/pier/gateway/checkpoint_test.go
+++ b/pier/gateway/checkpoint_test.go
@@ -91,16 +91,18 @@
 }
 
 // A checkpoint that cannot be read must neither hide a step nor have it denied.
-func TestStepIsReadWhateverTheCheckpoint(t *testing.T) {
+func TestNoCheckpointHidesAStep(t *testing.T) {
 	tests := map[string]struct {
 		value []byte
-		fails bool
+		// fails is the reason for which the log fails the read of the checkpoint.
+		fails outcome.Reason
 		known bool
 	}{
-		"odd bytes":                {value: []byte("odd"), known: true},
-		"none":                     {known: true},
-		"log refuses the topic":    {fails: true},
-		"of another partition too": {value: otherCheckpoint(t), known: true},
+		"odd bytes":             {value: []byte("odd"), known: true},
+		"none":                  {known: true},
+		"log does not answer":   {fails: outcome.ReasonLogDown},
+		"log rejects the topic": {fails: outcome.ReasonBadRequest, known: true},
+		"of another partition":  {value: otherCheckpoint(t), known: true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -116,8 +118,8 @@
 			}
 			newest := f.Newest
 			f.Newest = func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
-				if c.fails && p.Topic == checkpointsTopic {
-					return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, p.Topic)
+				if c.fails != "" && p.Topic == checkpointsTopic {
+					return partitionlog.Newest{}, outcome.Refuse(c.fails, p.Topic)
 				}
 				return newest(ctx, p)
 			}
@@ -141,22 +143,64 @@
 }
 
 func TestCheckpointIsDue(t *testing.T) {
+	const now = time.Hour
+	const maxAge = time.Minute
 	tests := map[string]struct {
-		c    checkpoints
+		c    checkpointing
 		want bool
 	}{
-		"nothing new":                {checkpoints{}, false},
-		"much, while appends go on":  {checkpoints{bytesBehind: checkpointBytes, appliedAt: time.Minute}, true},
-		"little, while they go on":   {checkpoints{bytesBehind: checkpointBytes - 1, appliedAt: time.Minute}, false},
-		"little, after a pause":      {checkpoints{bytesBehind: checkpointIdleBytes, appliedAt: time.Minute - checkpointIdleTime}, true},
-		"very little, after a pause": {checkpoints{bytesBehind: checkpointIdleBytes - 1}, false},
-		"much, another just written": {checkpoints{bytesBehind: checkpointBytes, writtenAt: time.Minute - minCheckpointInterval/2}, false},
+		"nothing new":                {checkpointing{}, false},
+		"much, while appends go on":  {checkpointing{bytesBehind: checkpointBytes, behindSince: now, appliedAt: now}, true},
+		"little, while they go on":   {checkpointing{bytesBehind: checkpointBytes - 1, behindSince: now, appliedAt: now}, false},
+		"little, after a pause":      {checkpointing{bytesBehind: checkpointIdleBytes, behindSince: now, appliedAt: now - checkpointIdleTime}, true},
+		"very little, after a pause": {checkpointing{bytesBehind: checkpointIdleBytes - 1, behindSince: now, appliedAt: now - checkpointIdleTime}, false},
+		"very little, for long":      {checkpointing{bytesBehind: 1, behindSince: now - maxAge, appliedAt: now}, true},
+		"much, another just tried":   {checkpointing{bytesBehind: checkpointBytes, writtenAt: now - minCheckpointInterval/2}, false},
+		"much, another under way":    {checkpointing{bytesBehind: checkpointBytes, writing: true}, false},
 	}
 	for name, x := range tests {
-		t.Run(name, func(t *testing.T) { require.Equal(t, x.want, x.c.due(time.Minute)) })
+		t.Run(name, func(t *testing.T) {
+			x.c.maxAge = maxAge
+			require.Equal(t, x.want, x.c.due(now))
+		})
 	}
 }
 
+// The records of a partition in which little is appended must not expire behind its checkpoint.
+func TestStepOfAQuietPartitionOutlivesTheLossOfAllHosts(t *testing.T) {
+	l := newLog()
+	a := newHost(t, "a", l.Functions())
+	v := a.journal.get("s")
+	s := newStep("s", 1)
+	acceptAt(t, v, s, a.self, time.Now())
+	appendResult(t, v, s, 0)
+	require.NoError(t, v.sync(context.Background()))
+	v.checkpoint.behindSince -= a.s.Log.Retention.D() / 2
+	writeCheckpoint(t, v, l)
+	l.Expire(v.partition(), 1)
+	r, err := newHost(t, "b", l.Functions()).Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, r.Results, 1)
+}
+
+// A checkpoint that was made before another must not take its place.
+func TestCheckpointIsNotWrittenOverANewerOne(t *testing.T) {
+	l := newLog()
+	f := l.Functions()
+	v := fillPartition(t, newHost(t, "a", f))
+	writeCheckpoint(t, v, l)
+	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
+	_, err := f.Append(context.Background(), partitionlog.AppendRequest{
+		Partition: at, Records: [][]byte{partitionlog.EncodeKeyed(checkpointKey, []byte("newer"))}, ExpectedEnd: partitionlog.NoCondition,
+	})
+	require.NoError(t, err)
+	v.writeCheckpoint()
+	n, err := f.Newest(context.Background(), at)
+	require.NoError(t, err)
+	require.Equal(t, []byte("newer"), n.Records[0].Value)
+	require.Equal(t, partitionlog.NoCondition, v.checkpointEnd())
+}
+
 // A view whose next records have expired must not lose the steps that a checkpoint knows.
 func TestViewBehindTheLogGoesOnFromTheCheckpoint(t *testing.T) {
 	l := newLog()
--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -69,10 +69,15 @@
 		return p, l.serve(ctx, n)
 	}
 	f.Newest = func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
-		if err := l.serve(ctx, 1<<10); err != nil {
-			return partitionlog.Newest{}, err
+		r, err := l.Log.Newest(ctx, p)
+		if err != nil {
+			return r, err
+		}
+		n := 1 << 10
+		for _, k := range r.Records {
+			n += len(k.Key) + len(k.Value)
 		}
-		return l.Log.Newest(ctx, p)
+		return r, l.serve(ctx, n)
 	}
 	f.Members = func(ctx context.Context, group string) ([]string, error) {
 		if err := l.serve(ctx, 1<<10); err != nil {
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -74,7 +74,7 @@
 	if v == nil {
 		v = &view{
 			j: j, n: n, reading: make(chan struct{}, 1), fold: stepjournal.NewFold(stepjournal.FoldConfig{Now: boottime.Now}),
-			end: -1, changed: make(chan struct{}),
+			end: -1, changed: make(chan struct{}), checkpoint: newCheckpointing(j.g.s.Log.Retention.D()),
 		}
 		j.views[n] = v
 	}
--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -52,10 +52,10 @@
 	return q.Append == nil || q.Append.ExpectedEnd == partitionlog.NoCondition
 }
 
-// isLarge reports whether the call is a read that may have a large answer: one of the journal
-// that does not wait for new records.
+// isLarge reports whether the call is a read that may have a large answer: one of a checkpoint, or
+// one of the journal that does not wait for new records.
 func (q *logCall) isLarge() bool {
-	return q.Read != nil && q.Read.Partition.Topic == stepjournal.Topic && q.Read.Wait == 0
+	return q.Newest == checkpointsTopic || q.Read != nil && q.Read.Partition.Topic == stepjournal.Topic && q.Read.Wait == 0
 }
 
 // peersWorthAsking returns the number of peers to ask after a direct call failed at a host that
--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -104,6 +104,9 @@
 	if time.Since(p.readAt) < preferredDriversMaxAge {
 		return nil
 	}
+	if p.reading == nil && p.g.ctx.Err() != nil {
+		return nil
+	}
 	if p.reading == nil {
 		r := &driversReading{done: make(chan struct{})}
 		p.reading = r
--- a/pier/gateway/view.go
+++ b/pier/gateway/view.go
@@ -42,8 +42,8 @@
 	// usedAt is the time of the last use; running is set while run follows the log.
 	usedAt  time.Time
 	running bool
-	// checkpoints is what is known of the partition's checkpoints.
-	checkpoints checkpoints
+	// checkpoint is what is known of the partition's checkpoints.
+	checkpoint checkpointing
 	// replay counts what was read to replay the partition.
 	replay replayCount
 	// queue holds records to append; flushing is set while flush appends them.
@@ -62,7 +62,7 @@
 	v.usedAt = time.Now()
 	if !v.running && v.j.g.ctx.Err() == nil {
 		v.running = true
-		v.checkpoints.restored, v.end = false, -1
+		v.checkpoint.restored, v.end = false, -1
 		v.j.g.wg.Go(v.run)
 	}
 }
@@ -137,7 +137,7 @@
 // readInTurn is read without a wait, first of all of the newest checkpoint. Pages of a view that
 // is behind are large, and are read in turn; the time allowed for a page begins with its turn.
 func (v *view) readInTurn() error {
-	if err := v.restore(v.j.g.ctx); err != nil {
+	if err := v.startFromCheckpoint(v.j.g.ctx); err != nil {
 		return err
 	}
 	if v.behind() {
@@ -194,6 +194,7 @@
 // apply folds the records of a page that are not folded yet. Pages may overlap, as a
 // long-poll read runs concurrently with catch-up reads.
 func (v *view) apply(p partitionlog.Page, sent time.Time) {
+	now := boottime.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for i, b := range p.Records {
@@ -206,7 +207,7 @@
 			continue
 		}
 		v.keep(at, b)
-		v.checkpoints.bytesBehind += len(b)
+		v.checkpoint.applied(len(b), now)
 	}
 	v.fold.DropExpired(p.First, p.End)
 	v.end = max(v.end, p.End)
@@ -214,7 +215,6 @@
 		v.freshAt = sent
 	}
 	if len(p.Records) > 0 {
-		v.checkpoints.appliedAt = boottime.Now()
 		close(v.changed)
 		v.changed = make(chan struct{})
 	}
@@ -228,6 +228,7 @@
 // syncUntil is sync, but returns as soon as the records that were read so far are enough.
 func (v *view) syncUntil(ctx context.Context, enough func() bool) error {
 	defer enterStage(ctx, stageReplay)()
+	v.lookAgainIfIdle()
 	asked := time.Now()
 	failures := 0
 	for !enough() && v.staleAt(asked) {
@@ -244,6 +245,16 @@
 	return nil
 }
 
+// lookAgainIfIdle has a view that does not follow the log start from the newest checkpoint again, if
+// much may have been appended since its last read.
+func (v *view) lookAgainIfIdle() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.running && time.Since(v.freshAt) > viewIdleTimeout {
+		v.checkpoint.restored = false
+	}
+}
+
 // staleAt reports whether the view may lack records that were in the partition at t.
 func (v *view) staleAt(t time.Time) bool {
 	v.mu.Lock()
--- a/pier/stepjournal/checkpoint.go
+++ b/pier/stepjournal/checkpoint.go
@@ -1,6 +1,7 @@
 package stepjournal
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -14,7 +15,8 @@
 // a small fraction of what it stands for.
 
 const (
-	// checkpointFormat is the version of the encoding of checkpoints. Others are not restored.
+	// checkpointFormat is the version of the encoding of checkpoints. Others are not restored. It
+	// must change with each new kind of record, whose effect an older program would leave out.
 	checkpointFormat = 1
 	// maxItems bounds the items of all steps in a checkpoint, far above what trainers submit
 	// within the retention of the log.
@@ -28,9 +30,6 @@
 	Partition int              `msgpack:"p"`
 	Next      int64            `msgpack:"n"`
 	Steps     []checkpointStep `msgpack:"s"`
-	// Skipped and CutOff are those of the Fold.
-	Skipped bool             `msgpack:"k"`
-	CutOff  map[string]int64 `msgpack:"c"`
 }
 
 // checkpointStep is the encoded form of an Entry.
@@ -43,10 +42,10 @@
 	Takeovers int       `msgpack:"k"`
 	Submitted time.Time `msgpack:"u"`
 	Ended     bool      `msgpack:"e"`
-	// Age is the step's age as the checkpoint was made, Last the distance from From to
+	// Age is the step's age as the checkpoint was made, ToLast the distance from From to
 	// the newest record that names the step.
-	Age  time.Duration `msgpack:"a"`
-	Last int64         `msgpack:"w"`
+	Age    time.Duration `msgpack:"a"`
+	ToLast int64         `msgpack:"w"`
 	// Items holds the indexes of the items with results in the order of their positions, and
 	// Results the distance of each result's record to the one before, the first to From.
 	Items   []int   `msgpack:"l"`
@@ -56,24 +55,33 @@
 }
 
 // Checkpoint encodes the state of a partition. ok is false while the records of a step have been
-// read in part.
+// read in part, and while the log holds records of steps that this fold cannot interpret, as others
+// would lose what they know by it.
 func (f *Fold) Checkpoint(partition int) (b []byte, ok bool) {
-	if len(f.pendingChunks) > 0 {
+	if len(f.pendingChunks) > 0 || f.skipped || len(f.cutOff) > 0 {
 		return nil, false
 	}
-	c := checkpoint{Format: checkpointFormat, Partition: partition, Next: f.Next, Skipped: f.skipped, CutOff: f.cutOff}
+	c := checkpoint{Format: checkpointFormat, Partition: partition, Next: f.Next}
 	now := f.now()
+	items := 0
 	for _, e := range f.steps {
 		c.Steps = append(c.Steps, e.checkpoint(now))
+		items += e.Total
+	}
+	if items > maxItems {
+		return nil, false
 	}
-	b, err := msgpack.Marshal(&c)
-	return b, err == nil
+	var w bytes.Buffer
+	n := msgpack.NewEncoder(&w)
+	n.UseCompactInts(true)
+	err := n.Encode(&c)
+	return w.Bytes(), err == nil
 }
 
 func (e *Entry) checkpoint(now time.Duration) checkpointStep {
 	s := checkpointStep{
 		ID: e.ID, From: e.From, To: e.To, Total: e.Total, Driver: e.Driver, Takeovers: e.Takeovers,
-		Submitted: e.Submitted, Ended: e.Ended, Age: e.Age(now), Last: e.last - e.From, Items: e.items, Progress: make(map[int]int64, len(e.ProgressOffsets)),
+		Submitted: e.Submitted, Ended: e.Ended, Age: e.Age(now), ToLast: e.last - e.From, Items: e.items, Progress: make(map[int]int64, len(e.ProgressOffsets)),
 	}
 	last := e.From
 	for _, o := range e.Results {
@@ -113,10 +121,7 @@
 		}
 		steps[e.ID] = e
 	}
-	if c.CutOff == nil {
-		c.CutOff = make(map[string]int64)
-	}
-	f.Next, f.steps, f.pendingChunks, f.skipped, f.cutOff = c.Next, steps, nil, c.Skipped, c.CutOff
+	f.Next, f.steps, f.pendingChunks, f.skipped, f.cutOff = c.Next, steps, nil, false, make(map[string]int64)
 	return nil
 }
 
@@ -124,12 +129,12 @@
 // precede next.
 func (s *checkpointStep) entry(next int64, now time.Duration) *Entry {
 	if s.ID == "" || s.From < 0 || s.From >= s.To || s.To > next || s.Total <= 0 ||
-		s.Age < 0 || s.Last < 0 || s.From+s.Last >= next || len(s.Items) != len(s.Results) || len(s.Items) > s.Total {
+		s.Age < 0 || s.ToLast < 0 || s.From+s.ToLast >= next || len(s.Items) != len(s.Results) || len(s.Items) > s.Total {
 		return nil
 	}
 	e := &Entry{
 		ID: s.ID, From: s.From, To: s.To, Total: s.Total, Driver: s.Driver, Takeovers: s.Takeovers,
-		Submitted: s.Submitted, ObservedAt: now - s.Age, Ended: s.Ended, last: s.From + s.Last, ProgressOffsets: make(map[int]int64, len(s.Progress)),
+		Submitted: s.Submitted, ObservedAt: now - s.Age, Ended: s.Ended, last: s.From + s.ToLast, ProgressOffsets: make(map[int]int64, len(s.Progress)),
 	}
 	e.hasResult = make([]bool, s.Total)
 	at := s.From
--- a/pier/stepjournal/checkpoint_test.go
+++ b/pier/stepjournal/checkpoint_test.go
@@ -175,3 +175,33 @@
 	require.NoError(t, g.Restore(b, 0))
 	require.Equal(t, 40*time.Second, g.Step("a").Age(booted))
 }
+
+// A view that cannot interpret some of the records that the log holds must not hand that on.
+func TestViewThatSkippedRecordsWritesNoCheckpoint(t *testing.T) {
+	f := NewFold(FoldConfig{Now: standing})
+	f.SkipTo(10)
+	_, ok := f.Checkpoint(0)
+	require.False(t, ok)
+	b, err := Ended("a", time.Unix(200, 0))
+	require.NoError(t, err)
+	require.NoError(t, f.Apply(b))
+	f.DropExpired(10, 11)
+	_, ok = f.Checkpoint(0)
+	require.False(t, ok, "the step of the record at 10 is cut off")
+	f.DropExpired(11, 11)
+	_, ok = f.Checkpoint(0)
+	require.True(t, ok)
+}
+
+// A step without items would make the checkpoints of its partition contradict themselves.
+func TestStepWithoutItemsIsSkipped(t *testing.T) {
+	f := NewFold(FoldConfig{Now: standing})
+	r, err := Accepted(&Step{ID: "a", Model: "m"}, Driver{Host: "x"}, 4096)
+	require.NoError(t, err)
+	require.NoError(t, f.Apply(r[0]))
+	require.Nil(t, f.Step("a"))
+	require.Equal(t, 1, f.Unreadable)
+	b, ok := f.Checkpoint(0)
+	require.True(t, ok)
+	require.NoError(t, NewFold(FoldConfig{Now: standing}).Restore(b, 0))
+}
--- a/pier/stepjournal/fold.go
+++ b/pier/stepjournal/fold.go
@@ -67,8 +67,10 @@
 	Next  int64
 	now   func() time.Duration
 	steps map[string]*Entry
-	// skipped is set once records were skipped that had expired.
-	skipped bool
+	// skipped is set once records were skipped that had expired, and until the log holds none
+	// before skippedTo, where reading went on.
+	skipped   bool
+	skippedTo int64
 	// cutOff holds the steps of which records were skipped, as far as that can be told, with
 	// the offset of the newest record that names the step. None of them is in steps.
 	cutOff map[string]int64
@@ -111,6 +113,7 @@
 	}
 	maps.DeleteFunc(f.steps, func(_ string, e *Entry) bool { return e.last < first })
 	maps.DeleteFunc(f.cutOff, func(_ string, last int64) bool { return last < first })
+	f.skipped = f.skipped && first <= f.skippedTo
 }
 
 // SkipTo moves on to offset to if that lies ahead of Next. It is used when the records in
@@ -120,7 +123,7 @@
 	if to <= f.Next {
 		return
 	}
-	f.Next, f.pendingChunks, f.skipped = to, nil, true
+	f.Next, f.pendingChunks, f.skipped, f.skippedTo = to, nil, true, to
 	for id, e := range f.steps {
 		f.cutOff[id] = e.last
 	}
@@ -203,7 +206,7 @@
 		return nil
 	}
 	s, err := DecodeStep(p)
-	if err != nil {
+	if err != nil || len(s.Items) == 0 {
 		f.Unreadable++
 		return err
 	}
