A takeover reads saved progress in few pages and retries those that fail

A driver that takes a step over read the saved progress of each sample with a page of its own of up to 256 KB, since records of progress are no longer cached, and dropped the text of a sample whose page failed once. It now reads all wanted records together: in ascending order, each page no larger than the wanted records near its first one, by the mean size of those read before, and in turn with the other reads of pages. A page that fails is read again after the pacer's delay, at most four times and until 2 s were spent on failures in all; samples whose progress was not read by then begin anew, as before.

With the old restore (tests run on a scratch copy): TestTakeoverReadsSavedProgressInFewPages fails with bytes read where 524288 are allowed, TestTakeoverKeepsTextsThoughAPageFails with a sample that lost its text. TestTakeoverIsNotHeldUpByALogThatRefuses and TestTakeoverKeepsTheTextsThatTheLogHolds pass before and after.

--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mulberrypier.example/pier/backoff"
@@ -14,6 +15,16 @@
 // maxPageFailures bounds the attempts in a row to read a page that its reader waits for.
 const maxPageFailures = 4
 
+const (
+	// recordsAtPatience bounds the time that recordsAt spends on pages that fail.
+	recordsAtPatience = 2 * time.Second
+	// maxSparseness bounds the records of a page by their ratio to those that are wanted of it:
+	// those that lie farther apart are read one by one.
+	maxSparseness = 2
+	// assumedRecordBytes is the size assumed of a record before one was read.
+	assumedRecordBytes = 4 << 10
+)
+
 // pagePurpose is what a page of the journal is read for. It is also a label value of metrics.
 type pagePurpose string
 
@@ -166,3 +177,88 @@
 	}
 	return p.Records[:min(n, len(p.Records))], nil
 }
+
+// recordsAt returns the records at given offsets, by offset. It reads them in few pages, each in
+// its turn. A page that fails is read again, but none is after recordsAtPatience was spent on
+// failures. Records that cannot be read are left out.
+func (v *view) recordsAt(ctx context.Context, offsets []int64) map[int64][]byte {
+	w := wantedRecords{offsets: slices.Sorted(slices.Values(offsets)), got: make(map[int64][]byte, len(offsets))}
+	for len(w.offsets) > 0 && w.wasted < recordsAtPatience && ctx.Err() == nil {
+		v.readWanted(ctx, &w)
+	}
+	return w.got
+}
+
+// readWanted reads one page of wanted records. If it fails, it returns after the delay until the
+// next one.
+func (v *view) readWanted(ctx context.Context, w *wantedRecords) {
+	end, err := v.j.pace.takeTurn(ctx, w.failures > 0)
+	if err != nil {
+		return
+	}
+	began := time.Now()
+	p, err := v.fetch(ctx, pageRecords, partitionlog.ReadRequest{
+		From: w.offsets[0], MaxBytes: min(v.j.pace.pageBytes(), maxReadBytes, w.pageBytes()),
+	})
+	end()
+	if err == nil || outcome.HasReason(err, partitionlog.ReasonExpired) {
+		w.take(p)
+		return
+	}
+	w.failures++
+	backoff.Sleep(ctx, v.j.pace.delay(w.failures))
+	w.wasted += time.Since(began)
+	if w.failures == maxPageFailures {
+		w.failures, w.offsets = 0, w.offsets[1:]
+	}
+}
+
+// wantedRecords is the state of a read of records at given offsets.
+type wantedRecords struct {
+	// offsets holds the offsets that are still to be read, in ascending order.
+	offsets []int64
+	// got holds the wanted records that were read, by offset.
+	got map[int64][]byte
+	// records and bytes count what was read, wanted or not.
+	records, bytes int
+	// failures counts the attempts in a row that failed to read the next page, and wasted is the
+	// time spent on all that failed.
+	failures int
+	wasted   time.Duration
+}
+
+// pageBytes returns the expected size of the next page: of the records from the first wanted one
+// to the last one that is near enough, by the mean size of those read so far.
+func (w *wantedRecords) pageBytes() int {
+	n := 1
+	for i, at := range w.offsets {
+		if span := int(at - w.offsets[0] + 1); span <= maxSparseness*(i+1) {
+			n = span
+		}
+	}
+	if n == 1 {
+		return 1
+	}
+	if w.records == 0 {
+		return n * assumedRecordBytes
+	}
+	return n * max(w.bytes/w.records, 1)
+}
+
+// take keeps the wanted records of a page. Those that the page shows to be missing are no longer
+// wanted.
+func (w *wantedRecords) take(p partitionlog.Page) {
+	for _, b := range p.Records {
+		w.records++
+		w.bytes += len(b)
+	}
+	end := max(p.First, p.From+int64(len(p.Records)), w.offsets[0]+1)
+	for len(w.offsets) > 0 && w.offsets[0] < end {
+		at := w.offsets[0]
+		if i := at - p.From; i >= 0 && i < int64(len(p.Records)) {
+			w.got[at] = p.Records[i]
+		}
+		w.offsets = w.offsets[1:]
+	}
+	w.failures = 0
+}
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -98,18 +100,18 @@
 // restore loads the progress of the samples, as far as a previous driver has saved it.
 func (d *stepDriver) restore() {
 	savedProgress := d.view.savedProgress(d.step.ID)
+	records := d.view.recordsAt(d.ctx, slices.Collect(maps.Values(savedProgress)))
 	for _, s := range d.waiting {
 		at, ok := savedProgress[s.at]
 		if !ok {
 			continue
 		}
-		b, err := d.view.records(d.ctx, at, 1)
-		if err != nil {
-			d.g.log.Warn("sample: saved progress cannot be read; starting anew",
-				zap.String("id", s.item.ID), zap.Error(err))
+		b, ok := records[at]
+		if !ok {
+			d.g.log.Warn("sample: saved progress cannot be read; starting anew", zap.String("id", s.item.ID))
 			continue
 		}
-		p, err := stepjournal.DecodeProgress(b[0])
+		p, err := stepjournal.DecodeProgress(b)
 		if err != nil {
 			d.g.log.Warn("sample: saved progress cannot be decoded; starting anew",
 				zap.String("id", s.item.ID), zap.Error(err))
--- /dev/null
+++ b/pier/gateway/takeoverreads_test.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+const (
+	// savedItems is the number of items of the step that driverWithProgress stores, savedTextBytes the size
+	// of the progress of each.
+	savedItems     = 64
+	savedTextBytes = 4 << 10
+)
+
+// driverWithProgress stores an open step "s" with the progress of all its items, and some of another step in
+// between and behind. It returns a driver that is to take the step over, and has read nothing.
+func driverWithProgress(t *testing.T, g *Gateway) *stepDriver {
+	t.Helper()
+	g.table(nil)
+	s, other := newStep("s", savedItems), newStep(partitionMate(t, g), savedItems)
+	v := g.journal.get("s")
+	acceptAt(t, v, other, g.self, time.Now())
+	acceptAt(t, v, s, g.self, time.Now())
+	save := func(id string, i int) {
+		b, err := stepjournal.Saved(id, &stepjournal.Progress{
+			ItemIndex: i, Text: strings.Repeat("x", savedTextBytes), LastEvent: int64(i + 1),
+		})
+		require.NoError(t, err)
+		_, err = v.append(context.Background(), [][]byte{b})
+		require.NoError(t, err)
+	}
+	for i := range savedItems {
+		save("s", i)
+		if i%4 == 0 {
+			save(other.ID, i)
+		}
+	}
+	for i := range savedItems {
+		save(other.ID, i)
+	}
+	require.NoError(t, v.sync(context.Background()))
+	d := newStepDriver(g, route(g), s, v)
+	t.Cleanup(d.stop)
+	return d
+}
+
+// requireTexts checks that each sample of a driver has the text that was saved of it.
+func (d *stepDriver) requireTexts(t *testing.T) {
+	t.Helper()
+	for _, s := range d.waiting {
+		require.Equal(t, int64(s.at+1), s.lastID, "sample %d", s.at)
+		require.Equal(t, []string{strings.Repeat("x", savedTextBytes)}, s.text, "sample %d", s.at)
+	}
+}
+
+// A driver read a whole page for the progress of each sample.
+func TestTakeoverReadsSavedProgressInFewPages(t *testing.T) {
+	var read atomic.Int64
+	d := driverWithProgress(t, newHost(t, "a", countReads(newLog().Functions(), &read)))
+	read.Store(0)
+	d.restore()
+	d.requireTexts(t)
+	require.LessOrEqual(t, read.Load(), int64(2*savedItems*savedTextBytes))
+}
+
+// A page that failed once made a driver drop the text of a sample.
+func TestTakeoverKeepsTextsThoughAPageFails(t *testing.T) {
+	l := newLog().Functions()
+	read := l.Read
+	var failures atomic.Int64
+	l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if q.Partition.Topic == stepjournal.Topic && q.Wait == 0 && failures.Add(-1) >= 0 {
+			return partitionlog.Page{}, outcome.Refuse(outcome.ReasonLogDown, "503")
+		}
+		return read(ctx, q)
+	}
+	d := driverWithProgress(t, newHost(t, "a", l))
+	failures.Store(1)
+	d.restore()
+	require.Negative(t, failures.Load())
+	d.requireTexts(t)
+}
+
+// A log that refuses all reads must not hold a takeover up.
+func TestTakeoverIsNotHeldUpByALogThatRefuses(t *testing.T) {
+	m := newLog()
+	d := driverWithProgress(t, newHost(t, "a", m.Functions()))
+	m.SetDown(true)
+	start := time.Now()
+	d.restore()
+	require.Less(t, time.Since(start), recordsAtPatience+2*time.Second)
+	for _, s := range d.waiting {
+		require.Zero(t, s.lastID)
+	}
+}
+
+// The samples whose progress has expired begin anew; the others keep their texts.
+func TestTakeoverKeepsTheTextsThatTheLogHolds(t *testing.T) {
+	m := newLog()
+	d := driverWithProgress(t, newHost(t, "a", m.Functions()))
+	offsets := d.view.savedProgress("s")
+	const expired = savedItems / 2
+	m.Expire(d.view.partition(), offsets[expired])
+	d.restore()
+	d.waiting = slices.DeleteFunc(d.waiting, func(s *sample) bool {
+		if s.at < expired {
+			require.Zero(t, s.lastID)
+		}
+		return s.at < expired
+	})
+	require.Len(t, d.waiting, savedItems-expired)
+	d.requireTexts(t)
+}
+
+func TestWantedRecordsPageBytes(t *testing.T) {
+	tests := map[string]struct {
+		w    wantedRecords
+		want int
+	}{
+		"one":                    {wantedRecords{offsets: []int64{7}}, 1},
+		"together, nothing read": {wantedRecords{offsets: []int64{7, 8, 9}}, 3 * assumedRecordBytes},
+		"together":               {wantedRecords{offsets: []int64{7, 8, 9}, records: 2, bytes: 200}, 300},
+		"near":                   {wantedRecords{offsets: []int64{7, 9, 12}, records: 1, bytes: 100}, 600},
+		"far apart":              {wantedRecords{offsets: []int64{7, 20, 40}, records: 1, bytes: 100}, 1},
+		"one far away":           {wantedRecords{offsets: []int64{7, 8, 40}, records: 1, bytes: 100}, 200},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, c.w.pageBytes()) })
+	}
+}
