A list of results begins no page for which too little time is left

The pages of a list after its first one run under what is left of the list's time. One begun late was given up, and read again for the next list. Beyond the first result a page is now begun only if more time is left than the last one took; records in the cache are used in any case.

Without the change, TestListBeginsNoPageForWhichTimeIsShort fails (run on a scratch copy): 7 pages given up for 8 results that lie 320 KB apart, at 300 ms a page. It passes with it: none given up, at most 8 begun.

--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -313,6 +313,52 @@
 	require.Less(t, time.Since(start), listTime+400*time.Millisecond)
 }
 
+// A page that was begun shortly before a list's time was up was given up, and read again for the
+// next list.
+func TestListBeginsNoPageForWhichTimeIsShort(t *testing.T) {
+	const (
+		results = 8
+		// apart is the size of other records between two results, so that each takes a page.
+		apart = 320 << 10
+	)
+	l := newLog()
+	g := newHost(t, "a", l.Functions())
+	v := g.journal.get("s")
+	s, other := newStep("s", results), newStep(partitionMate(t, g), 1)
+	acceptAt(t, v, s, g.self, time.Now())
+	for i := range results {
+		appendResult(t, v, s, i)
+		b, err := stepjournal.Saved(other.ID, &stepjournal.Progress{Text: string(make([]byte, apart))})
+		require.NoError(t, err)
+		_, err = v.append(context.Background(), [][]byte{b})
+		require.NoError(t, err)
+	}
+	require.NoError(t, v.sync(context.Background()))
+	g.journal.cache = newCache(maxCacheBytes)
+	var begun, givenUp atomic.Int64
+	read := g.peerLog.direct.Read
+	g.peerLog.direct.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		begun.Add(1)
+		if !backoff.Sleep(ctx, 300*time.Millisecond) {
+			givenUp.Add(1)
+			return partitionlog.Page{}, outcome.Ambiguous(outcome.ReasonLogDown, "read", ctx.Err())
+		}
+		return read(ctx, q)
+	}
+	e, _, ok := v.entry("s")
+	require.True(t, ok)
+	for got := 0; got < results; {
+		start := time.Now()
+		p, err := v.readList(context.Background(), &e, got)
+		require.NoError(t, err)
+		require.NotEmpty(t, p.Results)
+		require.Less(t, time.Since(start), listTime+400*time.Millisecond)
+		got += len(p.Results)
+	}
+	require.Zero(t, givenUp.Load())
+	require.LessOrEqual(t, begun.Load(), int64(results))
+}
+
 // Records of progress, which nobody reads, took the place of the results in memory.
 func TestProgressLeavesResultsInMemory(t *testing.T) {
 	l := newLog()
--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -151,6 +151,12 @@
 	}
 }
 
+// cached reports whether a record is in the cache.
+func (v *view) cached(at int64) bool {
+	_, ok := v.j.cache.get(cacheKey{v.n, at})
+	return ok
+}
+
 // records returns up to n records from an offset on, but at least one. Those in the cache
 // are returned without a read of the log.
 func (v *view) records(ctx context.Context, from int64, n int) ([][]byte, error) {
--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -125,21 +125,28 @@
 }
 
 // readList reads a step's results from a position on, up to maxListBytes but at least one, and no
-// further after listTime.
+// further after listTime. Beyond the first result it begins no page for which too little time is
+// left, going by the last one: what of it does not arrive in time is read for nothing.
 func (v *view) readList(ctx context.Context, e *stepjournal.Entry, after int) (*ResultPage, error) {
 	defer enterStage(ctx, stageRecords)()
 	more, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
 	l := &ResultPage{Total: e.Total}
 	n := 0
+	var lastPage time.Duration
 	for _, at := range e.Results[after:] {
+		cached := v.cached(at)
 		if len(l.Results) > 0 {
-			if more.Err() != nil {
+			if more.Err() != nil || !cached && !hasTime(more, lastPage) {
 				break
 			}
 			ctx = more
 		}
+		began := time.Now()
 		b, err := v.records(ctx, at, 1)
+		if !cached {
+			lastPage = time.Since(began)
+		}
 		if err != nil {
 			if len(l.Results) > 0 {
 				break
@@ -158,6 +165,12 @@
 	return l, nil
 }
 
+// hasTime reports whether a context's deadline leaves more time than d.
+func hasTime(ctx context.Context, d time.Duration) bool {
+	t, ok := ctx.Deadline()
+	return !ok || time.Until(t) > d
+}
+
 // Body returns the body of one of a step's items, within bodyTimeout.
 func (g *Gateway) Body(ctx context.Context, id, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, bodyTimeout)
