--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -198,7 +198,7 @@
 // readWanted reads one page of wanted records. If it fails, it returns after the delay until the
 // next one.
 func (v *view) readWanted(ctx context.Context, w *wantedRecords) {
-	end, err := v.j.pace.takeTurn(ctx, w.failures > 0)
+	end, err := v.turnToReadWanted(ctx, w)
 	if err != nil {
 		return
 	}
@@ -219,6 +219,19 @@
 	}
 }
 
+// turnToReadWanted waits for the turn to read a page of wanted records, and returns the function
+// that ends it. After a failure, the wait counts as spent on failures, which bounds it.
+func (v *view) turnToReadWanted(ctx context.Context, w *wantedRecords) (end func(), err error) {
+	if w.failures == 0 {
+		return v.j.pace.takeTurn(ctx, false)
+	}
+	began := time.Now()
+	defer func() { w.wasted += time.Since(began) }()
+	ctx, cancel := context.WithTimeout(ctx, recordsAtPatience-w.wasted)
+	defer cancel()
+	return v.j.pace.takeTurn(ctx, true)
+}
+
 // wantedRecords is the state of a read of records at given offsets.
 type wantedRecords struct {
 	// offsets holds the offsets that are still to be read, in ascending order.
--- a/pier/gateway/takeoverreads_test.go
+++ b/pier/gateway/takeoverreads_test.go
@@ -73,18 +73,22 @@
 	require.LessOrEqual(t, read.Load(), int64(2*savedItems*savedTextBytes))
 }
 
-// A page that failed once made a driver drop the text of a sample.
-func TestTakeoverKeepsTextsThoughAPageFails(t *testing.T) {
-	l := newLog().Functions()
+// failReads returns a log that refuses the next pages of the journal, as many as failures says.
+func failReads(l partitionlog.Log, failures *atomic.Int64) partitionlog.Log {
 	read := l.Read
-	var failures atomic.Int64
 	l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
 		if q.Partition.Topic == stepjournal.Topic && q.Wait == 0 && failures.Add(-1) >= 0 {
 			return partitionlog.Page{}, outcome.Refuse(outcome.ReasonLogDown, "503")
 		}
 		return read(ctx, q)
 	}
-	d := driverWithProgress(t, newHost(t, "a", l))
+	return l
+}
+
+// A page that failed once made a driver drop the text of a sample.
+func TestTakeoverKeepsTextsThoughAPageFails(t *testing.T) {
+	var failures atomic.Int64
+	d := driverWithProgress(t, newHost(t, "a", failReads(newLog().Functions(), &failures)))
 	failures.Store(1)
 	d.restore()
 	require.Negative(t, failures.Load())
@@ -104,6 +108,25 @@
 	}
 }
 
+// The turn of partitions that fail may be taken for long. A takeover must not wait for it for ever.
+func TestTakeoverIsNotHeldUpByPartitionsThatFail(t *testing.T) {
+	var failures atomic.Int64
+	g := newHost(t, "a", failReads(newLog().Functions(), &failures))
+	d := driverWithProgress(t, g)
+	g.journal.pace.again <- struct{}{}
+	defer func() { <-g.journal.pace.again }()
+	failures.Store(1)
+	restored := make(chan struct{})
+	go func() { defer close(restored); d.restore() }()
+	select {
+	case <-restored:
+	case <-time.After(recordsAtPatience + 2*time.Second):
+		d.stop()
+		<-restored
+		require.Fail(t, "the takeover waits")
+	}
+}
+
 // The samples whose progress has expired begin anew; the others keep their texts.
 func TestTakeoverKeepsTheTextsThatTheLogHolds(t *testing.T) {
 	m := newLog()
