--- a/pier/gateway/stepquery.go
+++ b/pier/gateway/stepquery.go
@@ -14,10 +14,10 @@
 
 // A trainer reads from a different host each time. A host that does not follow the step's
 // partition first asks the preferred drivers which of them knows the step, and then that one
-// for what is wanted. It usually drives the step and has its results at hand: replaying a
-// partition from its start takes most of a second on a small host. The preferred drivers
-// answer from the log as any host would, so their answers are equally valid. If none says
-// soon that it knows the step, the host reads the log itself.
+// for what is wanted. It usually drives the step and has its results at hand, which costs less
+// than reading them from the log. The preferred drivers answer from the log as any host would,
+// so their answers are equally valid. If none says soon that it knows the step, the host reads
+// the log itself.
 
 const (
 	// knowsStepTimeout bounds the search for a preferred driver that knows the step.
