--- a/pier/gateway/readback_test.go
+++ b/pier/gateway/readback_test.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// sharedLogLatency is the time that a sharedLog needs for a call without data.
+	// sharedLogLatency is the time that a log needs for a call without data.
 	sharedLogLatency = 5 * time.Millisecond
 	// sharedLogMaxBacklog is the work that may wait at a sharedLog before it refuses reads.
 	sharedLogMaxBacklog = 2 * time.Second
@@ -75,6 +75,8 @@
 type sharedLog struct {
 	log   partitionlog.Log
 	reads *line
+	// latency is the time of a call without data.
+	latency time.Duration
 }
 
 // forHost returns the log as a host with a link of its own reaches it.
@@ -133,7 +135,7 @@
 
 // begin waits for the time of a call without data.
 func (s *sharedLog) begin(ctx context.Context) error {
-	if !backoff.Sleep(ctx, sharedLogLatency) {
+	if !backoff.Sleep(ctx, s.latency) {
 		return outcome.Refuse(outcome.ReasonDeadline, "call to the log")
 	}
 	return nil
@@ -311,6 +313,8 @@
 	hosts []*Gateway
 	rand  *rand.Rand
 	steps []*storedStep
+	// wait is how long a host may wait for results, try bounds one read.
+	wait, try time.Duration
 	// got holds the results that were read, by step.
 	got map[string][]*stepjournal.Result
 	// unread holds the last error of each step that was not read to its end.
@@ -345,9 +349,9 @@
 
 // read reads once, and reports whether all results are there.
 func (r *reader) read(ctx context.Context, id string) (done bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readBackTry)
+	ctx, cancel := context.WithTimeout(ctx, r.try)
 	defer cancel()
-	l, err := r.hosts[r.rand.IntN(len(r.hosts))].Results(ctx, id, len(r.got[id]), time.Second)
+	l, err := r.hosts[r.rand.IntN(len(r.hosts))].Results(ctx, id, len(r.got[id]), r.wait)
 	if err != nil {
 		return false, err
 	}
@@ -365,7 +369,7 @@
 	var w sync.WaitGroup
 	for i := range readers {
 		r := &reader{
-			hosts: hosts, rand: rand.New(rand.NewPCG(1, uint64(i))),
+			hosts: hosts, rand: rand.New(rand.NewPCG(1, uint64(i))), wait: time.Second, try: readBackTry,
 			got: make(map[string][]*stepjournal.Result), unread: make(map[string]error),
 		}
 		for n := i; n < len(steps); n += readers {
@@ -426,7 +430,7 @@
 		s.end(t, m)
 	}
 	stopHosts(before)
-	l := &sharedLog{log: m, reads: &line{rate: x.rate}}
+	l := &sharedLog{log: m, reads: &line{rate: x.rate}, latency: sharedLogLatency}
 	start := time.Now()
 	after := x.startWholeHosts(t, at, l.forHost)
 	unread := readBack(t, after, stored, x.readers)
--- /dev/null
+++ b/pier/gateway/slowlog_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/memlog"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+const (
+	// slowLogTry bounds one read of a caller that allows no wait, slowLogTime all reads of a step.
+	slowLogTry  = 1500 * time.Millisecond
+	slowLogTime = 10 * time.Second
+	// slowLogSettle is the time from the start of all hosts to the first read.
+	slowLogSettle = 6 * time.Second
+)
+
+// All hosts are lost, and start again at a log that takes long for each call. Every step, and the
+// body of an item, must be read in time although each read goes to another host.
+func TestStepsAreReadBackFromASlowLog(t *testing.T) {
+	tests := map[string]time.Duration{
+		"60 ms a call": 60 * time.Millisecond, "400 ms a call": 400 * time.Millisecond,
+		"800 ms a call": 800 * time.Millisecond,
+	}
+	for name, latency := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := readBackLoad{hosts: 91, parts: 48, steps: 48, items: 12, rate: 80e6}
+			x.testSlowLog(t, latency)
+		})
+	}
+}
+
+func (x readBackLoad) testSlowLog(t *testing.T, latency time.Duration) {
+	const lifetime = 2 * time.Second
+	m := memlog.New(x.parts).Functions()
+	var stored []*storedStep
+	for i := range x.steps {
+		stored = append(stored, x.storeStep(t, m, fmt.Sprint("s", i)))
+	}
+	at := fixedAddresses(t, x.hosts)
+	before := x.startWholeHosts(t, at, func() partitionlog.Log { return m })
+	require.Eventually(t, func() bool { return x.holdPartitions(before) }, time.Minute, 50*time.Millisecond)
+	time.Sleep(lifetime)
+	for _, s := range stored {
+		s.end(t, m)
+	}
+	stopHosts(before)
+	l := &sharedLog{log: m, reads: &line{rate: x.rate}, latency: latency}
+	after := x.startWholeHosts(t, at, l.forHost)
+	defer stopHosts(after)
+	time.Sleep(slowLogSettle)
+	unread := make([]error, len(stored))
+	var w sync.WaitGroup
+	for i, s := range stored {
+		w.Go(func() { unread[i] = readAlone(t, after, s, uint64(i)) })
+	}
+	w.Wait()
+	reasons := make(map[string]int)
+	for _, err := range unread {
+		if err != nil {
+			reasons[string(outcome.AsError(err).Reason)]++
+		}
+	}
+	require.Empty(t, reasons, "steps of %d were not read in %s", x.steps, slowLogTime)
+}
+
+// readAlone reads all results of a step, and then the body of its first item, each time from another
+// host. It returns the last error if they were not read within slowLogTime.
+func readAlone(t *testing.T, hosts []*Gateway, s *storedStep, seed uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), slowLogTime)
+	defer cancel()
+	r := &reader{
+		hosts: hosts, rand: rand.New(rand.NewPCG(2, seed)), try: slowLogTry, got: make(map[string][]*stepjournal.Result),
+	}
+	if err := r.readStep(ctx, s.id); err != nil {
+		return err
+	}
+	require.Equal(t, s.results, r.got[s.id])
+	return r.readBody(ctx, s.id, s.results[0].ID)
+}
+
+// readBody reads until the body of an item is there.
+func (r *reader) readBody(ctx context.Context, id, item string) error {
+	last := error(outcome.Refuse(outcome.ReasonDeadline, id))
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, r.try)
+		b, err := r.hosts[r.rand.IntN(len(r.hosts))].Body(try, id, item)
+		cancel()
+		if err == nil && len(b) > 0 {
+			return nil
+		}
+		last = err
+		backoff.Sleep(ctx, readBackPause)
+	}
+	return last
+}
