Limits of calls to the log follow its latency

Each host now follows the time that a small call takes, as a metric and in the lines on reads of steps too. A direct call gets all of its time if half of it is less than twice that; limits grow to three times that, joins to 1.5 s at most. Calls that got no answer tell nothing: a first attempt that learnt from them gave a silent log all of the time and asked no peer (TestHostThatIsTurnedAwayGoesOnServing failed).

TestHostsStayInTheGroupOfASlowLog fails before (directFails after the first join).

--- a/pier/gateway/checkpoint.go
+++ b/pier/gateway/checkpoint.go
@@ -32,7 +32,7 @@
 	checkpointsPerRetention = 4
 	// minCheckpointInterval is the shortest time between two checkpoints of a partition.
 	minCheckpointInterval = time.Second
-	// checkpointTimeout bounds the time of reading a checkpoint.
+	// checkpointTimeout bounds the time of reading a checkpoint from a quick log.
 	checkpointTimeout = 2 * readSlack
 )
 
@@ -93,7 +93,7 @@
 // view. It fails if the log does not answer. If the log rejects the call there is no checkpoint to
 // be had, and the view reads the partition's records.
 func (v *view) restoreNewest(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
+	ctx, cancel := context.WithTimeout(ctx, v.j.g.peerLog.limit(checkpointTimeout))
 	defer cancel()
 	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
 	n, err := v.j.g.c.Log.Newest(ctx, at)
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -18,7 +18,7 @@
 	// readWait is how long a long-poll read waits for a record. It is short, so that an
 	// outage of the log or an unresponsive connection is noticed soon.
 	readWait = time.Second
-	// readSlack is how long a read may take beyond its wait.
+	// readSlack is how long a read may take beyond its wait at a quick log.
 	readSlack = 800 * time.Millisecond
 	// serversReadInterval and operatorsReadInterval are the shortest times between two
 	// reads of a keyed topic, so that records that arrive one by one are read together.
@@ -94,7 +94,7 @@
 	if f.next < 0 {
 		return f.restart()
 	}
-	ctx, cancel := context.WithTimeout(f.g.ctx, readWait+readSlack)
+	ctx, cancel := context.WithTimeout(f.g.ctx, readWait+f.g.peerLog.limit(readSlack))
 	defer cancel()
 	sent := time.Now()
 	p, err := f.g.c.Log.Read(ctx, partitionlog.ReadRequest{
--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -37,7 +37,7 @@
 // fetch reads a page of the partition in the time allowed. What becomes of a page that is not
 // waited for tells in which size to ask for the next one.
 func (v *view) fetch(ctx context.Context, purpose pagePurpose, q partitionlog.ReadRequest) (partitionlog.Page, error) {
-	limited, cancel := context.WithTimeout(ctx, q.Wait+readSlack)
+	limited, cancel := context.WithTimeout(ctx, q.Wait+v.j.g.peerLog.limit(readSlack))
 	defer cancel()
 	q.Partition = v.partition()
 	sent := time.Now()
--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -12,6 +12,9 @@
 // kindLogCall is the kind of a message that carries a call to the log.
 const kindLogCall = kindStepQuery + 1
 
+// maxQuickBytes is the size of an answer up to which its transfer hardly counts.
+const maxQuickBytes = 32 << 10
+
 // logCall is a call to the log. One of its fields is set, but for those that belong to Newest.
 type logCall struct {
 	Append *partitionlog.AppendRequest `msgpack:"a"`
@@ -75,6 +78,18 @@
 	return 0
 }
 
+// latency returns the time that the log took for an answer, given the time until it arrived. ok is
+// false if most of that time may have passed otherwise: in the wait for records or in their transfer.
+func (q *logCall) latency(a *logAnswer, took time.Duration) (d time.Duration, ok bool) {
+	if !a.answered() || encodedSize(a.Page.Records) > maxQuickBytes {
+		return 0, false
+	}
+	if q.wait() > 0 && (len(a.Page.Records) > 0 || a.Err != nil) {
+		return 0, false
+	}
+	return max(took-q.wait(), 0), true
+}
+
 // make calls a log.
 func (q *logCall) make(ctx context.Context, l partitionlog.Log) *logAnswer {
 	var a logAnswer
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -18,6 +18,7 @@
 	steps      *prometheus.CounterVec
 	orders     *prometheus.CounterVec
 	logErrors  *prometheus.CounterVec
+	logLatency prometheus.Gauge
 	unreadable *prometheus.CounterVec
 	bugs       *prometheus.CounterVec
 	viaPeers   *prometheus.CounterVec
@@ -84,6 +85,10 @@
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
+	m.logLatency = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "mulberrypier_log_latency_seconds", Help: "Time that the log takes for a small call of this host.",
+	})
+	r.MustRegister(m.logLatency)
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -105,7 +105,7 @@
 
 // read reads and applies the next records of the orders' topic.
 func (o *orders) read(wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(o.g.ctx, wait+readSlack)
+	ctx, cancel := context.WithTimeout(o.g.ctx, wait+o.g.peerLog.limit(readSlack))
 	defer cancel()
 	p, err := o.g.c.Log.Read(ctx, partitionlog.ReadRequest{
 		Partition: partitionlog.Partition{Topic: orderlease.Topic}, From: o.lease.NextOffset(),
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -142,12 +142,32 @@
 	if !ok || !limited || !q.repeatable() || q.isLarge() {
 		return l.askDirect(ctx, q)
 	}
-	left := time.Until(end) - q.wait()
-	ctx, cancel := context.WithTimeout(ctx, q.wait()+left/2)
+	ctx, cancel := context.WithTimeout(ctx, q.wait()+l.directTime(time.Until(end)-q.wait()))
 	defer cancel()
 	return l.askDirect(ctx, q)
 }
 
+// directTime is logpath.Chooser.DirectTime.
+func (l *peerLog) directTime(left time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.DirectTime(left)
+}
+
+// limit returns the time that a call to the log may take which may take base at a quick log.
+func (l *peerLog) limit(base time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.Limit(base)
+}
+
+// latency returns the time that a small call to the log takes, as far as known.
+func (l *peerLog) latency() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.Latency()
+}
+
 // askDirect makes a call directly. It gives the call up when the end of an outage shows that
 // its answer was lost.
 func (l *peerLog) askDirect(ctx context.Context, q *logCall) *logAnswer {
@@ -172,6 +192,10 @@
 func (l *peerLog) observeDirect(q *logCall, a *logAnswer, sent time.Duration) {
 	now := boottime.Now()
 	l.mu.Lock()
+	if d, ok := q.latency(a, now-sent); ok {
+		l.paths.Took(d)
+		l.g.metrics.logLatency.Set(l.paths.Latency().Seconds())
+	}
 	if !a.answered() && q.isLarge() && isTimeout(a.Err) && l.paths.Congested(now) {
 		l.mu.Unlock()
 		return
@@ -242,7 +266,7 @@
 
 // probe makes a direct call.
 func (l *peerLog) probe() {
-	ctx, cancel := context.WithTimeout(l.g.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(l.g.ctx, l.limit(probeTimeout))
 	defer cancel()
 	l.askDirect(ctx, &logCall{Members: watchGroup})
 }
--- a/pier/gateway/peerpath.go
+++ b/pier/gateway/peerpath.go
@@ -100,7 +100,7 @@
 
 // readMembers reads the group's members, which are the peers that carry calls.
 func (l *peerLog) readMembers() {
-	ctx, cancel := context.WithTimeout(l.g.ctx, membersTimeout)
+	ctx, cancel := context.WithTimeout(l.g.ctx, l.limit(membersTimeout))
 	defer cancel()
 	a := l.askDirect(ctx, &logCall{Members: watchGroup})
 	if a.Err != nil {
--- a/pier/gateway/slowlog_test.go
+++ b/pier/gateway/slowlog_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,35 @@
 	}
 	return last
 }
+
+// slowLog returns a log whose calls take a time each, without holding up others, and counts the
+// pages of the journal's records that were asked for.
+func slowLog(l partitionlog.Log, latency time.Duration, pages *atomic.Int64) partitionlog.Log {
+	s := sharedLog{log: l, reads: &line{rate: 1e9}, latency: latency}
+	r := s.forHost()
+	read := r.Read
+	r.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if q.Partition.Topic == stepjournal.Topic && q.Wait == 0 {
+			pages.Add(1)
+		}
+		return read(ctx, q)
+	}
+	return r
+}
+
+// Half of the time of a call was kept for a peer, and the other half was too short for an answer: no
+// host could stay in the group, which then assigned its partitions to nobody.
+func TestHostsStayInTheGroupOfASlowLog(t *testing.T) {
+	l := newLog()
+	var pages atomic.Int64
+	a, b := newHost(t, "a", slowLog(l.Functions(), 400*time.Millisecond, &pages)), newHost(t, "b", l.Functions())
+	b.listenPeers(t)
+	a.knowPeers(b)
+	_, err := a.c.Log.Newest(context.Background(), partitionlog.Partition{Topic: checkpointsTopic})
+	require.NoError(t, err)
+	for range 3 {
+		require.Positive(t, a.watch.join(0))
+		require.False(t, a.peerLog.directFails())
+	}
+	require.Zero(t, metric(t, a, `log_calls_via_peers_total{result="answered"}`))
+}
--- a/pier/gateway/stepread.go
+++ b/pier/gateway/stepread.go
@@ -163,7 +163,8 @@
 		f = append(f, zap.NamedError("last-page", n.lastError))
 	}
 	next, end := r.view.position()
-	return append(f, zap.Int64("next", next), zap.Int64("end", end))
+	return append(f, zap.Int64("next", next), zap.Int64("end", end),
+		zap.Duration("log-latency", r.reads.g.peerLog.latency()))
 }
 
 // report logs a line on a read, unless one on the step was logged within stepReadLogInterval.
--- a/pier/gateway/suspects.go
+++ b/pier/gateway/suspects.go
@@ -126,7 +126,7 @@
 	if catchesUp {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(s.g.ctx, wait+readSlack)
+	ctx, cancel := context.WithTimeout(s.g.ctx, wait+s.g.peerLog.limit(readSlack))
 	defer cancel()
 	s.mu.Lock()
 	from := s.next
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -34,6 +34,9 @@
 	// time between two calls, short enough that a lost one does no harm.
 	memberTTL    = 2 * time.Second
 	joinInterval = 600 * time.Millisecond
+	// maxJoinTime bounds the time of a call to the group, so that one that is lost can be
+	// followed by another within the TTL.
+	maxJoinTime = memberTTL * 3 / 4
 	// initialJoinInterval is the time between two calls to the group during settlePeriod
 	// after the start, in which the partitions of many hosts may be reassigned at once.
 	initialJoinInterval = 250 * time.Millisecond
@@ -147,7 +150,7 @@
 
 // join joins the group, or renews the membership, and returns the group's generation.
 func (w *watch) join(generation int64) int64 {
-	ctx, cancel := context.WithTimeout(w.g.ctx, joinInterval)
+	ctx, cancel := context.WithTimeout(w.g.ctx, min(w.g.peerLog.limit(joinInterval), maxJoinTime))
 	defer cancel()
 	m, err := w.g.c.Log.Join(ctx, partitionlog.JoinRequest{
 		Group: watchGroup, Member: w.g.hostID(), Topics: []string{stepjournal.Topic},
--- a/pier/logpath/logpath.go
+++ b/pier/logpath/logpath.go
@@ -35,6 +35,12 @@
 	// for holdOff: the log is probably away for all.
 	maxPeerFailures = 3
 	holdOff         = time.Second
+	// maxLatency bounds the latency that is assumed of the log.
+	maxLatency = time.Second
+	// latencyMargin is how many times the latency an attempt must have to be worth making, and
+	// limitFactor how many times the latency a call may take before it counts as failed.
+	latencyMargin = 2
+	limitFactor   = 3
 )
 
 // Chooser holds what a host knows of its paths to the log. It performs no I/O and is not
@@ -54,6 +60,9 @@
 	// asked before askAfter.
 	peerFailures int
 	askAfter     time.Duration
+	// latency is the time that a small direct call takes, at most maxLatency. It follows a call
+	// that took longer at once, and shorter ones by half of the difference.
+	latency time.Duration
 }
 
 // New returns a Chooser for the host at an address, which knows no peers yet.
@@ -108,6 +117,30 @@
 	c.failures++
 }
 
+// Took records that a small direct call was answered after d.
+func (c *Chooser) Took(d time.Duration) {
+	d = min(d, maxLatency)
+	if d < c.latency {
+		d += (c.latency - d) / 2
+	}
+	c.latency = d
+}
+
+// Latency returns the time that a small direct call takes, as far as known.
+func (c *Chooser) Latency() time.Duration { return c.latency }
+
+// Limit returns the time that a call may take which may take base at a quick log.
+func (c *Chooser) Limit(base time.Duration) time.Duration { return max(base, limitFactor*c.latency) }
+
+// DirectTime returns how much of the time that a call has left its direct attempt may take: half,
+// so that a peer can be asked after it, but all if half is too short for an answer.
+func (c *Chooser) DirectTime(left time.Duration) time.Duration {
+	if left/2 < latencyMargin*c.latency {
+		return left
+	}
+	return left / 2
+}
+
 // Congested reports whether a large read that failed at now shows a slow or busy log rather than
 // one that turns this host away: other calls of the host were answered meanwhile. Such a failure
 // is no failed direct call, and no peer can help.
--- a/pier/logpath/logpath_test.go
+++ b/pier/logpath/logpath_test.go
@@ -155,3 +155,28 @@
 		})
 	}
 }
+
+func TestLimitsFollowTheLatency(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		took                []time.Duration
+		limit, direct, want time.Duration
+	}{
+		"nothing known": {nil, 600 * ms, 300 * ms, 0},
+		"quick":         {[]time.Duration{4 * ms}, 600 * ms, 300 * ms, 4 * ms},
+		"slow":          {[]time.Duration{4 * ms, 400 * ms}, 1200 * ms, 600 * ms, 400 * ms},
+		"quick again":   {[]time.Duration{400 * ms, 0, 0, 0}, 600 * ms, 300 * ms, 50 * ms},
+		"very slow":     {[]time.Duration{time.Minute}, 3 * maxLatency, 600 * ms, maxLatency},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := New(netip.AddrPort{})
+			for _, d := range c.took {
+				x.Took(d)
+			}
+			require.Equal(t, c.want, x.Latency())
+			require.Equal(t, c.limit, x.Limit(600*ms))
+			require.Equal(t, c.direct, x.DirectTime(600*ms))
+		})
+	}
+}
