A read of a step leaves something for the next, at any host

Each try came to another host that knew nothing of the step. Its 1.2 s were spent on the preferred drivers (0.3 s), the checkpoint and the tail (0.4 s each), and the page with the results was dropped as its reader left. A driver that knew the step had 0.3 s to answer, less than one call to the log, and dropped its page too. So no try was of use to the next, and with 91 hosts none came to a host that had the view already, as it does with 12.

- A page of records is read once for all that wait for it, to its end, and kept, also if its reader leaves.
A host that answers for others reads the next page ahead.
- A host that does not follow the partition asks the host to which the log assigned it, beside the preferred drivers; that one follows it all the time, or does so once it was asked.
Whoever knows the step has all the time of the caller; the log is read as well if it is late.
- The list of preferred drivers is not waited for before the first is asked.
- A body is refused before its caller gives up (1.2 s in place of 2 s).

Members of a group come with their partitions (partitionlog.Member); hosts of an earlier version still name members only.

TestPageIsKeptThoughItsReaderLeft fails before.

--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -79,7 +79,7 @@
 		}
 		return r, l.serve(ctx, n)
 	}
-	f.Members = func(ctx context.Context, group string) ([]string, error) {
+	f.Members = func(ctx context.Context, group string) ([]partitionlog.Member, error) {
 		if err := l.serve(ctx, 1<<10); err != nil {
 			return nil, err
 		}
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -75,6 +75,7 @@
 		v = &view{
 			j: j, n: n, reading: make(chan struct{}, 1), fold: stepjournal.NewFold(stepjournal.FoldConfig{Now: boottime.Now}),
 			end: -1, changed: make(chan struct{}), checkpoint: newCheckpointing(j.g.s.Log.Retention.D()),
+			pages: make(map[int64]*pageRead),
 		}
 		j.views[n] = v
 	}
--- a/pier/gateway/journalrecords.go
+++ b/pier/gateway/journalrecords.go
@@ -92,9 +92,7 @@
 // fetchRecords reads a page of the partition. A page that fails is read again while that may help.
 func (v *view) fetchRecords(ctx context.Context, from int64) (partitionlog.Page, error) {
 	for failures := 1; ; failures++ {
-		p, err := v.fetch(ctx, pageRecords, partitionlog.ReadRequest{
-			From: from, MaxBytes: min(v.j.pace.pageBytes(), maxReadBytes),
-		})
+		p, err := v.readPage(ctx, from)
 		if err == nil || !v.retry(ctx, err, failures) {
 			return p, err
 		}
@@ -178,9 +176,6 @@
 	if len(p.Records) == 0 {
 		return nil, outcome.Refuse(outcome.ReasonLogDown, "journal record is missing")
 	}
-	for i, b := range p.Records {
-		v.keep(from+int64(i), b)
-	}
 	return p.Records[:min(n, len(p.Records))], nil
 }
 
--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -44,8 +44,11 @@
 	Page       partitionlog.Page         `msgpack:"p"`
 	Newest     partitionlog.Newest       `msgpack:"n"`
 	Membership partitionlog.Membership   `msgpack:"m"`
-	Members    []string                  `msgpack:"l"`
-	Err        *outcome.Error            `msgpack:"e"`
+	// Members names the members of a group for a host of an earlier version, Assigned holds them with
+	// their partitions.
+	Members  []string              `msgpack:"l"`
+	Assigned []partitionlog.Member `msgpack:"b"`
+	Err      *outcome.Error        `msgpack:"e"`
 }
 
 // repeatable reports whether the call may be made again although it may have been executed.
@@ -106,7 +109,10 @@
 	case q.Leave != nil:
 		err = l.Leave(ctx, q.Leave.Group, q.Leave.Member)
 	case q.Members != "":
-		a.Members, err = l.Members(ctx, q.Members)
+		a.Assigned, err = l.Members(ctx, q.Members)
+		for _, m := range a.Assigned {
+			a.Members = append(a.Members, m.Name)
+		}
 	default:
 		err = outcome.Refuse(outcome.ReasonBadRequest, "empty call to the log")
 	}
@@ -129,6 +135,18 @@
 	return r, err
 }
 
+// members returns the members of a group. A host of an earlier version names them only.
+func (a *logAnswer) members() []partitionlog.Member {
+	if len(a.Assigned) > 0 {
+		return a.Assigned
+	}
+	var r []partitionlog.Member
+	for _, n := range a.Members {
+		r = append(r, partitionlog.Member{Name: n})
+	}
+	return r
+}
+
 // err returns the error of the answer, nil if there is none.
 func (a *logAnswer) err() error {
 	if a.Err == nil {
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -48,6 +48,8 @@
 	bytesGivenUp *prometheus.CounterVec
 	// stepReadStages is the time of reads of steps by stage.
 	stepReadStages *prometheus.HistogramVec
+	// stepAnswers counts answered reads of steps by where the answer came from.
+	stepAnswers *prometheus.CounterVec
 }
 
 // wallClockMetrics tells of steps of the time of day.
@@ -101,6 +103,7 @@
 
 func newJournalMetrics(r *prometheus.Registry) journalMetrics {
 	m := journalMetrics{
+		stepAnswers:    newCounter(r, "step_read_answers_total", "Answered reads of steps, by whether this host followed the step, another one answered, or the log was read.", "source"),
 		stepReads:      newCounter(r, "step_reads_total", "Reads of steps, by call and result.", "call", "result"),
 		checkpoints:    newCounter(r, "journal_checkpoints_total", "Checkpoints of partitions of the journal, by what this host did with them.", "event"),
 		journalBytes:   newCounter(r, "journal_read_bytes_total", "Bytes of the journal's records that were read, by purpose.", "purpose"),
--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -23,6 +23,8 @@
 	// membersInterval is the time between two reads of the group's members, which are the
 	// peers that carry calls.
 	membersInterval = 10 * time.Second
+	// staleMembersInterval is that time once a member proved to be out of date.
+	staleMembersInterval = time.Second
 	// probeInterval is the time between two direct calls that probe whether the log answers
 	// this host again. Each waits for probeTimeout, so that a slow log counts as answering.
 	probeInterval = 150 * time.Millisecond
@@ -46,6 +48,11 @@
 
 	mu    sync.Mutex
 	paths *logpath.Chooser
+	// holders maps the partitions of the journal to the peer addresses of the hosts to which the log
+	// assigned them as of membersAt. membersStale is set once one of them proved to be out of date.
+	holders      map[int]netip.AddrPort
+	membersAt    time.Time
+	membersStale bool
 	// lastAsked holds when each peer with an open connection was last asked.
 	lastAsked map[netip.AddrPort]time.Duration
 	// turnedAway reports whether the direct path failed after the last direct call.
@@ -95,9 +102,9 @@
 		Leave: func(ctx context.Context, group, member string) error {
 			return l.do(ctx, &logCall{Leave: &leaveCall{Group: group, Member: member}}).err()
 		},
-		Members: func(ctx context.Context, group string) ([]string, error) {
+		Members: func(ctx context.Context, group string) ([]partitionlog.Member, error) {
 			a := l.do(ctx, &logCall{Members: group})
-			return a.Members, a.err()
+			return a.members(), a.err()
 		},
 	}
 }
@@ -251,13 +258,11 @@
 
 // run learns the peers, and probes the direct path while it fails.
 func (l *peerLog) run() {
-	var readAt time.Time
 	for l.g.ctx.Err() == nil {
 		if l.directFails() {
 			l.g.wg.Go(l.probe)
-		} else if time.Since(readAt) > membersInterval {
+		} else if l.membersDue() {
 			l.readMembers()
-			readAt = time.Now()
 		}
 		l.closeIdle(boottime.Now())
 		backoff.Sleep(l.g.ctx, probeInterval)
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -73,7 +73,7 @@
 			return l.Join(ctx, q)
 		},
 		Leave: l.Leave,
-		Members: func(ctx context.Context, group string) ([]string, error) {
+		Members: func(ctx context.Context, group string) ([]partitionlog.Member, error) {
 			if cut.Load() {
 				return nil, fail(ctx)
 			}
--- a/pier/gateway/peerpath.go
+++ b/pier/gateway/peerpath.go
@@ -109,16 +109,54 @@
 	}
 	l.g.limits.setHosts(a.Members)
 	var peers []netip.AddrPort
-	for _, m := range a.Members {
-		if p, ok := peerAddress(m); ok {
-			peers = append(peers, p)
+	holders := make(map[int]netip.AddrPort)
+	for _, m := range a.members() {
+		p, ok := peerAddress(m.Name)
+		if !ok {
+			continue
+		}
+		peers = append(peers, p)
+		for _, x := range m.Parts {
+			holders[x.Number] = p
 		}
 	}
 	l.mu.Lock()
 	l.paths.SetPeers(peers)
+	l.holders, l.membersStale = holders, false
 	l.mu.Unlock()
 }
 
+// membersDue reports whether the group's members should be read, and notes that they are.
+func (l *peerLog) membersDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	interval := membersInterval
+	if l.membersStale {
+		interval = staleMembersInterval
+	}
+	if time.Since(l.membersAt) < interval {
+		return false
+	}
+	l.membersAt = time.Now()
+	return true
+}
+
+// holder returns the peer address of the host to which the log assigned a partition of the journal,
+// as last read. ok is false if none is known, or it is this host.
+func (l *peerLog) holder(part int) (a netip.AddrPort, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok = l.holders[part]
+	return a, ok && a != l.g.self.Peers
+}
+
+// holderFailed notes that the holder of a partition did not answer, or no longer holds it.
+func (l *peerLog) holderFailed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.membersStale = true
+}
+
 // peerAddress returns the peer address in the name of a member, as hostID makes it.
 func peerAddress(member string) (netip.AddrPort, bool) {
 	i := strings.LastIndexByte(member, '@')
--- a/pier/gateway/preferreddriver.go
+++ b/pier/gateway/preferreddriver.go
@@ -96,6 +96,15 @@
 	}
 }
 
+// readingDone returns a channel that is closed once the preferred drivers were read again, nil if those
+// known are recent.
+func (p *preferred) readingDone() <-chan struct{} {
+	if r := p.startReading(); r != nil {
+		return r.done
+	}
+	return nil
+}
+
 // startReading returns the reading in progress, which it begins if need be. It returns nil if the
 // drivers known are recent.
 func (p *preferred) startReading() *driversReading {
@@ -130,6 +139,19 @@
 	}
 }
 
+// others returns the preferred drivers but this host, by host.
+func (p *preferred) others() map[string]stepjournal.Driver {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := make(map[string]stepjournal.Driver)
+	for _, x := range p.all {
+		if x.Driver.Host != p.g.self.Host {
+			r[x.Driver.Host] = x.Driver
+		}
+	}
+	return r
+}
+
 // readAll reads the preferred drivers and the end offset of their topic.
 func (p *preferred) readAll() (map[string]driverRecord, int64, error) {
 	all := make(map[string]driverRecord)
--- a/pier/gateway/preferreddriver_test.go
+++ b/pier/gateway/preferreddriver_test.go
@@ -77,7 +77,7 @@
 // step.
 func TestHostCutOffDrivesNothing(t *testing.T) {
 	l := newLog().Functions()
-	l.Members = func(ctx context.Context, _ string) ([]string, error) {
+	l.Members = func(ctx context.Context, _ string) ([]partitionlog.Member, error) {
 		<-ctx.Done()
 		return nil, outcome.Ambiguous(outcome.ReasonSilent, "log", ctx.Err())
 	}
--- a/pier/gateway/readback_test.go
+++ b/pier/gateway/readback_test.go
@@ -124,7 +124,7 @@
 			return s.log.Join(ctx, q)
 		},
 		Leave: s.log.Leave,
-		Members: func(ctx context.Context, group string) ([]string, error) {
+		Members: func(ctx context.Context, group string) ([]partitionlog.Member, error) {
 			if err := s.begin(ctx); err != nil {
 				return nil, err
 			}
--- a/pier/gateway/roster.go
+++ b/pier/gateway/roster.go
@@ -69,5 +69,13 @@
 func (l *limits) readHosts() ([]string, error) {
 	ctx, cancel := context.WithTimeout(l.g.ctx, rosterTimeout)
 	defer cancel()
-	return l.g.c.Log.Members(ctx, watchGroup)
+	members, err := l.g.c.Log.Members(ctx, watchGroup)
+	if err != nil {
+		return nil, err
+	}
+	var r []string
+	for _, m := range members {
+		r = append(r, m.Name)
+	}
+	return r, nil
 }
--- a/pier/gateway/slowlog_test.go
+++ b/pier/gateway/slowlog_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +17,7 @@
 	"mulberrypier.example/pier/memlog"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/stepjournal"
 )
 
@@ -121,6 +124,102 @@
 	return r
 }
 
+// A page of results was dropped as its reader left, and the next reader began anew.
+func TestPageIsKeptThoughItsReaderLeft(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	var pages atomic.Int64
+	g := newHost(t, "a", slowLog(l.Functions(), 300*time.Millisecond, &pages))
+	v := g.journal.get("s")
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := v.records(ctx, 1, 1)
+	require.Error(t, err)
+	start := time.Now()
+	b, err := v.records(context.Background(), 1, 1)
+	require.NoError(t, err)
+	require.Len(t, b, 1)
+	require.Less(t, time.Since(start), 300*time.Millisecond)
+	require.EqualValues(t, 1, pages.Load())
+}
+
+// makeHolder makes a host known to another as the one that holds all partitions.
+func (g *Gateway) makeHolder(x *Gateway) {
+	var all []int
+	g.peerLog.mu.Lock()
+	defer g.peerLog.mu.Unlock()
+	g.peerLog.holders = make(map[int]netip.AddrPort)
+	for n := range testParts {
+		all = append(all, n)
+		g.peerLog.holders[n] = x.self.Peers
+	}
+	x.watch.assign(all)
+}
+
+// A host that had just started read the log by itself though the holder of the partition had the
+// step at hand, and had no time left for the results.
+func TestHolderOfAPartitionAnswersForOthers(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	var pages atomic.Int64
+	a, b := newHost(t, "a", slowLog(l.Functions(), 600*time.Millisecond, &pages)), newHost(t, "b", l.Functions())
+	b.listenPeers(t)
+	a.makeHolder(b)
+	require.NoError(t, b.journal.follow("s").sync(context.Background()))
+	start := time.Now()
+	p, err := a.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, p.Results, 2)
+	_, err = a.Body(context.Background(), "s", "s-0")
+	require.NoError(t, err)
+	require.NoError(t, a.End(context.Background(), "s"))
+	require.Less(t, time.Since(start), 1200*time.Millisecond)
+	require.Zero(t, pages.Load())
+}
+
+// A read at one host must leave something for the next, which goes to another: the holder of the
+// partition follows it once it was asked.
+func TestHolderFollowsAPartitionOnceItWasAsked(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	var pages atomic.Int64
+	slow := slowLog(l.Functions(), 700*time.Millisecond, &pages)
+	holder := newHost(t, "holder", slow)
+	holder.listenPeers(t)
+	read := func() error {
+		g := newHost(t, "cold", slow)
+		g.makeHolder(holder)
+		_, err := g.Results(context.Background(), "s", 0, 0)
+		return err
+	}
+	require.Error(t, read())
+	require.Eventually(t, func() bool { return read() == nil }, 5*time.Second, time.Millisecond)
+}
+
+// The holder says that it knows the step and is silent then. The log must be read meanwhile.
+func TestSilentHolderDoesNotDelayTheLog(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b.self.Peers = netip.MustParseAddrPort(n.Addr().String())
+	b.server = peer.NewServer(peer.ServerConfig{Listener: n, Handler: func(ctx context.Context, r *peer.Request) (any, error) {
+		var q stepQuery
+		if err := peer.Decode(r.Body, &q); err != nil || !q.Knows {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return &stepAnswer{Total: 2}, nil
+	}})
+	a.makeHolder(b)
+	start := time.Now()
+	p, err := a.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, p.Results, 2)
+	require.Less(t, time.Since(start), time.Second)
+}
+
 // Half of the time of a call was kept for a peer, and the other half was too short for an answer: no
 // host could stay in the group, which then assigned its partitions to nobody.
 func TestHostsStayInTheGroupOfASlowLog(t *testing.T) {
--- a/pier/gateway/stepquery_test.go
+++ b/pier/gateway/stepquery_test.go
@@ -19,13 +19,13 @@
 		want queryAction
 	}{
 		"nobody knows the step":     {results, nil, readLog},
-		"known":                     {results, &stepAnswer{Total: 3}, askDriver},
+		"known":                     {results, &stepAnswer{Total: 3}, askKnowing},
 		"known, all read":           {results, &stepAnswer{Total: 2}, useAnswer},
 		"results of an older host":  {results, &stepAnswer{Total: 3, Results: []*stepjournal.Result{{}}}, useAnswer},
-		"body wanted":               {body, &stepAnswer{Total: 3}, askDriver},
+		"body wanted":               {body, &stepAnswer{Total: 3}, askKnowing},
 		"body of an older host":     {body, &stepAnswer{Body: []byte("b")}, useAnswer},
 		"nobody can have the body":  {body, nil, readLog},
-		"known with no wait at all": {stepQuery{Step: "s"}, &stepAnswer{Total: 1}, askDriver},
+		"known with no wait at all": {stepQuery{Step: "s"}, &stepAnswer{Total: 1}, askKnowing},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, c.q.next(c.a)) })
--- a/pier/gateway/stepread.go
+++ b/pier/gateway/stepread.go
@@ -24,9 +24,7 @@
 const (
 	// stageNone is the time outside all other stages.
 	stageNone readStage = ""
-	// stageLookup is the lookup of the preferred drivers in the log.
-	stageLookup readStage = "lookup"
-	// stageDrivers is the wait for the answers of the preferred drivers.
+	// stageDrivers is the wait for the answers of hosts that may know the step, before the log is read.
 	stageDrivers readStage = "drivers"
 	// stageReplay is the replay of the step's partition up to its end.
 	stageReplay readStage = "replay"
@@ -45,7 +43,7 @@
 	lastError error
 }
 
-// stepRead follows a read of a step through its stages. It is used by one goroutine.
+// stepRead follows a read of a step through its stages. One goroutine after the other enters them.
 type stepRead struct {
 	reads *stepReads
 	// call names the read, id the step.
@@ -53,10 +51,13 @@
 	// wait is how long the read may wait for new results.
 	wait      time.Duration
 	startedAt time.Time
-	// stage is the stage since enteredAt.
+	mu        sync.Mutex
+	// stage is the stage since enteredAt, took the time of each stage before. ended is set once the
+	// read has ended, though parts of it may go on.
 	stage     readStage
 	enteredAt time.Time
 	took      map[readStage]time.Duration
+	ended     bool
 	// view is the step's partition, before what was read of it when the read began.
 	view   *view
 	before replayCount
@@ -96,19 +97,31 @@
 // enterStage notes that the read of a step that ctx belongs to, if any, enters a stage. The
 // returned function goes back to the stage before.
 func enterStage(ctx context.Context, s readStage) func() {
-	r, ok := ctx.Value(stepReadKey{}).(*stepRead)
-	if !ok {
+	r, _ := ctx.Value(stepReadKey{}).(*stepRead)
+	if r == nil {
 		return func() {}
 	}
-	before := r.stage
-	r.enter(s)
+	before := r.enter(s)
 	return func() { r.enter(before) }
 }
 
-func (r *stepRead) enter(s readStage) {
+// withoutStages returns a context of the same read whose stages are not noted.
+func withoutStages(ctx context.Context) context.Context {
+	return context.WithValue(ctx, stepReadKey{}, (*stepRead)(nil))
+}
+
+// enter enters a stage and returns the one before.
+func (r *stepRead) enter(s readStage) (before readStage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before = r.stage
+	if r.ended {
+		return before
+	}
 	now := time.Now()
 	r.took[r.stage] += now.Sub(r.enteredAt)
 	r.stage, r.enteredAt = s, now
+	return before
 }
 
 // longest returns the stage in which the read spent most of its time.
@@ -125,6 +138,9 @@
 // end ends the read with its error, if any.
 func (r *stepRead) end(err error) {
 	r.enter(stageNone)
+	r.mu.Lock()
+	r.ended = true
+	r.mu.Unlock()
 	m := r.reads.g.metrics
 	for s, d := range r.took {
 		if s != stageNone {
@@ -154,7 +170,7 @@
 		zap.Int("pages", n.pages-r.before.pages), zap.Int("bytes", n.bytes-r.before.bytes),
 		zap.Int("pages-given-up", n.givenUp-r.before.givenUp),
 	}
-	for _, s := range []readStage{stageLookup, stageDrivers, stageReplay, stageWait, stageRecords} {
+	for _, s := range []readStage{stageDrivers, stageReplay, stageWait, stageRecords} {
 		if d, ok := r.took[s]; ok {
 			f = append(f, zap.Duration(string(s), d))
 		}
--- a/pier/gateway/stepread_test.go
+++ b/pier/gateway/stepread_test.go
@@ -75,6 +75,6 @@
 }
 
 func TestStepReadLongestStage(t *testing.T) {
-	r := &stepRead{took: map[readStage]time.Duration{stageLookup: 2, stageReplay: 3, stageWait: 1}}
+	r := &stepRead{took: map[readStage]time.Duration{stageDrivers: 2, stageReplay: 3, stageWait: 1}}
 	require.Equal(t, stageReplay, r.longest())
 }
--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,7 +16,7 @@
 	resultsSlack = 1200 * time.Millisecond
 	// bodyTimeout and endTimeout bound the time to read a body and to end a step, of which
 	// knowTimeout may pass until it is known that there is such a step.
-	bodyTimeout = 2 * time.Second
+	bodyTimeout = resultsSlack
 	endTimeout  = 2200 * time.Millisecond
 	knowTimeout = 1200 * time.Millisecond
 	// listTime bounds the time to read further results once there is one to answer with.
@@ -41,23 +40,12 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+resultsSlack)
 	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "results", id, wait)
-	p, err := g.results(ctx, id, after, wait)
+	a, err := g.readStep(ctx, stepQuery{Step: id, After: after, Wait: wait})
 	r.end(err)
-	return p, err
-}
-
-func (g *Gateway) results(ctx context.Context, id string, after int, wait time.Duration) (*ResultPage, error) {
-	began := time.Now()
-	if _, ok := g.journal.following(id); !ok {
-		if a, ok := g.preferred.queryStep(ctx, stepQuery{Step: id, After: after, Wait: wait}); ok {
-			return &ResultPage{Total: a.Total, Results: a.Results}, nil
-		}
-	}
-	v := g.journal.follow(id)
-	if err := v.ensureKnown(ctx, id); err != nil {
+	if err != nil {
 		return nil, err
 	}
-	return v.results(ctx, id, after, max(wait-time.Since(began), 0))
+	return &ResultPage{Total: a.Total, Results: a.Results}, nil
 }
 
 // results is Results for a step that the view knows.
@@ -176,18 +164,12 @@
 	ctx, cancel := context.WithTimeout(ctx, bodyTimeout)
 	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "body", id, 0)
-	b, err := g.body(ctx, id, item)
+	a, err := g.readStep(ctx, stepQuery{Step: id, Item: item})
 	r.end(err)
-	return b, err
-}
-
-func (g *Gateway) body(ctx context.Context, id, item string) ([]byte, error) {
-	if _, ok := g.journal.following(id); !ok {
-		if a, ok := g.preferred.queryStep(ctx, stepQuery{Step: id, Item: item}); ok {
-			return a.Body, nil
-		}
+	if err != nil {
+		return nil, err
 	}
-	return g.journal.follow(id).body(ctx, id, item)
+	return a.Body, nil
 }
 
 // body reads the body of an item from the log.
@@ -262,13 +244,6 @@
 func (g *Gateway) viewToEnd(ctx context.Context, id string) (*view, error) {
 	ctx, cancel := context.WithTimeout(ctx, knowTimeout)
 	defer cancel()
-	v, ok := g.journal.following(id)
-	if ok {
-		return v, nil
-	}
-	if _, ok := g.preferred.queryStep(ctx, stepQuery{Step: id, After: math.MaxInt32}); ok {
-		return v, nil
-	}
-	v.use()
-	return v, v.ensureKnown(ctx, id)
+	_, err := g.readStep(ctx, stepQuery{Step: id, Knows: true})
+	return g.journal.get(id), err
 }
--- a/pier/gateway/view.go
+++ b/pier/gateway/view.go
@@ -46,6 +46,8 @@
 	checkpoint checkpointing
 	// replay counts what was read to replay the partition.
 	replay replayCount
+	// pages holds the pages of records that are being read, by their first offset.
+	pages map[int64]*pageRead
 	// queue holds records to append; flushing is set while flush appends them.
 	queue    [][]byte
 	flushing bool
--- a/pier/memlog/memlog.go
+++ b/pier/memlog/memlog.go
@@ -41,6 +41,8 @@
 type group struct {
 	generation int64
 	members    []member
+	// topics are those whose partitions the members share.
+	topics []string
 }
 
 // member is a member of a group. It stays in the group until its membership expires.
@@ -254,13 +256,8 @@
 	if len(g.members) != n || index == n {
 		g.generation++
 	}
-	r := partitionlog.Membership{Generation: g.generation}
-	for _, t := range q.Topics {
-		for i := index; i < l.partitionCount; i += len(g.members) {
-			r.Parts = append(r.Parts, partitionlog.Partition{Topic: t, Number: i})
-		}
-	}
-	return r, nil
+	g.topics = q.Topics
+	return partitionlog.Membership{Generation: g.generation, Parts: l.partsOf(g, index)}, nil
 }
 
 func (l *Log) leave(_ context.Context, groupName, name string) error {
@@ -278,7 +275,7 @@
 	return nil
 }
 
-func (l *Log) groupMembers(_ context.Context, name string) ([]string, error) {
+func (l *Log) groupMembers(_ context.Context, name string) ([]partitionlog.Member, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -288,9 +285,20 @@
 	if g == nil {
 		return nil, nil
 	}
-	var r []string
-	for _, m := range g.members[:min(len(g.members), l.partitionCount)] {
-		r = append(r, m.name)
+	var r []partitionlog.Member
+	for i, m := range g.members[:min(len(g.members), l.partitionCount)] {
+		r = append(r, partitionlog.Member{Name: m.name, Parts: l.partsOf(g, i)})
 	}
 	return r, nil
 }
+
+// partsOf returns the partitions of the member at an index of a group. The caller holds mu.
+func (l *Log) partsOf(g *group, index int) []partitionlog.Partition {
+	var r []partitionlog.Partition
+	for _, t := range g.topics {
+		for i := index; i < l.partitionCount; i += len(g.members) {
+			r = append(r, partitionlog.Partition{Topic: t, Number: i})
+		}
+	}
+	return r
+}
--- a/pier/partitionlog/partitionlog.go
+++ b/pier/partitionlog/partitionlog.go
@@ -109,6 +109,13 @@
 	Parts []Partition
 }
 
+// Member is a member of a consumer group.
+type Member struct {
+	Name string
+	// Parts are the partitions that are assigned to the member, at least one.
+	Parts []Partition
+}
+
 // Log is the interface to a partitioned log, as a set of functions. Their errors are
 // *outcome.Error. The outcome is not-run if the call had and will have no effect, and unknown
 // if it may have taken effect or may still do so.
@@ -130,7 +137,7 @@
 	// Leave removes a member from a consumer group.
 	Leave func(ctx context.Context, group, member string) error
 	// Members returns the members of a consumer group that hold partitions, each once.
-	Members func(ctx context.Context, group string) ([]string, error)
+	Members func(ctx context.Context, group string) ([]Member, error)
 }
 
 // DecodeKeyed decodes a record of a keyed topic into key and value. It returns false if the
