A step is not taken over from a driver that still reads the log

The holder of the partition asks the driver twice within 0.5 s whether it runs the step; the driver still reads whether it is the driver, which takes two calls.

A host now says from the hand-off on that it runs the step. TestDriverThatReadsTheJournalIsNotGone fails before.

--- a/pier/gateway/handoff.go
+++ b/pier/gateway/handoff.go
@@ -71,7 +71,11 @@
 	if r == nil {
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, s.ID)
 	}
-	p.g.wg.Go(func() { p.driveHandedOff(r, s, m.Host) })
+	end := p.start(s.ID)
+	p.g.wg.Go(func() {
+		defer end()
+		p.driveHandedOff(r, s, m.Host)
+	})
 	return nil, nil
 }
 
--- a/pier/gateway/slowlog_test.go
+++ b/pier/gateway/slowlog_test.go
@@ -236,3 +236,26 @@
 	}
 	require.Zero(t, metric(t, a, `log_calls_via_peers_total{result="answered"}`))
 }
+
+// A step was taken over from a driver that had just got it, as it still read from a slow log whether
+// it is the driver.
+func TestDriverThatReadsTheJournalIsNotGone(t *testing.T) {
+	l := newLog()
+	var pages atomic.Int64
+	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", slowLog(l.Functions(), 600*time.Millisecond, &pages))
+	for _, g := range []*Gateway{a, b} {
+		g.table(nil)
+		g.listenPeers(t)
+	}
+	b.preferred.claim("m")
+	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 1)))
+	var q drivingQuery
+	q.Steps = []string{"s"}
+	require.Eventually(t, func() bool {
+		x := a.watch.queryDriving(b.self.Peers, q)
+		return len(x.Driving) == 1 && x.Driving[0]
+	}, 300*time.Millisecond, 10*time.Millisecond)
+	require.False(t, b.steps.isDriving("s"))
+	require.Eventually(t, func() bool { return b.steps.isDriving("s") }, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !b.steps.isStarting("s") }, time.Second, time.Millisecond)
+}
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -27,9 +27,35 @@
 	mu sync.Mutex
 	// running holds the drivers of the steps that this host runs, by step ID.
 	running map[string]*stepDriver
+	// starting counts the goroutines that read whether this host is the driver of a step, and are about
+	// to run it then, by step ID.
+	starting map[string]int
 }
 
-func newSteps(g *Gateway) *steps { return &steps{g: g, running: make(map[string]*stepDriver)} }
+func newSteps(g *Gateway) *steps {
+	return &steps{g: g, running: make(map[string]*stepDriver), starting: make(map[string]int)}
+}
+
+// start notes that this host is about to run a step. The returned function ends that.
+func (p *steps) start(id string) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starting[id]++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.starting[id]--; p.starting[id] == 0 {
+			delete(p.starting, id)
+		}
+	}
+}
+
+// isStarting reports whether this host is about to run a step.
+func (p *steps) isStarting(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starting[id] > 0
+}
 
 // Accept accepts a step. A nil error means that the step is stored in the log. Errors are
 // of type *outcome.Error; the outcome not-run means that no part of the step will run.
@@ -78,7 +104,11 @@
 				zap.Int("items", len(s.Items)), zap.Int64("offset", a.First),
 				zap.String("driver", driver.Host))
 			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			p.g.wg.Go(func() { p.dispatch(r, s, v, driver, claim) })
+			end := p.start(s.ID)
+			p.g.wg.Go(func() {
+				defer end()
+				p.dispatch(r, s, v, driver, claim)
+			})
 			return nil
 		}
 		e := outcome.AsError(err)
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -78,8 +78,8 @@
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
 
-// answerDriving reports which steps this host runs, or has records for that are not in the
-// log yet.
+// answerDriving reports which steps this host runs, is about to run, or has records for that are not
+// in the log yet.
 func (g *Gateway) answerDriving(q *peer.Request) (any, error) {
 	var m drivingQuery
 	if err := peer.Decode(q.Body, &m); err != nil {
@@ -87,7 +87,7 @@
 	}
 	a := drivingAnswer{Host: g.self.Host}
 	for _, s := range m.Steps {
-		a.Driving = append(a.Driving, g.steps.watched(s) || g.journal.get(s).hasPending())
+		a.Driving = append(a.Driving, g.steps.watched(s) || g.steps.isStarting(s) || g.journal.get(s).hasPending())
 	}
 	return &a, nil
 }
