Loads are ordered though the log is slow

An order had to be sent within 0.4 s after its record was, which the log takes to acknowledge it.

A record now says by how much its order may be later (twice the latency of the log, at most 1.2 s, nothing at a quick one), and others wait for that much longer before they take the lease, so that the last order of a holder still comes a lease time before the first of its successor. A host of an earlier version does not know the slack: beside one, the two may come as much nearer to each other.

--- a/pier/gateway/leaseappend.go
+++ b/pier/gateway/leaseappend.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithTimeout(o.g.ctx, readSlack)
+	ctx, cancel := context.WithTimeout(o.g.ctx, o.g.peerLog.limit(readSlack))
 	defer cancel()
 	q := partitionlog.AppendRequest{
 		Partition: partitionlog.Partition{Topic: orderlease.Topic}, Records: [][]byte{b},
--- a/pier/gateway/loads.go
+++ b/pier/gateway/loads.go
@@ -114,7 +114,7 @@
 	}
 	n := &activeLoad{load: l, startedAt: time.Now(), concurrent: len(o.inProgress) + 1}
 	o.inProgress[l.Server] = n
-	t := term{fence: o.lease.Fence(), until: o.sent + orderlease.SafetyMargin}
+	t := term{fence: o.lease.Fence(), until: min(o.sent+orderlease.SafetyMargin+o.slack, o.lease.Until())}
 	o.g.wg.Go(func() {
 		n.busy, n.err = o.carryOut(s, l, t)
 		select {
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -47,6 +47,8 @@
 	appends int64
 	// sent is the time since boot at which this host last sent a record that was appended.
 	sent time.Duration
+	// slack is the slack of that record.
+	slack time.Duration
 }
 
 func newOrders(g *Gateway) *orders {
@@ -153,6 +155,7 @@
 	o.appends++
 	r := orderlease.Record{
 		Holder: o.g.self.Host, HostID: o.g.hostID(), Append: o.appends, Load: l, Limits: o.notices.next(sent),
+		Slack: orderSlack(o.g.peerLog.latency()),
 	}
 	if o.lease.Holds(sent) {
 		r.Fence = o.lease.Fence()
@@ -168,7 +171,7 @@
 	o.g.logHealth.answered(orderlease.Topic)
 	held := o.lease.Holds(sent)
 	o.lease.AppendSucceeded(offset, sent)
-	o.sent = sent
+	o.sent, o.slack = sent, r.Slack
 	o.notices.setHolder(o.g.hostID())
 	o.notices.done(len(r.Limits))
 	if !held {
@@ -177,6 +180,15 @@
 	return true
 }
 
+// orderSlack returns the slack of a record at a log with some latency. Within SafetyMargin there is
+// room for a quick one.
+func orderSlack(latency time.Duration) time.Duration {
+	if latency < orderlease.SafetyMargin/4 {
+		return 0
+	}
+	return min(2*latency, orderlease.MaxSlack)
+}
+
 // renewalDue reports whether the holder should renew the lease, or tell all hosts of limits.
 func (o *orders) renewalDue(now time.Duration) bool {
 	d := renewInterval
--- a/pier/orderlease/orderlease.go
+++ b/pier/orderlease/orderlease.go
@@ -27,6 +27,9 @@
 // take the lease. An order in flight must arrive before a successor may send its own.
 const SafetyMargin = 400 * time.Millisecond
 
+// MaxSlack bounds Record.Slack.
+const MaxSlack = 1200 * time.Millisecond
+
 // Load is an order to a server to load a version of a model.
 type Load struct {
 	Server  string `msgpack:"s"`
@@ -58,6 +61,10 @@
 	// Fence is the fencing token of the term, 0 in the term's first record.
 	Fence int64 `msgpack:"f,omitempty"`
 	Load  *Load `msgpack:"l,omitempty"`
+	// Slack is by how much the order that the record announces may be later than SafetyMargin after
+	// the record was sent, since the log is slow to acknowledge it. Others wait for that much longer
+	// before they take the lease.
+	Slack time.Duration `msgpack:"k,omitempty"`
 	// Limits holds limits of servers of which all hosts are to learn.
 	Limits []Limit `msgpack:"x,omitempty"`
 }
@@ -105,8 +112,9 @@
 	// holder and hostID are the Holder and the HostID of the newest record.
 	holder string
 	hostID string
-	// lastRead is when the newest record was read or, if it is this host's own, sent.
-	lastRead time.Duration
+	// takeFrom is the time from which on the lease may be taken from another host: the lease duration,
+	// SafetyMargin and the record's slack after each of the records was read.
+	takeFrom time.Duration
 	// fence is the fencing token of this host's latest term, and until the time at which
 	// that term ends; 0 if this host does not hold the lease.
 	fence int64
@@ -130,7 +138,8 @@
 	if offset < l.next {
 		return
 	}
-	l.next, l.holder, l.hostID, l.lastRead = offset+1, r.Holder, r.HostID, now
+	l.next, l.holder, l.hostID = offset+1, r.Holder, r.HostID
+	l.wait(now + min(max(r.Slack, 0), MaxSlack))
 	if r.Holder != l.c.Host {
 		l.until = 0
 	}
@@ -141,7 +150,8 @@
 // counts as held from now on.
 func (l *Lease) SkipTo(offset int64, now time.Duration) {
 	if offset > l.next {
-		l.next, l.lastRead, l.hostID = offset, now, ""
+		l.next, l.hostID = offset, ""
+		l.wait(now)
 		if l.holder == "" {
 			l.holder = "unknown"
 		}
@@ -158,9 +168,12 @@
 	if l.OwnsNewest() {
 		return true
 	}
-	return now-l.lastRead >= l.c.TTL+SafetyMargin
+	return now >= l.takeFrom
 }
 
+// wait has this host leave the lease to others until its duration has passed since t.
+func (l *Lease) wait(t time.Duration) { l.takeFrom = max(l.takeFrom, t+l.c.TTL+SafetyMargin) }
+
 // HolderHost returns the HostID of the newest record, or "" if it is not known.
 func (l *Lease) HolderHost() string { return l.hostID }
 
@@ -176,12 +189,16 @@
 		l.fence = offset + 1
 	}
 	bug.Assert(offset >= l.next, bug.MonotoneRevision, "lease record appended at offset %d, before the expected offset %d", offset, l.next)
-	l.next, l.holder, l.hostID, l.lastRead = offset+1, l.c.Host, l.c.HostID, sent
+	l.next, l.holder, l.hostID = offset+1, l.c.Host, l.c.HostID
+	l.wait(sent)
 	l.until = sent + l.c.TTL - SafetyMargin
 }
 
 // Holds reports whether this host holds the lease at now and may give orders.
 func (l *Lease) Holds(now time.Duration) bool { return now < l.until }
 
+// Until returns the time at which this host's term ends, 0 if it does not hold the lease.
+func (l *Lease) Until() time.Duration { return l.until }
+
 // Fence returns the fencing token of this host's latest term, 0 if it had none.
 func (l *Lease) Fence() int64 { return l.fence }
--- a/pier/orderlease/orderlease_test.go
+++ b/pier/orderlease/orderlease_test.go
@@ -35,6 +35,7 @@
 			})}
 		}
 		lastFence, lastHolder := int64(0), ""
+		lastOrder, lastOrderBy := time.Duration(-ttl), ""
 		for n := range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pass")) * time.Millisecond
 			i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
@@ -74,6 +75,7 @@
 					continue
 				}
 				r, at, sent := &Record{Holder: h.c.Host, HostID: h.c.HostID}, h.NextOffset(), now
+				r.Slack = time.Duration(rapid.IntRange(0, int(MaxSlack)).Draw(t, "slack"))
 				switch rapid.IntRange(0, 3).Draw(t, "answer") {
 				case 0:
 					appendAt(at, r)
@@ -82,6 +84,10 @@
 				default:
 					if appendAt(at, r) {
 						h.AppendSucceeded(at, sent)
+						if h.c.HostID != lastOrderBy {
+							require.GreaterOrEqual(t, sent-lastOrder, ttl, "orders of two hosts")
+						}
+						lastOrder, lastOrderBy = max(lastOrder, min(sent+SafetyMargin+r.Slack, h.Until())), h.c.HostID
 					} else {
 						read()
 					}
@@ -113,6 +119,34 @@
 	require.True(t, b.MayAppend(ttl+SafetyMargin+5*time.Millisecond))
 }
 
+// The last order of a holder whose log is slow may be as late as the slack of its record says. Others
+// must wait for the lease duration from then on, also if later records have less slack.
+func TestOthersWaitForTheSlackOfARecord(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		// slack holds that of records sent and read every 100 ms.
+		slack []time.Duration
+		want  time.Duration
+	}{
+		"none":           {[]time.Duration{0}, ttl + SafetyMargin},
+		"slack":          {[]time.Duration{800 * ms}, ttl + SafetyMargin + 800*ms},
+		"less, then":     {[]time.Duration{800 * ms, 0, 0}, ttl + SafetyMargin + 800*ms},
+		"more, then":     {[]time.Duration{0, 800 * ms}, ttl + SafetyMargin + 900*ms},
+		"far too much":   {[]time.Duration{time.Hour}, ttl + SafetyMargin + MaxSlack},
+		"less than none": {[]time.Duration{-time.Hour}, ttl + SafetyMargin},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := New(Config{Host: "b", HostID: "b", TTL: ttl})
+			for i, d := range c.slack {
+				l.Read(int64(i), &Record{Holder: "a", HostID: "a", Slack: d}, time.Duration(i)*100*ms)
+			}
+			require.False(t, l.MayAppend(c.want-1))
+			require.True(t, l.MayAppend(c.want))
+		})
+	}
+}
+
 // All hosts lose power. The host that held the lease takes it again as soon as it has
 // restarted, with a higher fencing token. Other hosts wait for the lease to expire, also one
 // of the same name at another address.
