A step whose results are on their way to the log is not run again

The host that holds a partition and drives one of its steps itself looks each 250 ms whether it still drives it. Once the last sample had ended it does not, though the results may wait for their append (a log that refuses, is slow or loses answers), or be appended and not read back yet. Their results came second and counted for nothing, but servers ran the items again and the log got every result again.

--- /dev/null
+++ b/pier/gateway/journalqueue_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// failAppends returns a log whose appends to the journal fail as fails says.
+func failAppends(l partitionlog.Log, fails func(q partitionlog.AppendRequest) error) partitionlog.Log {
+	appendRecords := l.Append
+	l.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		if q.Partition.Topic == stepjournal.Topic {
+			if err := fails(q); err != nil {
+				return partitionlog.AppendResult{}, err
+			}
+		}
+		return appendRecords(ctx, q)
+	}
+	return l
+}
+
+// Guards against a host that runs the samples of a step again while their results wait for the log,
+// or are in the log and not read back yet.
+func TestStepWithResultsOnTheirWayIsNotResumed(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	tests := map[string]struct {
+		refused   bool
+		readsLate time.Duration
+	}{
+		"log refuses appends": {refused: true},
+		"log is read late":    {readsLate: delay},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			var refused atomic.Bool
+			l := failAppends(newLog().Functions(), func(q partitionlog.AppendRequest) error {
+				if refused.Load() {
+					return outcome.Refuse(outcome.ReasonLogDown, q.Partition.Topic)
+				}
+				return nil
+			})
+			read := l.Read
+			l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+				p, err := read(ctx, q)
+				backoff.Sleep(ctx, x.readsLate)
+				return p, err
+			}
+			g := newHost(t, "a", l)
+			g.table(nil)
+			e := startServer(t, "e1", "engines", func(_ *server, w http.ResponseWriter, r *http.Request) { stream(w, r, 1, 1, 0) })
+			require.NoError(t, g.Accept(context.Background(), route(g), newStep("s", 2)))
+			v := g.journal.follow("s")
+			require.NoError(t, v.ensureKnown(context.Background(), "s"))
+			refused.Store(x.refused)
+			g.register(e.Server)
+			g.watch.partitions = []int{v.n}
+			require.Eventually(t, func() bool { return len(e.runs()) == 2 && g.steps.count() == 0 }, 5*time.Second, time.Millisecond)
+			for range 5 {
+				g.watch.checkSteps()
+				time.Sleep(delay / 10)
+			}
+			refused.Store(false)
+			require.Len(t, waitResults(t, g, "s", 2), 2)
+			require.Len(t, e.runs(), 2)
+		})
+	}
+}
--- a/pier/gateway/takeover.go
+++ b/pier/gateway/takeover.go
@@ -40,9 +40,14 @@
 	p.startDriving(r, s, v)
 }
 
-// resume runs a step of which this host is the driver according to the journal.
+// resume runs a step of which this host is the driver according to the journal. The step's results
+// may be among the records that this host has yet to append, or to read back.
 func (p *steps) resume(v *view, e stepjournal.Entry) {
-	if p.isDriving(e.ID) {
+	if p.isDriving(e.ID) || v.hasPending() {
+		return
+	}
+	n, known := p.synced(v, e.ID)
+	if !known || !n.Open() || n.Driver.Host != p.g.self.Host {
 		return
 	}
 	if r, s, ok := p.load(v, e.ID); ok {
