Records that were read back are not appended again

An append that the log carries out and answers after the 1.5 s of the queue counted as failed, whatever the host had read in the log meanwhile: the whole batch was appended again after each time-out, directly and through peers, for as long as the log was slow. The host's records waited behind it, and the repeats filled the log, which refuses all appends (507) once it stores 400 MB.

Before a batch whose outcome is unknown is appended again, the queue drops those of its records that would have no effect: results that the view has read back, progress of items that have a result, takeovers of a step that has another driver, ends of an ended step (Fold.Repeats). The property test of histories checks that such a record changes nothing.

--- a/pier/gateway/journalqueue.go
+++ b/pier/gateway/journalqueue.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -63,7 +64,24 @@
 			zap.Int("records", len(b)), zap.Error(err))
 		retrySleep(v.j.g.ctx, end, wait)
 		wait = min(2*wait, maxAppendBackoff)
+		if outcome.AsError(err).Outcome != outcome.NotRun {
+			v.dropRepeats(len(b))
+		}
+	}
+}
+
+// dropRepeats drops those of the first n queued records that the view has read back, or that others
+// made needless. The answer to their append may have been lost, and appended again they fill the log.
+func (v *view) dropRepeats(n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var keep [][]byte
+	for _, b := range v.queue[:n] {
+		if !v.fold.Repeats(b) {
+			keep = append(keep, b)
+		}
 	}
+	v.queue = append(keep, v.queue[n:]...)
 }
 
 // batch returns the records to append next. If there are none, it ends the flush.
--- a/pier/gateway/journalqueue_test.go
+++ b/pier/gateway/journalqueue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,3 +76,45 @@
 		})
 	}
 }
+
+// queueResults queues results of a step of n items, with texts of a size, and returns when all are in
+// the log and none waits.
+func queueResults(t *testing.T, l partitionlog.Log, n, size int, within time.Duration) {
+	t.Helper()
+	g := newHost(t, "a", l)
+	s := newStep("s", n)
+	v := g.journal.follow("s")
+	acceptAt(t, v, s, g.self, time.Now())
+	for i := range n {
+		b, err := stepjournal.Finished(&stepjournal.Result{
+			Step: "s", ItemIndex: i, ID: s.Items[i].ID, State: stepjournal.Completed, Text: strings.Repeat("x", size),
+		})
+		require.NoError(t, err)
+		v.post(b)
+	}
+	require.Eventually(t, func() bool { return !v.hasPending() }, within, 20*time.Millisecond)
+	require.NoError(t, v.sync(context.Background()))
+	e, _, ok := v.entry("s")
+	require.True(t, ok)
+	require.Len(t, e.Results, n)
+}
+
+// Guards against results that are appended again and again to a log that carries appends out and
+// answers too late.
+func TestResultsReadBackAreNotAppendedAgain(t *testing.T) {
+	var appended atomic.Int64
+	l := newLog().Functions()
+	appendRecords := l.Append
+	l.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		a, err := appendRecords(ctx, q)
+		if q.Partition.Topic != stepjournal.Topic || a.First == 0 {
+			return a, err
+		}
+		appended.Add(int64(len(q.Records)))
+		<-ctx.Done()
+		return partitionlog.AppendResult{}, outcome.Ambiguous(outcome.ReasonDeadline, q.Partition.Topic, ctx.Err())
+	}
+	const n = 8
+	queueResults(t, l, n, 1, 4*appendTimeout)
+	require.LessOrEqual(t, appended.Load(), int64(n))
+}
--- a/pier/stepjournal/fold.go
+++ b/pier/stepjournal/fold.go
@@ -169,6 +169,28 @@
 	return nil
 }
 
+// Repeats reports whether a record would have no effect if it were appended now, since the records
+// applied so far have that effect or exclude it. It may be false for such a record.
+func (f *Fold) Repeats(b []byte) bool {
+	e, err := decode(b)
+	if err != nil {
+		return false
+	}
+	s := f.steps[e.Step]
+	if s == nil {
+		return false
+	}
+	switch e.Kind {
+	case kindDriver:
+		return s.Driver.Host != e.PreviousDriver
+	case kindResult, kindProgress:
+		return e.Result != nil && s.HasResult(e.Result.ItemIndex)
+	case kindEnded:
+		return s.Ended
+	}
+	return false
+}
+
 // name notes that the record at an offset names its step. If records were skipped, one that
 // does not begin an unknown step shows that its beginning was among them.
 func (f *Fold) name(offset int64, e *envelope) {
--- a/pier/stepjournal/losses_test.go
+++ b/pier/stepjournal/losses_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,9 +80,24 @@
 	}
 	r := h.draw(t, h.steps[i])
 	h.add(t, r, nil)
+	before, repeats := h.effective(h.steps[i].ID), h.whole.Repeats(r[0])
 	for h.whole.Next < h.end() {
 		_ = h.whole.Apply(h.records[h.whole.Next])
 	}
+	if repeats {
+		require.Equal(t, before, h.effective(h.steps[i].ID), "a record that counted as a repeat had an effect")
+	}
+}
+
+// effective returns what the records of a step have effected, nil if it is unknown.
+func (h *history) effective(id string) *Entry {
+	e := h.whole.Step(id)
+	if e == nil {
+		return nil
+	}
+	c := *e
+	c.last, c.ProgressOffsets, c.hasResult = 0, maps.Clone(e.ProgressOffsets), slices.Clone(e.hasResult)
+	return &c
 }
 
 // draw returns the records of one append.
