Fewer records are appended at once while appends time out

The queue of a partition appended up to 512 KB at once, whatever became of it. Over a link or to a log that takes longer for them than the 1.5 s of an append (half of it where peers are known), every attempt ran out of time, and the same bytes were sent again, also through peers.

After an append of unknown outcome the next one is half as large, down to 16 KB; it grows again while appends take less than a quarter of their time.

--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -11,8 +11,10 @@
 const (
 	// appendTimeout bounds the time of an append to the journal.
 	appendTimeout = 1500 * time.Millisecond
-	// maxAppendBytes bounds the total size of the records of one append.
+	// maxAppendBytes bounds the total size of the records of one append. While appends fail it is
+	// less, down to minAppendBytes.
 	maxAppendBytes = 512 << 10
+	minAppendBytes = 16 << 10
 	// maxCacheBytes bounds the total size of the records that are cached for trainers to read.
 	maxCacheBytes = 768 << 10
 	// maxAppendBackoff bounds the backoff between attempts to append.
--- a/pier/gateway/journalqueue.go
+++ b/pier/gateway/journalqueue.go
@@ -40,21 +40,46 @@
 	}
 }
 
+// appendPace is how a queue is appended: later, and fewer records at once, while appends fail.
+type appendPace struct {
+	wait time.Duration
+	// limit bounds the total size of the records of an append, but for the first.
+	limit int
+}
+
+// done notes that an append took d.
+func (p *appendPace) done(d time.Duration) {
+	p.wait = logRetryDelay
+	if d < appendTimeout/4 {
+		p.limit = min(2*p.limit, maxAppendBytes)
+	}
+}
+
+// failed notes that an append of records of a total size failed. If its outcome is unknown, they may
+// be too many for the time that an append has.
+func (p *appendPace) failed(size int, unknown bool) {
+	p.wait = min(2*p.wait, maxAppendBackoff)
+	if unknown {
+		p.limit = max(min(p.limit, size)/2, minAppendBytes)
+	}
+}
+
 // flush appends the queued records until the queue is empty.
 func (v *view) flush() {
-	wait := logRetryDelay
+	p := appendPace{wait: logRetryDelay, limit: maxAppendBytes}
 	for {
-		b := v.batch()
+		b := v.batch(p.limit)
 		if len(b) == 0 {
 			return
 		}
 		end := v.j.g.peerLog.outageEnd()
+		sent := time.Now()
 		_, err := v.append(v.j.g.ctx, b)
 		if err == nil {
 			v.mu.Lock()
 			v.queue = v.queue[len(b):]
 			v.mu.Unlock()
-			wait = logRetryDelay
+			p.done(time.Since(sent))
 			continue
 		}
 		if v.j.g.ctx.Err() != nil {
@@ -62,9 +87,10 @@
 		}
 		v.j.g.log.Debug("journal: append failed; retrying after a backoff", zap.Int("part", v.n),
 			zap.Int("records", len(b)), zap.Error(err))
-		retrySleep(v.j.g.ctx, end, wait)
-		wait = min(2*wait, maxAppendBackoff)
-		if outcome.AsError(err).Outcome != outcome.NotRun {
+		retrySleep(v.j.g.ctx, end, p.wait)
+		unknown := outcome.AsError(err).Outcome != outcome.NotRun
+		p.failed(encodedSize(b), unknown)
+		if unknown {
 			v.dropRepeats(len(b))
 		}
 	}
@@ -84,12 +110,13 @@
 	v.queue = append(keep, v.queue[n:]...)
 }
 
-// batch returns the records to append next. If there are none, it ends the flush.
-func (v *view) batch() [][]byte {
+// batch returns the records to append next, up to a total size but at least one. If there are none, it
+// ends the flush.
+func (v *view) batch(limit int) [][]byte {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	n, size := 0, 0
-	for n < len(v.queue) && (n == 0 || size+len(v.queue[n]) <= maxAppendBytes) {
+	for n < len(v.queue) && (n == 0 || size+len(v.queue[n]) <= limit) {
 		size += len(v.queue[n])
 		n++
 	}
--- a/pier/gateway/journalqueue_test.go
+++ b/pier/gateway/journalqueue_test.go
@@ -118,3 +118,18 @@
 	queueResults(t, l, n, 1, 4*appendTimeout)
 	require.LessOrEqual(t, appended.Load(), int64(n))
 }
+
+// Guards against records that never reach the log since all that wait are sent at once over a link
+// that is too slow for them.
+func TestResultsAreAppendedOverASlowLink(t *testing.T) {
+	const n, size, bytesPerSecond = 40, 16 << 10, 200 << 10
+	l := newLog().Functions()
+	appendRecords := l.Append
+	l.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		if !backoff.Sleep(ctx, time.Duration(encodedSize(q.Records))*time.Second/bytesPerSecond) {
+			return partitionlog.AppendResult{}, outcome.Ambiguous(outcome.ReasonDeadline, q.Partition.Topic, ctx.Err())
+		}
+		return appendRecords(ctx, q)
+	}
+	queueResults(t, l, n, size, 3*n*size*time.Second/bytesPerSecond)
+}
