A log that is full is told from one that does not answer

507 (the log stores 400 MB) became log-down, as a log that is away or turns the host away. It has a reason of its own now, log-full, with the same outcome (not run), so that operators and the choice of paths can tell them apart.

TestStepOutlivesAFullLog passes: a step is refused with a time to come back, results wait and are listed once the log has room.

TestFullLogTurnsNoHostAway fails, as before: an append that a full log refuses counts as a direct call without an answer.

--- /dev/null
+++ b/pier/gateway/fulllog_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/stepjournal"
+)
+
+// A log that stores all that it can refuses appends. Peers can't help, and its hosts must not take
+// themselves for turned away, which sends their reads through peers as well.
+func TestFullLogTurnsNoHostAway(t *testing.T) {
+	var carried atomic.Int64
+	full := failAppends(newLog().Functions(), func(q partitionlog.AppendRequest) error {
+		carried.Add(1)
+		return outcome.Refuse(partitionlog.ReasonFull, q.Partition.Topic)
+	})
+	a, b := newHost(t, "a", full), newHost(t, "b", full)
+	b.listenPeers(t)
+	a.knowPeers(b)
+	for range 3 {
+		_, err := a.journal.view(0).append(context.Background(), [][]byte{{1}})
+		require.Equal(t, outcome.NotRun, outcome.AsError(err).Outcome)
+		time.Sleep(200 * time.Millisecond)
+	}
+	require.False(t, a.peerLog.directFails())
+	require.EqualValues(t, 3, carried.Load())
+}
+
+// While the log is full, a step is refused and the results of another wait. Once it has room they are listed.
+func TestStepOutlivesAFullLog(t *testing.T) {
+	var full atomic.Bool
+	l := newLog()
+	g := newHost(t, "a", failAppends(l.Functions(), func(q partitionlog.AppendRequest) error {
+		if full.Load() {
+			return outcome.Refuse(partitionlog.ReasonFull, q.Partition.Topic)
+		}
+		return nil
+	}))
+	g.table(nil)
+	require.NoError(t, g.Accept(context.Background(), route(g), newStep("s", 1)))
+	full.Store(true)
+	err := g.Accept(context.Background(), route(g), newStep("other", 1))
+	require.Equal(t, outcome.NotRun, outcome.AsError(err).Outcome)
+	require.Positive(t, outcome.AsError(err).RetryAfter)
+	v := g.journal.get("s")
+	b, err := stepjournal.Finished(&stepjournal.Result{Step: "s", ID: "s-0", State: stepjournal.Completed})
+	require.NoError(t, err)
+	v.post(b)
+	r, err := g.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Empty(t, r.Results)
+	require.True(t, v.hasPending())
+	full.Store(false)
+	require.Len(t, waitResults(t, g, "s", 1), 1)
+}
--- a/pier/partitionlog/partitionlog.go
+++ b/pier/partitionlog/partitionlog.go
@@ -24,6 +24,9 @@
 	// ReasonFenced means that another producer with a higher epoch has appended, so that
 	// appends of this one are rejected.
 	ReasonFenced outcome.Reason = "producer-fenced"
+	// ReasonFull means that the log stores all that it can, and appends nothing until records
+	// expire. It serves other calls.
+	ReasonFull outcome.Reason = "log-full"
 )
 
 // NoCondition is the value of AppendRequest.ExpectedEnd for an unconditional append.
