Checkpoints take no more of the log than their records

A checkpoint was due after 32 KB of records and a pause of a second, whatever its own size, which may be that of a record (256 KB). A partition with many steps to which little is written at a time got eight times as many bytes of checkpoints as of records, all of which the log stores until they expire, and answers every append with 507 once it stores 400 MB.

No checkpoint is due now for fewer bytes than the last one had, but for the one that is written four times within the log's retention, which keeps the records behind it from expiring. A host that starts reads at most as many bytes of records as of the checkpoint, or 384 KB.

--- a/pier/gateway/checkpoint.go
+++ b/pier/gateway/checkpoint.go
@@ -51,6 +51,9 @@
 	// first of them at behindSince. appliedAt is when a record was last applied, writtenAt when this
 	// host last tried to write a checkpoint. Times are since boot.
 	bytesBehind int
+	// size is the size of the last checkpoint that was read or written. Fewer bytes behind it are
+	// not worth another: checkpoints must not fill the log faster than what they stand for.
+	size        int
 	behindSince time.Duration
 	appliedAt   time.Duration
 	writtenAt   time.Duration
@@ -74,8 +77,11 @@
 	if c.writing || c.bytesBehind == 0 || now-c.writtenAt < minCheckpointInterval {
 		return false
 	}
-	return c.bytesBehind >= checkpointBytes || now-c.behindSince >= c.maxAge ||
-		c.bytesBehind >= checkpointIdleBytes && now-c.appliedAt >= checkpointIdleTime
+	if now-c.behindSince >= c.maxAge {
+		return true
+	}
+	idle := now-c.appliedAt >= checkpointIdleTime
+	return c.bytesBehind >= c.size && (c.bytesBehind >= checkpointBytes || idle && c.bytesBehind >= checkpointIdleBytes)
 }
 
 // startFromCheckpoint restores the newest checkpoint once after the view began to follow the log.
@@ -130,7 +136,7 @@
 	if v.fold.Next == from {
 		return
 	}
-	v.checkpoint.bytesBehind = 0
+	v.checkpoint.bytesBehind, v.checkpoint.size = 0, len(b)
 	close(v.changed)
 	v.changed = make(chan struct{})
 	v.j.g.metrics.checkpoints.WithLabelValues("restored").Inc()
@@ -168,7 +174,7 @@
 	a, err := v.j.g.c.Log.Append(ctx, partitionlog.AppendRequest{
 		Partition: at, Records: [][]byte{partitionlog.EncodeKeyed(checkpointKey, b)}, ExpectedEnd: end,
 	})
-	v.checkpointWritten(a.End, behind, err)
+	v.checkpointWritten(a.End, len(b), behind, err)
 }
 
 // endCheckpoint lets the next checkpoint be written.
@@ -206,15 +212,15 @@
 // checkpointMargin is the size of a keyed record without its value, in bytes.
 const checkpointMargin = 1 + len(checkpointKey)
 
-// checkpointWritten notes the outcome of an append of a checkpoint that covers behind bytes of
-// records, after which the partition ends at end.
-func (v *view) checkpointWritten(end int64, behind int, err error) {
+// checkpointWritten notes the outcome of an append of a checkpoint of a size that covers behind bytes
+// of records, after which the partition ends at end.
+func (v *view) checkpointWritten(end int64, size, behind int, err error) {
 	part := partitionName(partitionlog.Partition{Topic: checkpointsTopic, Number: v.n})
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
 	case err == nil:
-		v.checkpoint.end = end
+		v.checkpoint.end, v.checkpoint.size = end, size
 		v.checkpoint.bytesBehind = max(v.checkpoint.bytesBehind-behind, 0)
 		v.checkpoint.behindSince = boottime.Now()
 		v.j.g.logHealth.answered(part)
--- a/pier/gateway/checkpoint_test.go
+++ b/pier/gateway/checkpoint_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/memlog"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
@@ -155,6 +156,9 @@
 		"little, after a pause":      {checkpointing{bytesBehind: checkpointIdleBytes, behindSince: now, appliedAt: now - checkpointIdleTime}, true},
 		"very little, after a pause": {checkpointing{bytesBehind: checkpointIdleBytes - 1, behindSince: now, appliedAt: now - checkpointIdleTime}, false},
 		"very little, for long":      {checkpointing{bytesBehind: 1, behindSince: now - maxAge, appliedAt: now}, true},
+		"less than it is itself":     {checkpointing{bytesBehind: checkpointIdleBytes, size: 2 * checkpointIdleBytes, behindSince: now, appliedAt: now - checkpointIdleTime}, false},
+		"as much as it is itself":    {checkpointing{bytesBehind: checkpointIdleBytes, size: checkpointIdleBytes, behindSince: now, appliedAt: now - checkpointIdleTime}, true},
+		"little, large, for long":    {checkpointing{bytesBehind: 1, size: checkpointBytes, behindSince: now - maxAge, appliedAt: now}, true},
 		"much, another just tried":   {checkpointing{bytesBehind: checkpointBytes, writtenAt: now - minCheckpointInterval/2}, false},
 		"much, another under way":    {checkpointing{bytesBehind: checkpointBytes, writing: true}, false},
 	}
@@ -218,3 +222,44 @@
 	require.NoError(t, err)
 	require.Len(t, r.Results, 1)
 }
+
+// Guards against checkpoints that fill the log faster than the records that they stand for.
+func TestCheckpointsTakeLessThanTheirRecords(t *testing.T) {
+	const rounds, steps, items, text = 8, 1000, 10, 10 << 10
+	l := newLog()
+	var written atomic.Int64
+	f := l.Functions()
+	appendRecords := f.Append
+	f.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		if q.Partition.Topic == checkpointsTopic {
+			written.Add(int64(encodedSize(q.Records)))
+		}
+		return appendRecords(ctx, q)
+	}
+	g := newHost(t, "a", f)
+	v := g.journal.get("s")
+	s := newStep("s", items)
+	acceptAt(t, v, s, g.self, time.Now())
+	for i := range steps {
+		acceptAt(t, v, newStep(fmt.Sprint("other-", i), 1), g.self, time.Now())
+	}
+	require.NoError(t, v.sync(context.Background()))
+	v.writeCheckpoint()
+	before, records := written.Load(), 0
+	for i := range rounds {
+		for range checkpointIdleBytes / text * 2 {
+			b, err := stepjournal.Saved("s", &stepjournal.Progress{ItemIndex: i, Text: strings.Repeat("x", text), LastEvent: 1})
+			require.NoError(t, err)
+			_, err = v.append(context.Background(), [][]byte{b})
+			require.NoError(t, err)
+			records += len(b)
+		}
+		require.NoError(t, v.sync(context.Background()))
+		v.checkpoint.appliedAt -= checkpointIdleTime
+		if v.checkpoint.writtenAt = 0; v.checkpoint.due(boottime.Now()) {
+			v.writeCheckpoint()
+		}
+	}
+	t.Logf("%d bytes of checkpoints for %d bytes of records", written.Load()-before, records)
+	require.LessOrEqual(t, written.Load()-before, int64(records))
+}
