A record that is too large for the log holds up no others

A text is bounded to 4 KB less than a record, its score only by the 64 KB of an answer's header. A result that is larger than a record in all was queued, rejected by the log, and appended again for ever. All later results and takeovers of that partition from this host waited behind it, and a shutdown waited for them until its limit.

Such a record is dropped with an error in the log. Its step stays open, and is run again or given up in the end like any step whose driver lost a sample.

--- a/pier/gateway/journalqueue.go
+++ b/pier/gateway/journalqueue.go
@@ -28,8 +28,14 @@
 }
 
 // post queues a record. flush appends it together with the other queued ones, and retries
-// until the append is acknowledged. A record may be appended twice; the fold keeps the first.
+// until the append is acknowledged. A record may be appended twice; the fold keeps the first. One that
+// the log never takes is dropped, so that it holds up no others.
 func (v *view) post(b []byte) {
+	if limit := v.j.g.s.Log.RecordBytes; len(b) > limit {
+		v.j.g.log.Error("journal: record is larger than the log allows; dropped", zap.Int("part", v.n),
+			zap.Int("bytes", len(b)), zap.Int("limit", limit))
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.queue = append(v.queue, b)
--- a/pier/gateway/journalqueue_test.go
+++ b/pier/gateway/journalqueue_test.go
@@ -133,3 +133,30 @@
 	}
 	queueResults(t, l, n, size, 3*n*size*time.Second/bytesPerSecond)
 }
+
+// Guards against a record that the log never takes and that holds up all later ones of its partition.
+func TestRecordThatIsTooLargeHoldsUpNoOthers(t *testing.T) {
+	l := newLog()
+	var limit int
+	g := newHost(t, "a", failAppends(l.Functions(), func(q partitionlog.AppendRequest) error {
+		for _, b := range q.Records {
+			if len(b) > limit {
+				return outcome.Refuse(outcome.ReasonBadRequest, "record")
+			}
+		}
+		return nil
+	}))
+	limit = g.s.Log.RecordBytes
+	s := newStep("s", 2)
+	v := g.journal.follow("s")
+	acceptAt(t, v, s, g.self, time.Now())
+	for i, score := range []string{strings.Repeat("x", limit), "score"} {
+		b, err := stepjournal.Finished(&stepjournal.Result{
+			Step: "s", ItemIndex: i, ID: s.Items[i].ID, State: stepjournal.Completed, Text: "t", Score: score,
+		})
+		require.NoError(t, err)
+		v.post(b)
+	}
+	require.Equal(t, "s-1", waitResults(t, g, "s", 1)[0].ID)
+	require.Eventually(t, func() bool { return !v.hasPending() }, 5*time.Second, time.Millisecond)
+}
