A full log counts as answering

An append that a full log refuses (507) counted as a direct call without an answer. After two the host took itself for turned away, asked peers that can't help for each append, and sent its reads through them first.

--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -162,7 +162,8 @@
 		return true
 	}
 	switch a.Err.Reason {
-	case partitionlog.ReasonMoved, partitionlog.ReasonExpired, partitionlog.ReasonFenced, outcome.ReasonBadRequest:
+	case partitionlog.ReasonMoved, partitionlog.ReasonExpired, partitionlog.ReasonFenced, partitionlog.ReasonFull,
+		outcome.ReasonBadRequest:
 		return true
 	}
 	return false
