An error of a peer is no answer of the log

A host whose direct call failed asks a peer. If that refused the message itself as a bad request (another version of the program), the refusal counted as the answer of the log: a checkpoint was taken for missing, and an append that may have been carried out was reported as not run.

--- a/pier/gateway/peerpath.go
+++ b/pier/gateway/peerpath.go
@@ -48,8 +48,11 @@
 	l.lastAsked[p] = now
 	l.mu.Unlock()
 	var a logAnswer
+	reason := outcome.ReasonLogDown
 	if err := l.g.peers.Call(ctx, p, kindLogCall, q, &a); err != nil {
-		a = logAnswer{Err: outcome.AsError(err)}
+		// An error of the peer itself, whatever it says, is no answer of the log.
+		reason = outcome.AsError(err).Reason
+		a = logAnswer{Err: outcome.AsError(err).WithReason(outcome.ReasonLogDown)}
 	}
 	if !a.answered() && errors.Is(ctx.Err(), context.Canceled) {
 		return &a
@@ -61,7 +64,10 @@
 		l.g.metrics.viaPeers.WithLabelValues("answered").Inc()
 		return &a
 	}
-	l.g.metrics.viaPeers.WithLabelValues(string(a.Err.Reason)).Inc()
+	if a.Err.Reason != outcome.ReasonLogDown {
+		reason = a.Err.Reason
+	}
+	l.g.metrics.viaPeers.WithLabelValues(string(reason)).Inc()
 	a.Err = a.Err.WithReason(outcome.ReasonLogDown)
 	return &a
 }
