Peer: a call without a reply moves the next one to a new connection

What callers saw: after the connection between two hosts had gone silent for good, every call on it failed at its deadline until silenceTimeout closed it, although new connections worked. Permits, demands, notices of limits and the calls to the log that a peer carries go this way.

Cause: there is one connection per address, and a call that ends at its deadline said nothing of it.

Change: a connection is suspect when a call ends at its deadline and no frame arrived since its request, until one arrives. The next call then opens another connection. The suspect one isn't cut: it awaits the replies of its other calls, as the host may only be slow, and is closed when it has none. A connection that never received a frame doesn't become suspect, so that a host that answers nobody gets one more connection and not one for each call. A handler that heeds its deadline sends an error frame, which clears the suspicion.

--- a/pier/peer/client.go
+++ b/pier/peer/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"mulberrypier.example/pier/outcome"
@@ -20,9 +22,9 @@
 type Client struct {
 	c  ClientConfig
 	mu sync.Mutex
-	// conns holds the current connection to each address. It may already be closed,
-	// in which case the next call replaces it.
-	conns map[netip.AddrPort]*conn
+	// conns holds the connections to each address. The last one is the current one; the next
+	// call replaces it if it is closed or suspect. The others only await replies.
+	conns map[netip.AddrPort][]*conn
 }
 
 // NewClient returns a client that dials an address on the first call to it.
@@ -30,7 +32,7 @@
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
-	return &Client{c: c, conns: make(map[netip.AddrPort]*conn)}
+	return &Client{c: c, conns: make(map[netip.AddrPort][]*conn)}
 }
 
 func dialTCP(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
@@ -43,21 +45,23 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	m := c.conns
-	c.conns = make(map[netip.AddrPort]*conn)
+	c.conns = make(map[netip.AddrPort][]*conn)
 	c.mu.Unlock()
-	for _, x := range m {
-		x.close(outcome.Ambiguous(outcome.ReasonCancelled, "client closed", nil))
+	for _, l := range m {
+		for _, x := range l {
+			x.close(outcome.Ambiguous(outcome.ReasonCancelled, "client closed", nil))
+		}
 	}
 }
 
-// Disconnect closes the connection to a, if there is one, so that the next call opens a
-// new one. Calls that are waiting on it fail with the reason connection-lost.
+// Disconnect closes the connections to a, so that the next call opens a new one. Calls
+// that are waiting on them fail with the reason connection-lost.
 func (c *Client) Disconnect(a netip.AddrPort) {
 	c.mu.Lock()
-	x := c.conns[a]
+	l := c.conns[a]
 	delete(c.conns, a)
 	c.mu.Unlock()
-	if x != nil {
+	for _, x := range l {
 		x.close(outcome.Ambiguous(outcome.ReasonConnectionLost, "forgotten", nil))
 	}
 }
@@ -98,6 +102,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				c.noReply(w)
+			}
 			c.cancelCall(id)
 			return outcome.Ambiguous(outcome.ReasonDeadline, "peer", ctx.Err())
 		case <-w.overflowed:
@@ -148,13 +155,13 @@
 	return nil
 }
 
-// conn returns the open connection to a, dialling if there is none. If two callers
-// dial at the same time, one connection is kept and the other is closed.
+// conn returns the current connection to a, dialling if there is none that may be used.
+// If two callers dial at the same time, one connection is kept and the other is closed.
 func (c *Client) conn(ctx context.Context, a netip.AddrPort) (*conn, error) {
 	c.mu.Lock()
-	n := c.conns[a]
+	n := c.current(a)
 	c.mu.Unlock()
-	if n != nil && !n.closed() {
+	if n != nil {
 		return n, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -166,14 +173,32 @@
 	n = newConn(s, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.conns[a]; o != nil && !o.closed() {
+	if o := c.current(a); o != nil {
 		go n.close(outcome.Ambiguous(outcome.ReasonCancelled, "second connection", nil))
 		return o, nil
 	}
-	c.conns[a] = n
+	l := slices.DeleteFunc(c.conns[a], (*conn).closed)
+	for _, o := range l {
+		o.retire()
+	}
+	c.conns[a] = append(l, n)
 	return n, nil
 }
 
+// current returns the connection to a that new calls use, nil if there is none. The caller
+// holds mu.
+func (c *Client) current(a netip.AddrPort) *conn {
+	l := c.conns[a]
+	if len(l) == 0 {
+		return nil
+	}
+	n := l[len(l)-1]
+	if n.closed() || n.isSuspect() {
+		return nil
+	}
+	return n
+}
+
 // Probe is like Call but uses a new connection, which it closes afterwards. It
 // distinguishes a host that is down from one whose existing connection has stopped
 // carrying data.
--- a/pier/peer/conn.go
+++ b/pier/peer/conn.go
@@ -35,6 +35,8 @@
 	frames chan *frame
 	// overflowed is closed when frames is full and a frame had to be dropped.
 	overflowed chan struct{}
+	// received is the number of frames that the connection had received before the request.
+	received uint64
 }
 
 // conn is a connection. It carries outgoing calls, and incoming requests if it has
@@ -54,6 +56,13 @@
 	// nil once the connection is closed.
 	calls  map[uint64]*call
 	lastID uint64
+	// received is the number of frames that were received.
+	received uint64
+	// suspect is set when a call ends at its deadline and no frame arrived since its request:
+	// the connection may have gone silent. It is reset when a frame arrives.
+	suspect bool
+	// retired is set when another connection has replaced this one, which then only awaits replies.
+	retired bool
 	// serving holds the cancel functions of the requests being handled, by frame ID.
 	serving map[uint64]context.CancelFunc
 	// err is why the connection was closed.
@@ -97,7 +106,7 @@
 }
 
 // keepAlive sends pings while nothing else is sent, so that the other side does not
-// close the connection as silent.
+// close the connection as silent. It closes the connection when it is no longer used.
 func (c *conn) keepAlive() {
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
@@ -107,6 +116,10 @@
 			return
 		case <-t.C:
 		}
+		if c.isUnused() {
+			c.close(outcome.Ambiguous(outcome.ReasonCancelled, "replaced by another connection", nil))
+			return
+		}
 		c.wmu.Lock()
 		idle := time.Since(c.lastWrite) >= pingInterval
 		c.wmu.Unlock()
@@ -151,6 +164,10 @@
 }
 
 func (c *conn) dispatch(f *frame) {
+	c.mu.Lock()
+	c.received++
+	c.suspect = false
+	c.mu.Unlock()
 	switch f.Kind {
 	case kindPing:
 	case kindReply, kindPart, kindError:
@@ -298,6 +315,7 @@
 	}
 	c.lastID++
 	id := c.lastID
+	a.received = c.received
 	c.calls[id] = a
 	c.mu.Unlock()
 	f := &frame{Kind: k, ID: id, Body: b}
@@ -327,6 +345,35 @@
 	}
 }
 
+// noReply records that a call ended at its deadline. A connection that never received a frame
+// does not become suspect, as the other side is then silent on new connections too.
+func (c *conn) noReply(w *call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspect = c.suspect || c.received > 0 && c.received == w.received
+}
+
+// isSuspect reports whether the connection may have gone silent.
+func (c *conn) isSuspect() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspect
+}
+
+// retire makes the connection close once no call waits on it.
+func (c *conn) retire() {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+}
+
+// isUnused reports whether the connection is retired and no call waits on it.
+func (c *conn) isUnused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired && len(c.calls) == 0
+}
+
 // lostError returns the error of a call that was sent but ended without a reply
 // because the connection closed. Its outcome is always unknown.
 func (c *conn) lostError() error {
--- a/pier/peer/peer.go
+++ b/pier/peer/peer.go
@@ -5,7 +5,8 @@
 // Calls are multiplexed over one connection. Either side sends a ping when it has
 // nothing else to send. A connection on which no frame arrives within the silence
 // timeout is closed: its calls fail with the reason connection-silent, and the next
-// call opens a new connection.
+// call opens a new connection. The next call also opens one if a call ended at its
+// deadline and no frame has arrived since that call was sent.
 package peer
 
 import (
