Callers' listeners go on after errors that pass

After a lack of memory for a socket, a rule of the firewall or a network that is down, http.Server ends; the host lives on without a listener for callers, while its health check, which has its own, says that all is well.

Cause: http.Server goes on after a lack of file descriptors and after timeouts only.

Change: package acceptretry, a listener that fails only once it is closed; all HTTP listeners of the gateway and the daemon use it. The listener for peers keeps its own loop here. No other loop of pier and platform that was read ends at a first error.

Result: TestCallersAreServedAfterErrorsOfTheListener (failed before: connection reset by peer), TestHTTPServerAcceptsAgainAfterErrors (five kinds of errors) and TestFailingListenerCloses pass, with the race detector; so do the tests of planned stops.

--- a/pier/daemon/http.go
+++ b/pier/daemon/http.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/acceptretry"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/service"
@@ -86,7 +87,10 @@
 
 // serve serves HTTP on l until the server is closed.
 func (d *Daemon) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	r := acceptretry.New(acceptretry.Config{Listener: l, OnError: func(err error) {
+		d.logger("http").Warn("listener failed; it goes on", zap.Stringer("address", l.Addr()), zap.Error(err))
+	}})
+	if err := s.Serve(r); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.logger("http").Error("listener failed; no more connections are accepted on it", zap.Error(err))
 	}
 }
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/acceptretry"
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/bytebudget"
@@ -249,18 +250,26 @@
 	if err != nil {
 		return err
 	}
+	g.serveOn(n, h)
+	return nil
+}
+
+// serveOn serves requests on the connections of a listener until that is closed.
+func (g *Gateway) serveOn(n net.Listener, h http.Handler) {
 	s := &http.Server{
 		Handler: g.drain.track(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(g.log), BaseContext: func(net.Listener) context.Context { return g.drain.ctx },
 	}
+	l := acceptretry.New(acceptretry.Config{Listener: n, OnError: func(err error) {
+		g.log.Warn("host: listener failed; it goes on", zap.Stringer("address", n.Addr()), zap.Error(err))
+	}})
 	g.servers = append(g.servers, s)
-	g.listeners = append(g.listeners, n)
+	g.listeners = append(g.listeners, l)
 	g.wg.Go(func() {
-		if err := s.Serve(n); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.log.Error("host: listener failed", zap.Error(err))
 		}
 	})
-	return nil
 }
 
 // Table returns the configuration in force, or nil before the first is known.
