The listener for peers uses the loop of the others

The loop that goes on after errors of a listener stood twice, in pier/peer and in pier/acceptretry. No behaviour changes: the tests of accept_test.go pass unchanged, with the race detector.

--- a/pier/peer/server.go
+++ b/pier/peer/server.go
@@ -1,13 +1,10 @@
 package peer
 
 import (
-	"context"
-	"errors"
 	"net"
 	"sync"
-	"time"
 
-	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/acceptretry"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -28,52 +25,31 @@
 // Server serves requests from other processes.
 type Server struct {
 	c  ServerConfig
+	l  *acceptretry.Listener
 	mu sync.Mutex
 	// conns holds the open connections; it is nil once the server is closed.
 	conns map[*conn]struct{}
-	// ctx ends when the server is closed.
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	wg    sync.WaitGroup
 }
 
-const (
-	// acceptRetryDelay is the delay after an error of the listener, such as a lack of file
-	// descriptors. It doubles with each further one in a row, up to maxAcceptRetryDelay.
-	acceptRetryDelay    = 5 * time.Millisecond
-	maxAcceptRetryDelay = time.Second
-)
-
 // NewServer starts a server, which accepts connections until Close is called.
 func NewServer(c ServerConfig) *Server {
 	if c.MaxConns == 0 {
 		c.MaxConns = 4096
 	}
-	if c.OnError == nil {
-		c.OnError = func(error) {}
-	}
-	s := &Server{c: c, conns: make(map[*conn]struct{})}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.wg.Add(1)
-	go s.accept()
+	l := acceptretry.New(acceptretry.Config{Listener: c.Listener, OnError: c.OnError})
+	s := &Server{c: c, l: l, conns: make(map[*conn]struct{})}
+	s.wg.Go(s.accept)
 	return s
 }
 
 func (s *Server) accept() {
-	defer s.wg.Done()
-	for failures := 0; s.ctx.Err() == nil; {
-		n, err := s.c.Listener.Accept()
-		switch {
-		case err == nil:
-			failures = 0
-			s.serve(n)
-		case errors.Is(err, net.ErrClosed):
+	for {
+		n, err := s.l.Accept()
+		if err != nil {
 			return
-		default:
-			s.c.OnError(err)
-			backoff.Sleep(s.ctx, backoff.Exponential(acceptRetryDelay, maxAcceptRetryDelay, failures))
-			failures++
 		}
+		s.serve(n)
 	}
 }
 
@@ -101,8 +77,7 @@
 
 // Close stops accepting connections and closes the open ones.
 func (s *Server) Close() {
-	s.cancel()
-	_ = s.c.Listener.Close()
+	_ = s.l.Close()
 	s.mu.Lock()
 	m := s.conns
 	s.conns = nil
