--- a/mulberrybench/internal/standin/balancer.go
+++ b/mulberrybench/internal/standin/balancer.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"mulberrypier.example/pier/acceptretry"
 )
 
 const (
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Balancer{l: l, hosts: hosts, stop: make(chan struct{})}
+	b := &Balancer{l: acceptretry.New(acceptretry.Config{Listener: l}), hosts: hosts, stop: make(chan struct{})}
 	go b.checkHealth()
 	go b.accept()
 	return b, nil
