--- a/pier/rollout/coordinator.go
+++ b/pier/rollout/coordinator.go
@@ -1,9 +1,7 @@
 package rollout
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"mulberrypier.example/pier/outcome"
@@ -24,137 +22,6 @@
 	Policy       Policy
 }
 
-// slotState is the progress of a slot. Comparisons rely on the order of the constants.
-type slotState uint8
-
-const (
-	// slotPending means that the sample waits for a server.
-	slotPending slotState = iota
-	// slotRunning means that at least one attempt is in progress.
-	slotRunning
-	// slotSealed means that the sample is finished and in no outstanding batch.
-	slotSealed
-	// slotOffered means that the sample is in the outstanding batch.
-	slotOffered
-	// slotAcked means that the trainer has the sample.
-	slotAcked
-)
-
-// run is one attempt in progress.
-type run struct {
-	slot    Slot
-	attempt int
-	// version is the version that the server reported when the stream started, or the
-	// oldest one of the tokens that it resumed from; 0 if unknown.
-	version Version
-	// moveRequested is when the owner was asked to stop the stream in order to move it; zero
-	// if it was not.
-	moveRequested time.Time
-	// express is set when the stream is moving to an express server.
-	express bool
-	server  string
-	host    string
-	started time.Time
-	// lastSeen is when an owner last reported that it drives the stream.
-	lastSeen time.Time
-	tokens   int
-}
-
-// slot is the state of one sample of the step.
-type slot struct {
-	state slotState
-	group *group
-	// nextAttempt is the number of the next attempt. Numbers are never reused.
-	nextAttempt int
-	runs        []run
-	// moves counts how often the slot was moved to another server.
-	moves int
-	// express is set once the slot was a straggler; it then runs on express servers.
-	express bool
-	// early is set when the slot is counted in Coordinator.early.
-	early bool
-	// partial holds the tokens of a stopped attempt, from which the next one resumes.
-	partial *Sample
-	// sample is set from slotSealed until slotAcked; keptAttempt is the attempt that
-	// generated it.
-	sample      *Sample
-	keptAttempt int
-}
-
-// group is a group of the step with its scheduling state.
-type group struct {
-	Group
-	// done counts the slots of the group that are sealed, offered or acknowledged.
-	done int
-	// sealedTokens is the number of tokens of the sealed samples, for length prediction.
-	sealedTokens int
-	// pending lists the pending slots in ascending order, except those that wait for an
-	// express server.
-	pending []Slot
-	// seq is the position in the order of opening; heapIndex is the position in the queue,
-	// -1 if the group is not in it.
-	seq, heapIndex int
-}
-
-// Cancel asks the owner on Host to cancel a stream.
-type Cancel struct {
-	Stream
-	Host   string
-	Server string
-	// Move asks the owner to return the tokens generated so far.
-	Move bool
-}
-
-// Batch is the result of one pull.
-type Batch struct {
-	// Epoch and Seq identify the batch. A batch that is returned again is identical.
-	Epoch   string    `msgpack:"e" json:"epoch"`
-	Seq     int64     `msgpack:"q" json:"seq"`
-	Samples []*Sample `msgpack:"s" json:"samples"`
-	// Complete marks the last batch of a closed step: with it, the trainer has all samples.
-	Complete bool `msgpack:"w" json:"whole"`
-}
-
-// Pull is a trainer's request for samples.
-type Pull struct {
-	// Epoch and Ack identify the last batch that the trainer has read; empty at first.
-	Epoch string `msgpack:"e" json:"epoch"`
-	Ack   int64  `msgpack:"a" json:"ack"`
-	// Version is the version at which the trainer trains.
-	Version Version `msgpack:"v" json:"version"`
-	// Max is the maximum number of samples to return; values below 1 count as 1.
-	Max int `msgpack:"m" json:"max"`
-	// WholeGroups asks for groups only once all their samples are finished. A group is never
-	// split over batches, so its last samples may exceed Max.
-	WholeGroups bool `msgpack:"g" json:"whole-groups"`
-	// Wait is how long the pull may be held open when there is nothing to return.
-	Wait time.Duration `msgpack:"w" json:"-"`
-	// Have is the set of slots that the trainer has; required after a resync.
-	Have Bitmap `msgpack:"h" json:"have,omitempty"`
-	// HaveStated is set if the trainer states Have, which may be empty.
-	HaveStated bool `msgpack:"t" json:"stated,omitempty"`
-}
-
-// Counts summarises the state of a step: its slots by state, and totals.
-type Counts struct {
-	Slots   int  `msgpack:"s" json:"slots"`
-	Pending int  `msgpack:"p" json:"pending"`
-	Running int  `msgpack:"r" json:"running"`
-	Sealed  int  `msgpack:"e" json:"sealed"`
-	Offered int  `msgpack:"o" json:"offered"`
-	Acked   int  `msgpack:"a" json:"acked"`
-	Closed  bool `msgpack:"c" json:"closed"`
-	// Dropped counts samples that were over the staleness bound when they finished or were
-	// pulled.
-	Dropped int `msgpack:"d" json:"dropped"`
-	// Discarded counts tokens that were generated but will not be delivered.
-	Discarded int64 `msgpack:"t" json:"tokens-thrown"`
-	// Tokens counts the tokens of sealed samples.
-	Tokens int64 `msgpack:"k" json:"tokens"`
-	// Lost counts streams that failed, or whose server or owner failed.
-	Lost int `msgpack:"l" json:"lost"`
-}
-
 // Coordinator tracks one step. It is not safe for concurrent use.
 type Coordinator struct {
 	c Config
@@ -280,9 +147,6 @@
 // Close marks the step as closed: no more groups will be opened.
 func (c *Coordinator) Close() { c.counts.Closed = true }
 
-// Counts returns the current counts of the step.
-func (c *Coordinator) Counts() Counts { return c.counts }
-
 // Done reports whether the step is closed and all its samples are acknowledged.
 func (c *Coordinator) Done() bool {
 	return c.counts.Closed && c.counts.Acked == c.counts.Slots
@@ -346,76 +210,6 @@
 	return w, true
 }
 
-// startRun moves a pending slot to slotRunning, or adds a run to one that is running.
-func (c *Coordinator) startRun(n Slot, r run) {
-	s := c.slots[n]
-	r.slot = n
-	s.nextAttempt = max(s.nextAttempt, r.attempt+1)
-	s.runs = append(s.runs, r)
-	c.load[r.server]++
-	if s.state == slotPending {
-		s.state = slotRunning
-		c.running[n] = s
-		c.counts.Pending--
-		c.counts.Running++
-		c.dequeue(n, s)
-	}
-}
-
-// dequeue removes a slot from the pending ones.
-func (c *Coordinator) dequeue(n Slot, s *slot) {
-	s.group.pending = remove(s.group.pending, n)
-	c.awaitingExpress = remove(c.awaitingExpress, n)
-	c.queue.fix(s.group)
-}
-
-// AddHeld adds what a host holds for the step, after this coordinator took the step over:
-// streams in progress and finished samples. It ignores slots whose group is not open yet,
-// so the caller repeats it once more groups are. It returns the streams to cancel.
-func (c *Coordinator) AddHeld(now time.Time, host string, running []Work, done []*Sample) []Cancel {
-	for i := range running {
-		w := &running[i]
-		s, ok := c.slots[w.Slot]
-		if !ok || s.state > slotRunning || s.runIndex(w.Attempt) >= 0 {
-			continue
-		}
-		c.startRun(w.Slot, run{attempt: w.Attempt, server: w.Server, host: host, started: now, lastSeen: now})
-	}
-	var x []Cancel
-	for _, d := range done {
-		x = append(x, c.Seal(now, d)...)
-	}
-	return x
-}
-
-// Adopt records that host drives a stream on the server, possibly in place of an earlier
-// owner. It returns false when the stream's result is no longer wanted.
-func (c *Coordinator) Adopt(now time.Time, host, server string, t Stream) bool {
-	s, ok := c.slots[t.Slot]
-	if !ok || s.state > slotRunning {
-		return false
-	}
-	if i := s.runIndex(t.Attempt); i >= 0 {
-		s.runs[i].host = host
-		s.runs[i].lastSeen = now
-		return true
-	}
-	c.startRun(t.Slot, run{attempt: t.Attempt, server: server, host: host, started: now, lastSeen: now})
-	return true
-}
-
-// Progress records the number of tokens that a stream has generated.
-func (c *Coordinator) Progress(t Stream, tokens int) {
-	s, ok := c.slots[t.Slot]
-	if !ok {
-		return
-	}
-	if i := s.runIndex(t.Attempt); i >= 0 {
-		s.runs[i].tokens = tokens
-		c.markStraggler(t.Slot, s)
-	}
-}
-
 // Seal records a finished sample. The first one of a slot is kept, and the slot's other
 // attempts are returned to be cancelled. An incomplete sample is ignored; one that is over
 // the staleness bound is discarded and its slot generated again.
@@ -474,116 +268,6 @@
 	}
 }
 
-// StreamFailed records that a stream ended without a finished sample. Its slot is generated
-// again, resuming from the partial sample if there is one.
-func (c *Coordinator) StreamFailed(t Stream, tokens int, partial *Sample) {
-	s, ok := c.slots[t.Slot]
-	if !ok {
-		return
-	}
-	i := s.runIndex(t.Attempt)
-	if i < 0 {
-		return
-	}
-	if s.runs[i].moveRequested.IsZero() {
-		c.counts.Lost++
-	}
-	c.endRun(t.Slot, s, i)
-	if s.state == slotPending && partial != nil && partial.Complete() && partial.Tokens < s.group.MaxTokens {
-		s.partial = partial
-		return
-	}
-	c.counts.Discarded += int64(tokens)
-}
-
-// Tick drops the streams that no owner has reported for the grace time, and returns their
-// number. Time during which this coordinator itself was stalled does not count.
-func (c *Coordinator) Tick(now time.Time) int {
-	if d := now.Sub(c.lastTick); !c.lastTick.IsZero() && d > c.c.Grace/2 {
-		c.resumedAt = now
-	}
-	c.lastTick = now
-	n := 0
-	for _, k := range slices.Sorted(maps.Keys(c.running)) {
-		s := c.running[k]
-		for i := len(s.runs) - 1; i >= 0; i-- {
-			if since := later(s.runs[i].lastSeen, c.resumedAt); now.Sub(since) < c.c.Grace {
-				continue
-			}
-			c.counts.Lost++
-			c.counts.Discarded += int64(s.runs[i].tokens)
-			c.endRun(k, s, i)
-			n++
-		}
-	}
-	return n
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-// endRun removes the i-th run of a slot. A slot without runs becomes pending again.
-func (c *Coordinator) endRun(n Slot, s *slot, i int) {
-	c.uncountRun(&s.runs[i])
-	s.runs = slices.Delete(s.runs, i, i+1)
-	if s.state == slotRunning && len(s.runs) == 0 {
-		c.counts.Running--
-		delete(c.running, n)
-		c.requeue(n, s)
-	}
-}
-
-// requeue makes a slot pending again, in slot order within its group, which usually puts it
-// ahead of the samples not started yet. A slot that belongs on an express server waits for one.
-func (c *Coordinator) requeue(n Slot, s *slot) {
-	s.state = slotPending
-	s.sample = nil
-	c.counts.Pending++
-	delete(c.stragglers, n)
-	if s.express {
-		c.awaitingExpress = append(c.awaitingExpress, n)
-		return
-	}
-	i, _ := slices.BinarySearch(s.group.pending, n)
-	s.group.pending = slices.Insert(s.group.pending, i, n)
-	c.queue.fix(s.group)
-}
-
-// runIndex returns the index of the run with the given attempt number, or -1.
-func (s *slot) runIndex(attempt int) int {
-	return slices.IndexFunc(s.runs, func(r run) bool { return r.attempt == attempt })
-}
-
-// uncountRun removes a run from the counts. A run that was asked to move is no longer
-// counted on its server.
-func (c *Coordinator) uncountRun(r *run) {
-	if r.moveRequested.IsZero() {
-		c.uncountStream(r.server)
-	} else if r.express {
-		c.movingToExpress--
-	}
-}
-
-// uncountStream subtracts one stream from the server's load.
-func (c *Coordinator) uncountStream(server string) {
-	if c.load[server]--; c.load[server] <= 0 {
-		delete(c.load, server)
-	}
-}
-
-// remove returns l without n. It may modify l's memory.
-func remove(l []Slot, n Slot) []Slot {
-	if i := slices.Index(l, n); i >= 0 {
-		return slices.Delete(l, i, i+1)
-	}
-	return l
-}
-
 // Key returns the key of the step.
 func (c *Coordinator) Key() StepKey { return c.c.Key }
 
@@ -606,23 +290,3 @@
 	s := c.slots[n]
 	return s != nil && s.state == slotAcked
 }
-
-// Waits describes what the step is waiting for, for the status report.
-func (c *Coordinator) Waits() string {
-	n := &c.counts
-	switch {
-	case c.Done():
-		return "whole"
-	case n.Pending > 0:
-		return "samples wait for a server"
-	case n.Running > 0:
-		return "samples are being generated"
-	case n.Sealed > 0:
-		return "samples wait for the trainer's pull"
-	case n.Offered > 0:
-		return "a batch waits for its acknowledgement"
-	case !n.Closed:
-		return "the trainer has not closed the step"
-	}
-	return ""
-}
--- a/pier/rollout/pull.go
+++ b/pier/rollout/pull.go
@@ -2,11 +2,42 @@
 
 import (
 	"slices"
+	"time"
 
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/outcome"
 )
 
+// Batch is the result of one pull.
+type Batch struct {
+	// Epoch and Seq identify the batch. A batch that is returned again is identical.
+	Epoch   string    `msgpack:"e" json:"epoch"`
+	Seq     int64     `msgpack:"q" json:"seq"`
+	Samples []*Sample `msgpack:"s" json:"samples"`
+	// Complete marks the last batch of a closed step: with it, the trainer has all samples.
+	Complete bool `msgpack:"w" json:"whole"`
+}
+
+// Pull is a trainer's request for samples.
+type Pull struct {
+	// Epoch and Ack identify the last batch that the trainer has read; empty at first.
+	Epoch string `msgpack:"e" json:"epoch"`
+	Ack   int64  `msgpack:"a" json:"ack"`
+	// Version is the version at which the trainer trains.
+	Version Version `msgpack:"v" json:"version"`
+	// Max is the maximum number of samples to return; values below 1 count as 1.
+	Max int `msgpack:"m" json:"max"`
+	// WholeGroups asks for groups only once all their samples are finished. A group is never
+	// split over batches, so its last samples may exceed Max.
+	WholeGroups bool `msgpack:"g" json:"whole-groups"`
+	// Wait is how long the pull may be held open when there is nothing to return.
+	Wait time.Duration `msgpack:"w" json:"-"`
+	// Have is the set of slots that the trainer has; required after a resync.
+	Have Bitmap `msgpack:"h" json:"have,omitempty"`
+	// HaveStated is set if the trainer states Have, which may be empty.
+	HaveStated bool `msgpack:"t" json:"stated,omitempty"`
+}
+
 // Pull acknowledges the batch that the trainer names and returns the next one, or nil when
 // there is nothing to hand over. An unacknowledged batch is returned again. bound is the
 // trainer's current staleness bound, in versions. Errors are *outcome.Error; the reason
