--- a/pier/config/config.go
+++ b/pier/config/config.go
@@ -9,7 +9,6 @@
 
 import (
 	"github.com/benbjohnson/immutable"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/outcome"
@@ -120,23 +119,6 @@
 // EachService calls f for each service, sorted by name.
 func (s *Snapshot) EachService(f func(release.Service)) { each(s.services, f) }
 
-// EachServerIn calls f for each server of the deployment or service with the key k,
-// sorted by name.
-func (s *Snapshot) EachServerIn(k release.Key, f func(release.Server)) {
-	p, ok := s.pools.Get(k.String())
-	if !ok {
-		return
-	}
-	i := p.Iterator()
-	for !i.Done() {
-		n, _, _ := i.Next()
-		v, ok := s.servers.Get(n)
-		if ok {
-			f(v)
-		}
-	}
-}
-
 // Decision returns the decision on the note with the given id, if it is still kept.
 func (s *Snapshot) Decision(id string) (Decision, bool) { return s.decisions.Get(id) }
 
@@ -191,115 +173,6 @@
 	return &c
 }
 
-// check returns the reason to reject a note, or nil.
-func (s *Snapshot) check(n *release.Note) error {
-	if err := n.Check(); err != nil {
-		return err
-	}
-	if n.Base < s.revision-maxBaseAge || n.Base > s.revision {
-		return outcome.Refuse(outcome.ReasonStaleBase, "base is outside the revisions kept")
-	}
-	for _, k := range n.Keys() {
-		if r, ok := s.entryRevisions.Get(k.String()); ok && r > n.Base {
-			return outcome.Refuse(outcome.ReasonConflict, k.String()+": changed after the note's base")
-		}
-	}
-	for _, k := range n.Added.Keys() {
-		if s.has(k) {
-			return outcome.Refuse(outcome.ReasonConflict, k.String()+": exists already")
-		}
-	}
-	for _, k := range append(n.Changed.Keys(), n.Withdrawn...) {
-		if !s.has(k) {
-			return outcome.Refuse(outcome.ReasonConflict, k.String()+": does not exist")
-		}
-	}
-	return s.checkReferences(n)
-}
-
-// checkReferences checks that all entries that the note refers to exist once it is
-// applied.
-func (s *Snapshot) checkReferences(n *release.Note) error {
-	existsAfter := make(map[release.Key]bool, n.Added.Len()+len(n.Withdrawn))
-	for _, k := range n.Added.Keys() {
-		existsAfter[k] = true
-	}
-	for _, k := range n.Withdrawn {
-		existsAfter[k] = false
-		if err := s.checkWithdrawal(n, k); err != nil {
-			return err
-		}
-	}
-	mustExist := func(from string, k release.Key) error {
-		ok, listed := existsAfter[k]
-		if ok || !listed && s.has(k) {
-			return nil
-		}
-		return outcome.Refuse(outcome.ReasonUnknownName, from+": "+k.String()+" does not exist")
-	}
-	for _, e := range []*release.Entries{&n.Added, &n.Changed} {
-		for i := range e.Servers {
-			if err := mustExist("server/"+e.Servers[i].Name, PoolOf(&e.Servers[i])); err != nil {
-				return err
-			}
-		}
-		for i := range e.Trainers {
-			k := release.Key{Kind: release.KindDeployment, Name: e.Trainers[i].Deployment}
-			if err := mustExist("trainer/"+e.Trainers[i].Name, k); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-// checkWithdrawal rejects the withdrawal of a deployment or service to which a
-// server or trainer still refers, unless the note withdraws or changes that server
-// or trainer. The references of changed entries are checked by checkReferences.
-func (s *Snapshot) checkWithdrawal(n *release.Note, k release.Key) error {
-	// exempt holds the entries that the note withdraws or changes.
-	exempt := make(map[release.Key]bool)
-	for _, w := range n.Withdrawn {
-		exempt[w] = true
-	}
-	for i := range n.Changed.Servers {
-		exempt[release.Key{Kind: release.KindServer, Name: n.Changed.Servers[i].Name}] = true
-	}
-	for i := range n.Changed.Trainers {
-		exempt[release.Key{Kind: release.KindTrainer, Name: n.Changed.Trainers[i].Name}] = true
-	}
-	var err error
-	s.EachServerIn(k, func(v release.Server) {
-		if !exempt[release.Key{Kind: release.KindServer, Name: v.Name}] {
-			err = outcome.Refuse(outcome.ReasonConflict, k.String()+": server/"+v.Name+" still uses it")
-		}
-	})
-	if k.Kind != release.KindDeployment {
-		return err
-	}
-	s.EachTrainer(func(t release.Trainer) {
-		if t.Deployment == k.Name && !exempt[release.Key{Kind: release.KindTrainer, Name: t.Name}] {
-			err = outcome.Refuse(outcome.ReasonConflict, k.String()+": trainer/"+t.Name+" still uses it")
-		}
-	})
-	return err
-}
-
-func (s *Snapshot) has(k release.Key) bool {
-	var ok bool
-	switch k.Kind {
-	case release.KindDeployment:
-		_, ok = s.deployments.Get(k.Name)
-	case release.KindService:
-		_, ok = s.services.Get(k.Name)
-	case release.KindServer:
-		_, ok = s.servers.Get(k.Name)
-	case release.KindTrainer:
-		_, ok = s.trainers.Get(k.Name)
-	}
-	return ok
-}
-
 // applyEntries applies the entries of an accepted note to s, which must not be
 // shared with readers yet.
 func (s *Snapshot) applyEntries(n *release.Note, r int64) {
@@ -341,28 +214,6 @@
 	}
 }
 
-// addToPool adds the server x to the pool of its deployment or service.
-func (s *Snapshot) addToPool(x release.Server) {
-	k := PoolOf(&x).String()
-	p, ok := s.pools.Get(k)
-	if !ok {
-		p = immutable.NewSortedMap[string, struct{}](nil)
-	}
-	s.pools = s.pools.Set(k, p.Set(x.Name, struct{}{}))
-}
-
-// removeFromPool removes the server with the given name from its current pool, if it exists.
-func (s *Snapshot) removeFromPool(name string) {
-	old, ok := s.servers.Get(name)
-	if !ok {
-		return
-	}
-	k := PoolOf(&old).String()
-	if p, ok := s.pools.Get(k); ok {
-		s.pools = s.pools.Set(k, p.Delete(name))
-	}
-}
-
 // recordDecision keeps the decision v and drops the oldest one beyond maxDecisions. Like
 // applyEntries, it changes s.
 func (s *Snapshot) recordDecision(v Decision) {
@@ -374,14 +225,6 @@
 	}
 }
 
-// PoolOf returns the key of the deployment or service to which v belongs.
-func PoolOf(v *release.Server) release.Key {
-	if v.Deployment != "" {
-		return release.Key{Kind: release.KindDeployment, Name: v.Deployment}
-	}
-	return release.Key{Kind: release.KindService, Name: v.Service}
-}
-
 func each[V any](m *immutable.SortedMap[string, V], f func(V)) {
 	i := m.Iterator()
 	for !i.Done() {
@@ -389,58 +232,3 @@
 		f(v)
 	}
 }
-
-// entryRevision is the encoded form of one element of Snapshot.entryRevisions.
-type entryRevision struct {
-	Key      string `msgpack:"k"`
-	Revision int64  `msgpack:"r"`
-}
-
-// encodedSnapshot is the encoded form of a Snapshot.
-type encodedSnapshot struct {
-	Next      int64           `msgpack:"n"`
-	Revision  int64           `msgpack:"r"`
-	Entries   release.Entries `msgpack:"e"`
-	Touched   []entryRevision `msgpack:"t"`
-	Decisions []Decision      `msgpack:"v"`
-}
-
-// Encode encodes the snapshot as msgpack.
-func (s *Snapshot) Encode() []byte {
-	m := encodedSnapshot{Next: s.next, Revision: s.revision}
-	s.EachDeployment(func(x release.Deployment) { m.Entries.Deployments = append(m.Entries.Deployments, x) })
-	s.EachService(func(x release.Service) { m.Entries.Services = append(m.Entries.Services, x) })
-	s.EachServer(func(x release.Server) { m.Entries.Servers = append(m.Entries.Servers, x) })
-	s.EachTrainer(func(x release.Trainer) { m.Entries.Trainers = append(m.Entries.Trainers, x) })
-	i := s.entryRevisions.Iterator()
-	for !i.Done() {
-		k, r, _ := i.Next()
-		m.Touched = append(m.Touched, entryRevision{k, r})
-	}
-	m.Decisions = s.History(maxDecisions)
-	b, err := msgpack.Marshal(&m)
-	bug.Assert(err == nil, bug.Codec, "snapshot: cannot encode: %v", err)
-	return b
-}
-
-// Decode decodes a snapshot that was encoded by Encode. Errors are *outcome.Error.
-func Decode(b []byte) (*Snapshot, error) {
-	var m encodedSnapshot
-	if err := msgpack.Unmarshal(b, &m); err != nil {
-		return nil, outcome.Refuse(outcome.ReasonBadRequest, "snapshot: "+err.Error())
-	}
-	if m.Next < 0 || m.Revision < 0 || m.Revision > m.Next {
-		return nil, outcome.Refuse(outcome.ReasonBadRequest, "snapshot: revision is not before the next offset")
-	}
-	s := New()
-	s.applyEntries(&release.Note{Added: m.Entries}, m.Revision)
-	s.entryRevisions = immutable.NewSortedMap[string, int64](nil)
-	for _, t := range m.Touched {
-		s.entryRevisions = s.entryRevisions.Set(t.Key, t.Revision)
-	}
-	for _, v := range m.Decisions {
-		s.recordDecision(v)
-	}
-	s.next, s.revision = m.Next, m.Revision
-	return s, nil
-}
