--- a/pier/daemon/claims.go
+++ b/pier/daemon/claims.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/claim"
 	"mulberrypier.example/pier/entryhost"
@@ -36,46 +35,6 @@
 // belongs to.
 func claimKey(key string) string { return "claims:" + strconv.Itoa(claim.PartitionOf(key)) }
 
-// StreamClaims returns the name of the log stream with a partition's claims.
-func StreamClaims(partition int) string { return "claims-" + strconv.Itoa(partition) }
-
-// execution is a claimed call that this host executes or has executed.
-type execution struct {
-	// done is closed once answer or err is set.
-	done        chan struct{}
-	answer      *entryhost.CallAnswer
-	err         error
-	fingerprint uint64
-	nonce       string
-	startedAt   time.Time
-}
-
-// partition holds the claim.Ledger of one partition and this host's calls in it.
-type partition struct {
-	number int
-	mu     sync.Mutex
-	ledger *claim.Ledger
-	// executions holds the calls of this host by idempotency key, both in progress
-	// and answered.
-	executions map[string]*execution
-	// queue holds the records that wait while an append is in progress.
-	queue       []*pendingAppend
-	flushing    bool
-	lastUsed    time.Time
-	answerBytes int64
-	// abandoned holds the nonces of claims of this host whose call was never run,
-	// because the log did not confirm the append in time. Such a claim may still be
-	// in the log.
-	abandoned map[string]bool
-}
-
-// pendingAppend is a record that is being appended to the log.
-type pendingAppend struct {
-	data []byte
-	done chan struct{}
-	err  error
-}
-
 // claims is the role that executes calls with an idempotency key at most once: it
 // claims the keys in the log, runs the calls and keeps their answers.
 type claims struct {
@@ -121,46 +80,6 @@
 	c.d.metrics.claims.Set(float64(total))
 }
 
-// expire removes the answers of keys that are past the horizon. p.mu must be held.
-func (p *partition) expire(now time.Time, horizon time.Duration) {
-	for k, e := range p.executions {
-		if isClosed(e.done) && now.Sub(e.startedAt) > horizon+2*maxClockSkew {
-			p.dropAnswer(k, e)
-		}
-	}
-}
-
-// dropAnswer removes an answer from memory; the claim stays in the log. p.mu must
-// be held.
-func (p *partition) dropAnswer(key string, e *execution) {
-	if e.answer != nil {
-		p.answerBytes -= int64(len(e.answer.Body))
-	}
-	delete(p.executions, key)
-}
-
-// partition returns the partition of an idempotency key and creates it if needed.
-func (c *claims) partition(key string) *partition {
-	number := claim.PartitionOf(key)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.partitions[number]
-	if p == nil {
-		p = &partition{
-			number:     number,
-			executions: make(map[string]*execution),
-			abandoned:  make(map[string]bool),
-			ledger: claim.New(claim.Config{
-				Horizon: c.d.s.Timing.KeyHorizon.D(),
-				Skew:    maxClockSkew,
-				Max:     c.d.s.Limits.ClaimsPerPartition,
-			}),
-		}
-		c.partitions[number] = p
-	}
-	return p
-}
-
 // call executes a call with an idempotency key at most once. If this host already
 // has a call with the key, in progress or answered, it returns that call's result.
 func (c *claims) call(ctx context.Context, q *entryhost.CallRequest) (*entryhost.CallAnswer, error) {
@@ -318,147 +237,6 @@
 	}
 }
 
-// acquireClaim claims the key in the log. It returns nil if this claim wins.
-// Otherwise it fails with an *outcome.Error: log-down with the outcome not-run if the
-// append was not confirmed in time, key-claimed with the outcome unknown if another
-// claim has won, and key-mismatch if that claim belongs to another request.
-func (c *claims) acquireClaim(ctx context.Context, p *partition, q *entryhost.CallRequest, e *execution) error {
-	r := claim.Record{Key: q.Key, Nonce: e.nonce, Host: c.d.id, Fingerprint: e.fingerprint}
-	for {
-		err := c.append(ctx, p, &r)
-		if err == nil {
-			err = c.catchUp(ctx, p)
-		}
-		p.mu.Lock()
-		w, ok := p.ledger.Get(q.Key)
-		p.mu.Unlock()
-		switch {
-		case err == nil && ok && (w.Nonce == e.nonce || p.reuseAbandoned(w.Nonce, e)):
-			return nil
-		case err == nil && ok && w.Fingerprint != e.fingerprint:
-			return outcome.Refuse(outcome.ReasonKeyMismatch, "the key belongs to another request")
-		case err == nil && ok:
-			return outcome.Ambiguous(outcome.ReasonKeyClaimed, "claimed by "+w.Host, nil)
-		case err != nil && ctx.Err() != nil:
-			p.abandon(e.nonce)
-			return outcome.Refuse(outcome.ReasonLogDown, "the key could not be claimed")
-		}
-		if err != nil {
-			c.d.metrics.retry("claim", err)
-			backoff.Sleep(ctx, 100*time.Millisecond)
-		}
-	}
-}
-
-// abandon records that the call of a claim will not be run.
-func (p *partition) abandon(nonce string) {
-	p.mu.Lock()
-	p.abandoned[nonce] = true
-	p.mu.Unlock()
-}
-
-// reuseAbandoned lets a call run under an earlier claim of this host that was
-// abandoned, and reports whether it may. The claim was never used, so the call
-// still runs at most once.
-func (p *partition) reuseAbandoned(nonce string, e *execution) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.abandoned[nonce] {
-		return false
-	}
-	delete(p.abandoned, nonce)
-	e.nonce = nonce
-	return true
-}
-
-// append appends a record to the partition's log stream. Records that arrive while
-// an append is in progress are batched into the next one.
-func (c *claims) append(ctx context.Context, p *partition, r *claim.Record) error {
-	w := &pendingAppend{data: r.Encode(), done: make(chan struct{})}
-	p.mu.Lock()
-	p.queue = append(p.queue, w)
-	if !p.flushing {
-		p.flushing = true
-		go c.flush(p)
-	}
-	p.mu.Unlock()
-	select {
-	case <-w.done:
-		return w.err
-	case <-ctx.Done():
-		return outcome.Ambiguous(outcome.ReasonDeadline, "append", ctx.Err())
-	}
-}
-
-// flush appends the queued records batch by batch. It pauses for Timing.ClaimLinger
-// between batches, which bounds the append rate of a partition.
-func (c *claims) flush(p *partition) {
-	for {
-		p.mu.Lock()
-		l := p.queue[:min(len(p.queue), maxClaimBatch)]
-		p.queue = p.queue[len(l):]
-		p.flushing = len(l) > 0
-		p.mu.Unlock()
-		if len(l) == 0 {
-			return
-		}
-		var b [][]byte
-		for _, w := range l {
-			b = append(b, w.data)
-		}
-		_, err := c.d.log.Append(c.d.ctx, StreamClaims(p.number), b...)
-		for _, w := range l {
-			w.err = err
-			close(w.done)
-		}
-		backoff.Sleep(c.d.ctx, c.d.s.Timing.ClaimLinger.D())
-	}
-}
-
-// catchUp replays the partition's log stream to its end.
-func (c *claims) catchUp(ctx context.Context, p *partition) error {
-	for {
-		p.mu.Lock()
-		from := p.ledger.Next()
-		p.mu.Unlock()
-		g, err := c.d.log.Read(ctx, StreamClaims(p.number), from, claimReadLimit, 0)
-		if err != nil {
-			return err
-		}
-		p.mu.Lock()
-		if g.Oldest > p.ledger.Next() {
-			p.ledger.SkipTo(g.Oldest)
-		}
-		for _, r := range g.Records {
-			k, err := claim.Decode(r.Data)
-			if err != nil {
-				p.ledger.SkipTo(r.Offset + 1)
-				continue
-			}
-			p.ledger.Apply(r.Offset, r.Time, k)
-		}
-		done := p.ledger.Next() >= g.Next
-		p.mu.Unlock()
-		if done {
-			return nil
-		}
-	}
-}
-
-// releaseClaim releases the claim of a call that was not run.
-func (c *claims) releaseClaim(p *partition, key string, e *execution) {
-	ctx, cancel := context.WithTimeout(c.d.ctx, 2*time.Second)
-	defer cancel()
-	r := claim.Record{Key: key, Nonce: e.nonce, Host: c.d.id, Release: true}
-	if err := c.append(ctx, p, &r); err != nil {
-		c.d.metrics.retry("claim", err)
-		return
-	}
-	if err := c.catchUp(ctx, p); err != nil {
-		c.d.metrics.retry("claim", err)
-	}
-}
-
 // busy reports whether a claimed call is in progress on this host.
 func (c *claims) busy() bool {
 	c.mu.Lock()
