--- a/pier/daemon/claims.go
+++ b/pier/daemon/claims.go
@@ -27,6 +27,8 @@
 	// claimDeadlineMargin is how long before the caller's deadline an attempt to
 	// claim a key is abandoned.
 	claimDeadlineMargin = 200 * time.Millisecond
+	// sweepInterval is the time between two searches for what has expired.
+	sweepInterval = 5 * time.Second
 	// partitionIdleTimeout is how long an unused partition is kept in memory.
 	partitionIdleTimeout = 10 * time.Minute
 )
@@ -50,16 +52,7 @@
 
 // run periodically removes expired answers and unused partitions.
 func (c *claims) run(ctx context.Context) {
-	k := time.NewTicker(5 * time.Second)
-	defer k.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-k.C:
-			c.sweep(n)
-		}
-	}
+	every(ctx, sweepInterval, c.sweep)
 }
 
 // sweep removes expired answers and the partitions that have been unused for
--- a/pier/daemon/completions.go
+++ b/pier/daemon/completions.go
@@ -46,7 +46,6 @@
 	if q.Stream {
 		return w.finish(d.complete(ctx, m, w.writeChunk))
 	}
-	var k caller.ChatAnswer
 	var b strings.Builder
 	last := engine.Chunk{}
 	err = d.complete(ctx, m, func(e *engine.Chunk) error {
@@ -60,7 +59,7 @@
 	if last.Finish != "stop" && last.Finish != "length" {
 		return outcome.Ambiguous(outcome.ReasonShortAnswer, "completion ended as "+last.Finish, nil)
 	}
-	k = caller.NewAnswer(id, q.Model, b.String(), last.Finish, last.Total)
+	k := caller.NewAnswer(id, q.Model, b.String(), last.Finish, last.Total)
 	return respondJSON(c, &k)
 }
 
--- a/pier/daemon/daemon.go
+++ b/pier/daemon/daemon.go
@@ -177,6 +177,20 @@
 	}()
 }
 
+// every calls f at each interval until ctx is done.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	k := time.NewTicker(interval)
+	defer k.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-k.C:
+			f(now)
+		}
+	}
+}
+
 // Drain shuts the host down gracefully: it refuses new work, waits until no work is
 // in flight and returns when the process may exit. The wait ends early when ctx is
 // done.
--- a/pier/daemon/members.go
+++ b/pier/daemon/members.go
@@ -46,21 +46,14 @@
 
 // run drives the membership timers and the discovery of hosts.
 func (m *members) run(ctx context.Context) {
-	k := time.NewTicker(memberTickInterval)
-	defer k.Stop()
 	var lastDiscovery time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-k.C:
-			m.update(func(t *member.Table) member.Output { return t.Tick(n) })
-			if n.Sub(lastDiscovery) >= discoveryInterval {
-				lastDiscovery = n
-				go m.discover(ctx)
-			}
+	every(ctx, memberTickInterval, func(now time.Time) {
+		m.update(func(t *member.Table) member.Output { return t.Tick(now) })
+		if now.Sub(lastDiscovery) >= discoveryInterval {
+			lastDiscovery = now
+			go m.discover(ctx)
 		}
-	}
+	})
 }
 
 // update applies f to the membership table, sends the resulting heartbeats and
--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -43,18 +43,11 @@
 
 // run checks the timers of all steps periodically.
 func (s *steps) run(ctx context.Context) {
-	k := time.NewTicker(stepTickInterval)
-	defer k.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-k.C:
-			for _, t := range s.all() {
-				t.tick(s, n)
-			}
+	every(ctx, stepTickInterval, func(now time.Time) {
+		for _, t := range s.all() {
+			t.tick(s, now)
 		}
-	}
+	})
 }
 
 // all returns the steps of all trainers.
@@ -111,7 +104,7 @@
 	p.c.SetVersion(t.version)
 	p.c.SetExpectedVersion(t.expected(q.Key.Step))
 	s.applyHeldAnswers(p)
-	a := &entryhost.StepAnswer{Epoch: p.epoch, CoordinatorID: s.d.id, Counts: p.c.Counts()}
+	a := s.answer(p)
 	t.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -173,7 +166,12 @@
 	if p == nil {
 		return nil, outcome.Refuse(outcome.ReasonUnknownStep, k.String())
 	}
-	return &entryhost.StepAnswer{Epoch: p.epoch, CoordinatorID: s.d.id, Counts: p.c.Counts()}, nil
+	return s.answer(p), nil
+}
+
+// answer returns the state of a step. The lock of its trainer must be held.
+func (s *steps) answer(p *step) *entryhost.StepAnswer {
+	return &entryhost.StepAnswer{Epoch: p.epoch, CoordinatorID: s.d.id, Counts: p.c.Counts()}
 }
 
 // isClosed reports whether c is closed. Nothing must be sent on c.
