A cancelled step's counts are read under its lock

What the trainer is told of a step that it cancels may be torn: the answers of hosts that are asked what they hold of the step change its counts at the same time.

Cause: steps.cancel read the counts after it had given its lock back.

Change: it reads them before.

--- a/pier/daemon/steps.go
+++ b/pier/daemon/steps.go
@@ -144,17 +144,26 @@
 
 // cancel ends a step and releases what the hosts hold of it.
 func (s *steps) cancel(k rollout.StepKey) (*entryhost.StepAnswer, error) {
+	a := s.drop(k)
+	s.releaseAll(k)
+	if a == nil {
+		return nil, outcome.Refuse(outcome.ReasonUnknownStep, k.String())
+	}
+	return a, nil
+}
+
+// drop removes a step and returns its last state, or nil if there is no such step.
+func (s *steps) drop(k rollout.StepKey) *entryhost.StepAnswer {
 	t := s.trainer(k.Trainer)
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	p := t.steps[k.Step]
 	delete(t.steps, k.Step)
 	t.notifyPulls()
-	t.mu.Unlock()
-	s.releaseAll(k)
 	if p == nil {
-		return nil, outcome.Refuse(outcome.ReasonUnknownStep, k.String())
+		return nil
 	}
-	return &entryhost.StepAnswer{Epoch: p.epoch, CoordinatorID: s.d.id, Counts: p.c.Counts()}, nil
+	return s.answer(p)
 }
 
 // status returns the counts of a step.
