The memory of a host bounds the steps that it accepts and runs

Cause: only bodies were in the budget. Accepting a step holds it several times (body, decoded step, records, call to the log), and a step that runs stays in memory until it ends.

Change: the body of a step takes four times its length before it is read, or is refused as not run with 0.2 s to come back. A step that runs here counts with its own size until it is left, also where the budget is used up, as after a takeover: none is lost, but no further body is read meanwhile. A preferred driver without memory refuses a hand-off; the step then runs where it was accepted.

Open: texts of running samples, results that wait for the log, and buffers between hosts.

--- a/pier/bytebudget/bytebudget.go
+++ b/pier/bytebudget/bytebudget.go
@@ -23,6 +23,10 @@
 	return false
 }
 
+// Charge takes bytes also if fewer are left, for what is in memory already. Take then returns false
+// until enough was given back.
+func (b *Budget) Charge(bytes int64) { b.left.Add(-bytes) }
+
 // Give returns bytes that were taken.
 func (b *Budget) Give(bytes int64) { b.left.Add(bytes) }
 
--- a/pier/bytebudget/bytebudget_test.go
+++ b/pier/bytebudget/bytebudget_test.go
@@ -33,3 +33,14 @@
 	require.False(t, b.Take(total+1))
 	require.True(t, b.Take(total))
 }
+
+// What is in memory already is counted even if there is no room for it, and leaves none to others.
+func TestChargeLeavesNothingToTake(t *testing.T) {
+	b := New(100)
+	b.Charge(150)
+	require.EqualValues(t, -50, b.Left())
+	require.False(t, b.Take(1))
+	b.Give(140)
+	require.True(t, b.Take(90))
+	require.False(t, b.Take(1))
+}
--- a/pier/gateway/bodies.go
+++ b/pier/gateway/bodies.go
@@ -19,6 +19,9 @@
 	// beginnings of answers may take: the garbage collector lets the heap grow by about half, and the
 	// rest of the program needs its own part.
 	bodyShare = 3
+	// stepCopies is what the memory that it takes to accept a step is a multiple of, the length of its
+	// body: the body, the decoded step, its records and the call to the log.
+	stepCopies = 4
 	// bodyChunkBytes is the size of the parts in which a body of unknown length is read.
 	bodyChunkBytes = 64 << 10
 )
@@ -28,6 +31,8 @@
 	Bytes []byte
 	g     *Gateway
 	taken int64
+	// copies is how often the bytes will be in memory.
+	copies int64
 }
 
 // Release returns the memory that the body takes.
@@ -41,7 +46,17 @@
 // the request's context ends, as at the end of a planned stop, is waited for no longer. Errors are of
 // type *outcome.Error.
 func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
-	b := &Body{g: g}
+	return g.readBody(w, r, limit, 1)
+}
+
+// ReadStepBody is ReadBody for the body of a request that submits a step. It also takes the memory that
+// accepting the step needs.
+func (g *Gateway) ReadStepBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	return g.readBody(w, r, limit, stepCopies)
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit, copies int64) (*Body, error) {
+	b := &Body{g: g, copies: copies}
 	if r.ContentLength > limit {
 		return nil, outcome.Refuse(outcome.ReasonTooLarge, "body")
 	}
@@ -77,7 +92,7 @@
 // read reads a body of the given length, -1 if that is not known.
 func (b *Body) read(body io.Reader, length int64) error {
 	if length >= 0 {
-		if !b.take(length) {
+		if !b.takeCopies(length) {
 			return errNoMemory
 		}
 		b.Bytes = make([]byte, length)
@@ -91,6 +106,11 @@
 		n, err := body.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
 		b.Bytes = b.Bytes[:len(b.Bytes)+n]
 		if errors.Is(err, io.EOF) {
+			b.g.memory.Give(b.taken)
+			b.taken = 0
+			if !b.takeCopies(int64(cap(b.Bytes))) {
+				return errNoMemory
+			}
 			return nil
 		}
 		if err != nil {
@@ -115,6 +135,10 @@
 	return true
 }
 
+// takeCopies takes the memory for all copies of a body of n bytes. A body of which there is no room for
+// as many copies at all takes all memory that requests have.
+func (b *Body) takeCopies(n int64) bool { return b.take(max(n, min(n*b.copies, b.g.bodyMemory()))) }
+
 func (b *Body) take(n int64) bool {
 	if !b.g.memory.Take(n) {
 		return false
@@ -123,5 +147,8 @@
 	return true
 }
 
+// bodyMemory returns the memory that bodies and open steps may take.
+func (g *Gateway) bodyMemory() int64 { return g.c.MemoryBytes / bodyShare }
+
 // errNoMemory is the refusal of a request for whose body the host has no memory.
 var errNoMemory = outcome.Refuse(outcome.ReasonMemory, "body").After(busyRetryAfter)
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -118,7 +118,7 @@
 	pool    *backend.Pool
 	engines EngineControl
 	peers   *peer.Client
-	// memory bounds the bodies of requests and the beginnings of answers.
+	// memory bounds the bodies of requests, the beginnings of answers and the steps that run here.
 	memory *bytebudget.Budget
 
 	peerLog   *peerLog
@@ -157,7 +157,7 @@
 	if g.c.MemoryBytes <= 0 {
 		g.c.MemoryBytes = defaultMemoryBytes
 	}
-	g.memory = bytebudget.New(g.c.MemoryBytes / bodyShare)
+	g.memory = bytebudget.New(g.bodyMemory())
 	g.logHealth = newLogHealth(g.log, g.metrics)
 	g.unreadable = newUnreadable(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
--- a/pier/gateway/handoff.go
+++ b/pier/gateway/handoff.go
@@ -63,6 +63,9 @@
 	if !incarnation.IsOf(m.Host, p.g.s.Name) || p.g.drain.leaving() || !p.reachesLog(ctx) {
 		return nil, outcome.Refuse(outcome.ReasonNotOwner, s.ID)
 	}
+	if !p.hasMemory(s) {
+		return nil, outcome.Refuse(outcome.ReasonMemory, s.ID)
+	}
 	t := p.g.Table()
 	if t == nil {
 		return nil, outcome.Refuse(outcome.ReasonUnreachable, s.ID)
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -78,7 +78,11 @@
 				zap.Int("items", len(s.Items)), zap.Int64("offset", a.First),
 				zap.String("driver", driver.Host))
 			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			p.g.wg.Go(func() { p.dispatch(r, s, v, driver, claim) })
+			n := p.charge(s)
+			p.g.wg.Go(func() {
+				defer p.g.memory.Give(n)
+				p.dispatch(r, s, v, driver, claim)
+			})
 			return nil
 		}
 		e := outcome.AsError(err)
@@ -138,7 +142,9 @@
 	}
 	d := newStepDriver(p.g, r, s, v)
 	p.running[s.ID] = d
+	n := p.charge(s)
 	p.g.wg.Go(func() {
+		defer p.g.memory.Give(n)
 		d.run()
 		p.mu.Lock()
 		delete(p.running, s.ID)
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -446,3 +446,16 @@
 	require.True(t, outcome.HasReason(err, outcome.ReasonSilent), "%v", err)
 	require.Equal(t, "e1", outcome.AsError(err).Detail)
 }
+
+// The memory of a step is counted as long as the step runs here, and not for ever.
+func TestStepsGiveTheirMemoryBack(t *testing.T) {
+	g := newHost(t, "a", newLog().Functions())
+	g.table(nil)
+	s := newStep("s", 3)
+	for n := range 2 {
+		require.NoError(t, g.Accept(context.Background(), route(g), s), "attempt %d", n)
+		require.Eventually(t, func() bool { return g.memory.Left() == g.bodyMemory()-stepBytes(s) }, 5*time.Second, time.Millisecond)
+	}
+	require.NoError(t, g.End(context.Background(), "s"))
+	require.Eventually(t, func() bool { return g.memory.Left() == g.bodyMemory() }, 5*time.Second, time.Millisecond)
+}
