Records that wait for the log count as memory in use

While the log is away, results and saved progress wait without a bound, and bodies take the third of the memory that is theirs all the same.

Cause: the budget did not know of these records.

Change: a record takes its bytes from the budget, whatever is left of it, until its append is acknowledged: no result is lost by it, but bodies that do not fit beside it are refused.

--- a/pier/gateway/journalqueue.go
+++ b/pier/gateway/journalqueue.go
@@ -27,11 +27,13 @@
 }
 
 // post queues a record. flush appends it together with the other queued ones, and retries
-// until the append is acknowledged. A record may be appended twice; the fold keeps the first.
+// until the append is acknowledged. A record may be appended twice; the fold keeps the first. It counts
+// as memory that is in use until then.
 func (v *view) post(b []byte) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.queue = append(v.queue, b)
+	v.j.g.memory.Charge(int64(encodedSize([][]byte{b})))
 	v.usedAt = time.Now()
 	if !v.flushing {
 		v.flushing = true
@@ -53,6 +55,7 @@
 			v.mu.Lock()
 			v.queue = v.queue[len(b):]
 			v.mu.Unlock()
+			v.j.g.memory.Give(int64(encodedSize(b)))
 			wait = logRetryDelay
 			continue
 		}
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -459,3 +459,18 @@
 	require.NoError(t, g.End(context.Background(), "s"))
 	require.Eventually(t, func() bool { return g.memory.Left() == g.bodyMemory() }, 5*time.Second, time.Millisecond)
 }
+
+// Results are finished while the log is away. Their memory must be counted until they are in the log, as
+// it is not there for bodies.
+func TestResultsThatWaitForTheLogAreCounted(t *testing.T) {
+	l := newLog()
+	g := newHost(t, "a", l.Functions())
+	r, err := stepjournal.Finished(&stepjournal.Result{Step: "s", ID: "s-0", State: stepjournal.Completed, Text: strings.Repeat("t", 100_000)})
+	require.NoError(t, err)
+	l.SetDown(true)
+	g.journal.get("s").post(r)
+	g.journal.get("s").post(r)
+	require.Equal(t, g.bodyMemory()-int64(encodedSize([][]byte{r, r})), g.memory.Left())
+	l.SetDown(false)
+	require.Eventually(t, func() bool { return !g.journal.hasPending() && g.memory.Left() == g.bodyMemory() }, 5*time.Second, time.Millisecond)
+}
