--- a/pier/gateway/journalqueue.go
+++ b/pier/gateway/journalqueue.go
@@ -28,8 +28,9 @@
 }
 
 // post queues a record. flush appends it together with the other queued ones, and retries
-// until the append is acknowledged. A record may be appended twice; the fold keeps the first. One that
-// the log never takes is dropped, so that it holds up no others.
+// until the append is acknowledged. A record may be appended twice; the fold keeps the first. It counts
+// as memory that is in use until then. One that the log never takes is dropped, so that it holds up no
+// others.
 func (v *view) post(b []byte) {
 	if limit := v.j.g.s.Log.RecordBytes; len(b) > limit {
 		v.j.g.log.Error("journal: record is larger than the log allows; dropped", zap.Int("part", v.n),
@@ -39,6 +40,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.queue = append(v.queue, b)
+	v.j.g.memory.Charge(int64(encodedSize([][]byte{b})))
 	v.usedAt = time.Now()
 	if !v.flushing {
 		v.flushing = true
@@ -85,6 +87,7 @@
 			v.mu.Lock()
 			v.queue = v.queue[len(b):]
 			v.mu.Unlock()
+			v.j.g.memory.Give(int64(encodedSize(b)))
 			p.done(time.Since(sent))
 			continue
 		}
@@ -109,9 +112,11 @@
 	defer v.mu.Unlock()
 	var keep [][]byte
 	for _, b := range v.queue[:n] {
-		if !v.fold.Repeats(b) {
-			keep = append(keep, b)
+		if v.fold.Repeats(b) {
+			v.j.g.memory.Give(int64(encodedSize([][]byte{b})))
+			continue
 		}
+		keep = append(keep, b)
 	}
 	v.queue = append(keep, v.queue[n:]...)
 }
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -104,8 +104,9 @@
 				zap.Int("items", len(s.Items)), zap.Int64("offset", a.First),
 				zap.String("driver", driver.Host))
 			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			end := p.start(s.ID)
+			end, n := p.start(s.ID), p.charge(s)
 			p.g.wg.Go(func() {
+				defer p.g.memory.Give(n)
 				defer end()
 				p.dispatch(r, s, v, driver, claim)
 			})
@@ -168,7 +169,9 @@
 	}
 	d := newStepDriver(p.g, r, s, v)
 	p.running[s.ID] = d
+	n := p.charge(s)
 	p.g.wg.Go(func() {
+		defer p.g.memory.Give(n)
 		d.run()
 		p.mu.Lock()
 		delete(p.running, s.ID)
