A text is not discarded for a slot at its own server

A sample that broke off looks for a free slot at servers of the software that began it, and then for one anywhere; it begins anew if only the second look finds one and it has waited for as long as it had generated. The two looks are made at different times. A slot of its own software that became free in between (a release, or the end of the time for which a server is avoided) counted as one elsewhere, and the text was discarded for a slot that could have continued it. The same two looks told the holder of the order lease that samples wait for engines with a version, where they waited for a slot.

A picker of slots now keeps to what it has not found: an engine that meets a need that no free slot met does not count as free for another need of the same pass. A slot that becomes free in between is found by the next pass, which its release starts.

--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -22,11 +23,15 @@
 	return f.reserve(f.byService[service][at[i]]), true
 }
 
-// hasFreeEngine reports whether an engine that meets a sample's need has a free slot.
-func (f *fleet) hasFreeEngine(service, model string, n stepplan.Need, slots int) bool {
+// hasFreeEngine reports whether an engine that meets a sample's need, and none of the needs unmet,
+// has a free slot.
+func (f *fleet) hasFreeEngine(service, model string, n stepplan.Need, unmet []stepplan.Need, slots int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, _ := f.eligibleEngines(service, model, slots, time.Now(), f.admitsSample)
+	c = slices.DeleteFunc(c, func(e stepplan.Engine) bool {
+		return slices.ContainsFunc(unmet, func(o stepplan.Need) bool { return o.MetBy(&e) })
+	})
 	return stepplan.PickEngine(c, n) >= 0
 }
 
--- a/pier/gateway/slotpicker.go
+++ b/pier/gateway/slotpicker.go
@@ -15,7 +15,8 @@
 var anyVersion = stepplan.Need{}
 
 // slotPicker finds free slots for the waiting samples of a step, one after the other. It asks
-// once only for what it has not found.
+// once only for what it has not found: a slot that becomes free later counts from the next picker
+// on, whatever the need that it meets.
 type slotPicker struct {
 	f     *fleet
 	t     *routetable.Table
@@ -39,10 +40,21 @@
 func (p *slotPicker) hasFree(services []string, n stepplan.Need) bool {
 	for _, s := range services {
 		k := slotNeed{s, n}
-		if !p.full[k] && p.f.hasFreeEngine(s, p.model, n, p.t.Slots(s)) {
+		if !p.full[k] && p.f.hasFreeEngine(s, p.model, n, p.unmet(s), p.t.Slots(s)) {
 			return true
 		}
 		p.full[k] = true
 	}
 	return false
 }
+
+// unmet returns the needs that no free slot of a service meets.
+func (p *slotPicker) unmet(service string) []stepplan.Need {
+	var r []stepplan.Need
+	for k, full := range p.full {
+		if full && k.service == service {
+			r = append(r, k.need)
+		}
+	}
+	return r
+}
--- a/pier/stepplan/stepplan.go
+++ b/pier/stepplan/stepplan.go
@@ -54,15 +54,17 @@
 	Software string
 }
 
+// MetBy reports whether an engine meets the need, with or without a free slot.
+func (n Need) MetBy(e *Engine) bool {
+	return e.Version >= n.MinVersion && (n.Software == "" || e.Software == n.Software)
+}
+
 // PickEngine returns the index in l of the engine that should run a sample, or -1 if no engine
 // that it may run on has a free slot.
 func PickEngine(l []Engine, n Need) int {
 	best := -1
 	for i, e := range l {
-		if e.Version < n.MinVersion || e.Running >= e.Slots {
-			continue
-		}
-		if n.Software != "" && e.Software != n.Software {
+		if e.Running >= e.Slots || !n.MetBy(&e) {
 			continue
 		}
 		if best < 0 || preferred(e, l[best]) {
