A silent peer leaves time for the next path to the log

At a host that the log turns away, a call whose first peer was silent waited for it until its deadline and asked no other. Each path now leaves half of the time for the next, unless half is too short for an answer of the log, as the direct one does.

--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -141,24 +141,28 @@
 	return d.answer
 }
 
-// askDirectFirst is askDirect with part of the time kept for a peer, if there is one and the
-// call may be repeated. A large read needs all of its time.
+// askDirectFirst is askDirect with part of the time kept for a peer, if there is one.
 func (l *peerLog) askDirectFirst(ctx context.Context, q *logCall) *logAnswer {
-	_, ok := l.nextPeer()
-	end, limited := ctx.Deadline()
-	if !ok || !limited || !q.repeatable() || q.isLarge() {
+	if _, ok := l.nextPeer(); !ok {
 		return l.askDirect(ctx, q)
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.wait()+l.directTime(time.Until(end)-q.wait()))
+	ctx, cancel := l.keepTime(ctx, q)
 	defer cancel()
 	return l.askDirect(ctx, q)
 }
 
-// directTime is logpath.Chooser.DirectTime.
-func (l *peerLog) directTime(left time.Duration) time.Duration {
+// keepTime returns a context for one path that keeps part of the time for the next one, if the call
+// may be repeated and there is enough of it. A large read needs all of its time.
+func (l *peerLog) keepTime(ctx context.Context, q *logCall) (context.Context, context.CancelFunc) {
+	end, limited := ctx.Deadline()
+	if !limited || !q.repeatable() || q.isLarge() {
+		return ctx, func() {}
+	}
+	left := time.Until(end) - q.wait()
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.paths.DirectTime(left)
+	left = l.paths.PathTime(left)
+	l.mu.Unlock()
+	return context.WithTimeout(ctx, q.wait()+left)
 }
 
 // limit returns the time that a call to the log may take which may take base at a quick log.
--- a/pier/gateway/peerpath.go
+++ b/pier/gateway/peerpath.go
@@ -34,7 +34,9 @@
 		if !ok {
 			return
 		}
-		d.add(l.askPeer(ctx, p, d.q))
+		peerCtx, cancel := l.keepTime(ctx, d.q)
+		d.add(l.askPeer(peerCtx, p, d.q))
+		cancel()
 		if d.settled(ctx) {
 			return
 		}
--- a/pier/logpath/logpath.go
+++ b/pier/logpath/logpath.go
@@ -132,9 +132,9 @@
 // Limit returns the time that a call may take which may take base at a quick log.
 func (c *Chooser) Limit(base time.Duration) time.Duration { return max(base, limitFactor*c.latency) }
 
-// DirectTime returns how much of the time that a call has left its direct attempt may take: half,
-// so that a peer can be asked after it, but all if half is too short for an answer.
-func (c *Chooser) DirectTime(left time.Duration) time.Duration {
+// PathTime returns how much of the time that a call has left it may take by one path: half, so that
+// another one can be tried after it, but all if half is too short for an answer.
+func (c *Chooser) PathTime(left time.Duration) time.Duration {
 	if left/2 < latencyMargin*c.latency {
 		return left
 	}
--- a/pier/logpath/logpath_test.go
+++ b/pier/logpath/logpath_test.go
@@ -176,7 +176,7 @@
 			}
 			require.Equal(t, c.want, x.Latency())
 			require.Equal(t, c.limit, x.Limit(600*ms))
-			require.Equal(t, c.direct, x.DirectTime(600*ms))
+			require.Equal(t, c.direct, x.PathTime(600*ms))
 		})
 	}
 }
