A look-up of what began a stream goes on though its caller left

The limit follows the latency of the log now, and one reading goes on to its end for all that ask.

TestLookUpOfAStreamIsKeptThoughItsCallerLeft: at 0.7 s a call every look-up failed before, by its own limit; now the second finds the record. What is left: a partition of many pages is read anew by each host (docs/design/recovery-reads.md).

--- a/pier/gateway/oddrecords_test.go
+++ b/pier/gateway/oddrecords_test.go
@@ -171,7 +171,7 @@
 		require.NoError(t, g.suspects.read())
 	}
 	p := g.streams.partitions[0]
-	require.NoError(t, g.streams.readToEnd(context.Background(), p))
+	require.NoError(t, g.streams.readToEnd(p))
 	require.EqualValues(t, odd, p.next)
 	require.LessOrEqual(t, lines.FilterMessage("log: record cannot be read; skipped").Len(), 3)
 }
--- a/pier/gateway/slowlog_test.go
+++ b/pier/gateway/slowlog_test.go
@@ -14,11 +14,14 @@
 	"github.com/stretchr/testify/require"
 
 	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/memlog"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/quarantine"
 	"mulberrypier.example/pier/stepjournal"
+	"mulberrypier.example/pier/streamorigin"
 )
 
 const (
@@ -259,3 +262,26 @@
 	require.Eventually(t, func() bool { return b.steps.isDriving("s") }, 5*time.Second, 10*time.Millisecond)
 	require.Eventually(t, func() bool { return !b.steps.isStarting("s") }, time.Second, time.Millisecond)
 }
+
+// A look-up of what began a stream was dropped with the caller that it took too long for, at each
+// host anew.
+func TestLookUpOfAStreamIsKeptThoughItsCallerLeft(t *testing.T) {
+	l := newLog()
+	var pages atomic.Int64
+	b, err := streamorigin.Encode([]streamorigin.Record{{Stream: "s", Writer: directory.Software{Service: "desk", Version: "1"}}})
+	require.NoError(t, err)
+	at := partitionlog.Partition{Topic: streamorigin.Topic, Number: streamorigin.PartitionOf("s", testParts)}
+	_, err = l.Functions().Append(context.Background(), partitionlog.AppendRequest{
+		Partition: at, Records: [][]byte{b}, ExpectedEnd: partitionlog.NoCondition,
+	})
+	require.NoError(t, err)
+	g := newHost(t, "a", slowLog(l.Functions(), 700*time.Millisecond, &pages))
+	require.Error(t, g.streams.read(context.Background(), "s"))
+	require.Eventually(t, func() bool {
+		g.streams.mu.Lock()
+		defer g.streams.mu.Unlock()
+		_, state := g.streams.ledger.Find("s", quarantine.Key{})
+		return state == streamorigin.Known
+	}, time.Second, time.Millisecond)
+	require.NoError(t, g.streams.read(context.Background(), "s"))
+}
--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -30,7 +30,7 @@
 	// maxOriginsAppended those of one append.
 	maxWaitingOrigins  = 2000
 	maxOriginsAppended = 500
-	// originReadTimeout bounds the time to look a stream up in the log.
+	// originReadTimeout bounds the time that a caller waits for a look-up of its stream in a quick log.
 	originReadTimeout = 600 * time.Millisecond
 	// originRetryAfter is the Retry-After time given to callers while the record of their stream
 	// cannot be read or may still be on its way.
@@ -53,17 +53,23 @@
 
 // originPartition is one partition of the topic.
 type originPartition struct {
-	// reading is held while the partition is read, and guards next, readAt and readErr.
-	reading sync.Mutex
-	// next is the offset to read from.
+	mu sync.Mutex
+	// reading is the reading in progress, nil if there is none.
+	reading *originReading
+	// next is the offset to read from. The reading in progress uses it.
 	next int64
-	// readAt is when the last read was started, readErr its result.
-	readAt  time.Time
-	readErr error
 
 	records appendQueue[streamorigin.Record]
 }
 
+// originReading is a reading of a partition up to its end, for all that wait for it.
+type originReading struct {
+	startedAt time.Time
+	// done is closed at the end. After it, err is the outcome.
+	done chan struct{}
+	err  error
+}
+
 func newStreams(g *Gateway) *streams {
 	s := &streams{g: g, ledger: streamorigin.NewLedger(maxOrigins)}
 	for n := range g.s.Log.Partitions {
@@ -293,28 +299,56 @@
 	return s.partitions[streamorigin.PartitionOf(stream, len(s.partitions))]
 }
 
-// read reads the partition of a stream's record up to its end.
+// read returns once the partition of a stream's record was read up to the end that it has now. A reading
+// that takes longer than ctx goes on, for the next that asks.
 func (s *streams) read(ctx context.Context, stream string) error {
 	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.g.peerLog.limit(originReadTimeout))
+	defer cancel()
 	p := s.partition(stream)
-	p.reading.Lock()
-	defer p.reading.Unlock()
-	if p.readAt.After(asked) {
-		return p.readErr
+	for {
+		r := s.startReading(p)
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+			return outcome.Refuse(outcome.ReasonOf(ctx), streamorigin.Topic)
+		}
+		if r.err != nil || !r.startedAt.Before(asked) {
+			return r.err
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
-	defer cancel()
-	p.readAt = time.Now()
-	p.readErr = s.readToEnd(ctx, p)
-	return p.readErr
 }
 
-// readToEnd adds the records of a partition that this host does not have yet. The caller holds
-// p.reading.
-func (s *streams) readToEnd(ctx context.Context, p *originPartition) error {
+// startReading returns the reading of a partition in progress, which it begins if need be.
+func (s *streams) startReading(p *originPartition) *originReading {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reading != nil {
+		return p.reading
+	}
+	r := &originReading{startedAt: time.Now(), done: make(chan struct{})}
+	if s.g.ctx.Err() != nil {
+		r.err = outcome.Refuse(outcome.ReasonCancelled, streamorigin.Topic)
+		close(r.done)
+		return r
+	}
+	p.reading = r
+	s.g.wg.Go(func() {
+		defer close(r.done)
+		r.err = s.readToEnd(p)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.reading = nil
+	})
+	return r
+}
+
+// readToEnd adds the records of a partition that this host does not have yet. It is called by the
+// reading in progress.
+func (s *streams) readToEnd(p *originPartition) error {
 	at := p.records.at
 	for {
-		page, err := s.g.c.Log.Read(ctx, partitionlog.ReadRequest{Partition: at, From: p.next, MaxBytes: maxReadBytes})
+		page, err := s.readPage(at, p.next)
 		if outcome.HasReason(err, partitionlog.ReasonExpired) {
 			p.next = max(page.First, p.next+1)
 			continue
@@ -339,6 +373,13 @@
 	}
 }
 
+// readPage reads the page of a partition at an offset.
+func (s *streams) readPage(at partitionlog.Partition, from int64) (partitionlog.Page, error) {
+	ctx, cancel := context.WithTimeout(s.g.ctx, s.g.peerLog.limit(readSlack))
+	defer cancel()
+	return s.g.c.Log.Read(ctx, partitionlog.ReadRequest{Partition: at, From: from, MaxBytes: maxReadBytes})
+}
+
 // tell records the origin of a stream here and has it appended, so that all hosts can learn it.
 func (s *streams) tell(r streamorigin.Record) {
 	s.g.metrics.origins.WithLabelValues("told").Inc()
