--- a/pier/daemon/owners.go
+++ b/pier/daemon/owners.go
@@ -20,14 +20,6 @@
 // offerInterval is the time between two offers while nothing changes.
 const offerInterval = 500 * time.Millisecond
 
-// held is a finished sample that the trainer has not acknowledged yet.
-type held struct {
-	sample *rollout.Sample
-	// delivered is set once a coordinator has accepted the sample.
-	delivered bool
-	heldSince time.Time
-}
-
 // owners is the role that admits all work to the backend servers whose rendezvous
 // hash selects this host. It runs the state machines of packages owner and weights.
 type owners struct {
