Hosts learn soon that a server's limit has ended

A limit that a server states no longer ended at a host only with an answer of its own, for which it needed a permit at the rate of the limit. Hosts that have just started grant a quarter of it, and learn limits that ended long ago from the notices in the log.

A host whose answer ends a limit now tells the coordinator and its deputy, with the message that asks for permits. These grant at once what others ask for with an older statement: the answer that each gets ends the limit there, or states it anew, and then the coordinator limits again. A host remembers for 1 s at most that a server is full, so that it asks in time. Hosts without this change refuse the new message (its limit is none) and are granted permits as before.

Not mended: a host that starts later and reads the old notice asks with a statement that looks new, and costs a permit of its own.

--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -32,6 +32,9 @@
 	// noCoordinatorDelay is how long no request is sent to a server whose coordinator and
 	// deputy did not answer.
 	noCoordinatorDelay = 200 * time.Millisecond
+	// maxFullTime bounds how long a host does not ask for a server that grants no request: the limit
+	// may have ended meanwhile, as the coordinator learns from others.
+	maxFullTime = time.Second
 	// askingDelay is how long a request that may not wait for a permit keeps away from a
 	// server for which another request of this host is asking.
 	askingDelay = 10 * time.Millisecond
@@ -40,15 +43,22 @@
 // kindPermit is the kind of a message that asks for a permit.
 const kindPermit = kindLogCall + 1
 
-// permitRequest asks for a permit. Times are relative, since the clocks of hosts differ.
+// permitRequest asks for a permit, or tells a coordinator that a limit has ended. Times are relative, since the clocks of hosts differ.
 type permitRequest struct {
 	Server    directory.Incarnation `msgpack:"s"`
 	PerSecond float64               `msgpack:"p"`
-	// StatedAgo is the time since the server stated the limit.
+	// StatedAgo is the time since the server stated the limit or, if Ended is set, since the
+	// request was sent whose answer stated none.
 	StatedAgo time.Duration `msgpack:"a"`
 	MaxWait   time.Duration `msgpack:"w"`
+	// Ended is set if the limit has ended. PerSecond is then no limit, so that a host that does
+	// not know the field refuses the request.
+	Ended bool `msgpack:"e,omitempty"`
 }
 
+// noLimit is the PerSecond of a permitRequest that names no limit.
+const noLimit = -1
+
 // permitAnswer is the answer to a permitRequest, with the fields of a serverlimit.Grant.
 type permitAnswer struct {
 	Granted bool          `msgpack:"g"`
@@ -150,7 +160,7 @@
 // of one that was not.
 func (l *limits) refuse(s directory.Incarnation, wait time.Duration) error {
 	l.mu.Lock()
-	l.book.SetFull(s, boottime.Now()+wait)
+	l.book.SetFull(s, boottime.Now()+min(wait, maxFullTime))
 	l.mu.Unlock()
 	return outcome.Refuse(outcome.ReasonServerLimit, s.ID).After(wait)
 }
@@ -228,12 +238,21 @@
 	if err := peer.Decode(r.Body, &m); err != nil {
 		return nil, err
 	}
+	at := boottime.Now() - max(m.StatedAgo, 0)
+	if m.Ended {
+		l.learnEnd(m.Server, at)
+		return &permitAnswer{}, nil
+	}
 	if !isLimit(m.PerSecond) {
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, "limit")
 	}
 	q := serverlimit.Ask{
 		Server: m.Server, MaxWait: m.MaxWait,
-		Limit: serverlimit.Limit{PerSecond: m.PerSecond, StatedAt: boottime.Now() - max(m.StatedAgo, 0)},
+		Limit: serverlimit.Limit{PerSecond: m.PerSecond, StatedAt: at},
+	}
+	if l.ended(q.Server, q.Limit) {
+		// The answer to the request shows the other host that the limit has ended.
+		return &permitAnswer{Granted: true}, nil
 	}
 	l.learn(q.Server, q.Limit)
 	l.refreshRoster()
@@ -253,6 +272,44 @@
 	l.known.Store(int64(l.book.Len()))
 }
 
+// learnEnd applies what another host knows of the end of a server's limit.
+func (l *limits) learnEnd(s directory.Incarnation, sent time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, _ := l.book.Limit(s)
+	l.changed(s, l.book.LearnEnd(s, sent), before)
+	l.known.Store(int64(l.book.Len()))
+}
+
+func (l *limits) ended(s directory.Incarnation, limit serverlimit.Limit) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Ended(s, limit)
+}
+
+// tellEnd tells the server's coordinator and its deputy that its limit has ended, which the answer to
+// a request has shown that was sent at sent: with many hosts, each would otherwise wait for a permit
+// of its own to learn it.
+func (l *limits) tellEnd(s directory.Incarnation, sent time.Duration) {
+	l.mu.Lock()
+	first, deputy := l.roster.Coordinators(s.ID)
+	l.mu.Unlock()
+	for _, h := range []string{first, deputy} {
+		a, ok := peerAddress(h)
+		if !ok || h == l.g.hostID() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(l.g.ctx, permitTimeout)
+		m := permitRequest{Server: s, PerSecond: noLimit, StatedAgo: boottime.Now() - sent, Ended: true}
+		err := l.g.peers.Call(ctx, a, kindPermit, &m, nil)
+		cancel()
+		if err != nil {
+			l.g.log.Info("servers: coordinator could not be told of the end of a limit",
+				zap.String("server", s.ID), zap.String("coordinator", h), zap.Error(err))
+		}
+	}
+}
+
 // grant decides as a coordinator. The error has the reason not-owner if this host is not one
 // of the server's.
 func (l *limits) grant(q serverlimit.Ask) (serverlimit.Grant, error) {
--- a/pier/gateway/serverlimits.go
+++ b/pier/gateway/serverlimits.go
@@ -139,6 +139,9 @@
 			zap.Strings("fields", shortened(fields)), zap.Error(err))
 	}
 	l.changed(s, c, before)
+	if c == serverlimit.Ended {
+		go l.tellEnd(s, a.At)
+	}
 }
 
 // count counts a request that was sent to a server after it had stated a limit. The caller
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -361,3 +361,39 @@
 	limited, _ = g.limits.wait(again)
 	require.False(t, limited, "another incarnation has stated no limit")
 }
+
+// Guards against hosts that go on refusing requests for a limit that has ended, each until it gets a
+// permit of its own at the limit's rate.
+func TestEndOfALimitReachesAllHostsThatAsk(t *testing.T) {
+	hosts := startHosts(t, newLog().Functions(), 4)
+	var stated atomic.Bool
+	stated.Store(true)
+	s := startServer(t, "s", "desk", func(_ *server, w http.ResponseWriter, _ *http.Request) {
+		if stated.Load() {
+			w.Header().Set(testDialect.Limit, "0.5")
+		}
+	})
+	for _, g := range hosts {
+		g.table(nil)
+		g.register(s.Server)
+	}
+	limited := func() int {
+		n := 0
+		for _, g := range hosts {
+			if is, _ := g.limits.wait(s.Server); is {
+				n++
+			}
+		}
+		return n
+	}
+	callFor(t, hosts, 500*time.Millisecond, 10*time.Millisecond)
+	require.Equal(t, len(hosts), limited())
+	stated.Store(false)
+	began := time.Now()
+	for limited() > 0 && time.Since(began) < 30*time.Second {
+		callFor(t, hosts, 50*time.Millisecond, 10*time.Millisecond)
+	}
+	// At a quarter of the limit, which a new coordinator grants, one request in 5 s is granted.
+	require.Less(t, time.Since(began), 5*time.Second+maxFullTime+500*time.Millisecond)
+	require.Greater(t, callFor(t, hosts, 200*time.Millisecond, 10*time.Millisecond), 40)
+}
--- a/pier/serverlimit/book.go
+++ b/pier/serverlimit/book.go
@@ -123,6 +123,22 @@
 	return b.state(s, l)
 }
 
+// LearnEnd applies what another host knows of the end of a limit: a request that was sent at sent
+// got an answer without one.
+func (b *Book) LearnEnd(s directory.Incarnation, sent time.Duration) Change {
+	if b.limits[s] != nil {
+		return b.end(s, sent)
+	}
+	b.ended[s] = max(b.ended[s], sent)
+	return Unchanged
+}
+
+// Ended reports whether a limit that another host knows has ended, as far as this host knows.
+func (b *Book) Ended(s directory.Incarnation, l Limit) bool {
+	t, ok := b.ended[s]
+	return ok && t > l.StatedAt && b.limits[s] == nil
+}
+
 func (b *Book) state(s directory.Incarnation, l Limit) Change {
 	p := b.limits[s]
 	if p == nil {
--- a/pier/serverlimit/book_test.go
+++ b/pier/serverlimit/book_test.go
@@ -53,3 +53,40 @@
 		})
 	}
 }
+
+// What another host knows of a limit's end counts if it is newer than what states the limit.
+func TestEndOfALimitThatAnotherHostHasSeen(t *testing.T) {
+	s := directory.Incarnation{ID: "s"}
+	tests := map[string]struct {
+		stated, ended time.Duration
+		want          Change
+	}{
+		"ended since":        {time.Second, 2 * time.Second, Ended},
+		"stated since":       {2 * time.Second, time.Second, Unchanged},
+		"no limit was known": {0, time.Second, Unchanged},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook()
+			if c.stated > 0 {
+				b.Learn(s, Limit{PerSecond: 1, StatedAt: c.stated})
+			}
+			require.Equal(t, c.want, b.LearnEnd(s, c.ended))
+			_, known := b.Limit(s)
+			require.Equal(t, c.stated > c.ended, known)
+			require.Equal(t, !known, b.Ended(s, Limit{PerSecond: 1, StatedAt: c.ended - 1}))
+			require.False(t, b.Ended(s, Limit{PerSecond: 1, StatedAt: c.ended + 1}))
+			require.Equal(t, Unchanged, b.Learn(s, Limit{PerSecond: 1, StatedAt: c.ended}), "known to have ended")
+		})
+	}
+}
+
+// A limit that is stated again after its end is in force again.
+func TestLimitThatIsStatedAgainHasNotEnded(t *testing.T) {
+	s := directory.Incarnation{ID: "s"}
+	b := NewBook()
+	b.LearnEnd(s, time.Second)
+	l := Limit{PerSecond: 1, StatedAt: 2 * time.Second}
+	require.Equal(t, Stated, b.Learn(s, l))
+	require.False(t, b.Ended(s, Limit{PerSecond: 1, StatedAt: 500 * time.Millisecond}))
+}
