--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -11,8 +11,10 @@
 const (
 	// appendTimeout bounds the time of an append to the journal.
 	appendTimeout = 1500 * time.Millisecond
-	// maxAppendBytes bounds the total size of the records of one append.
+	// maxAppendBytes bounds the total size of the records of one append. While appends fail it is
+	// less, down to minAppendBytes.
 	maxAppendBytes = 512 << 10
+	minAppendBytes = 16 << 10
 	// maxCacheBytes bounds the total size of the records that are cached for trainers to read.
 	maxCacheBytes = 768 << 10
 	// maxAppendBackoff bounds the backoff between attempts to append.
@@ -75,6 +77,7 @@
 		v = &view{
 			j: j, n: n, reading: make(chan struct{}, 1), fold: stepjournal.NewFold(stepjournal.FoldConfig{Now: boottime.Now}),
 			end: -1, changed: make(chan struct{}), checkpoint: newCheckpointing(j.g.s.Log.Retention.D()),
+			pages: make(map[int64]*pageRead),
 		}
 		j.views[n] = v
 	}
--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -12,6 +12,9 @@
 // kindLogCall is the kind of a message that carries a call to the log.
 const kindLogCall = kindStepQuery + 1
 
+// maxQuickBytes is the size of an answer up to which its transfer hardly counts.
+const maxQuickBytes = 32 << 10
+
 // logCall is a call to the log. One of its fields is set, but for those that belong to Newest.
 type logCall struct {
 	Append *partitionlog.AppendRequest `msgpack:"a"`
@@ -41,8 +44,11 @@
 	Page       partitionlog.Page         `msgpack:"p"`
 	Newest     partitionlog.Newest       `msgpack:"n"`
 	Membership partitionlog.Membership   `msgpack:"m"`
-	Members    []string                  `msgpack:"l"`
-	Err        *outcome.Error            `msgpack:"e"`
+	// Members names the members of a group for a host of an earlier version, Assigned holds them with
+	// their partitions.
+	Members  []string              `msgpack:"l"`
+	Assigned []partitionlog.Member `msgpack:"b"`
+	Err      *outcome.Error        `msgpack:"e"`
 }
 
 // repeatable reports whether the call may be made again although it may have been executed.
@@ -75,6 +81,18 @@
 	return 0
 }
 
+// latency returns the time that the log took for an answer, given the time until it arrived. ok is
+// false if most of that time may have passed otherwise: in the wait for records or in their transfer.
+func (q *logCall) latency(a *logAnswer, took time.Duration) (d time.Duration, ok bool) {
+	if !a.answered() || encodedSize(a.Page.Records) > maxQuickBytes {
+		return 0, false
+	}
+	if q.wait() > 0 && (len(a.Page.Records) > 0 || a.Err != nil) {
+		return 0, false
+	}
+	return max(took-q.wait(), 0), true
+}
+
 // make calls a log.
 func (q *logCall) make(ctx context.Context, l partitionlog.Log) *logAnswer {
 	var a logAnswer
@@ -91,7 +109,10 @@
 	case q.Leave != nil:
 		err = l.Leave(ctx, q.Leave.Group, q.Leave.Member)
 	case q.Members != "":
-		a.Members, err = l.Members(ctx, q.Members)
+		a.Assigned, err = l.Members(ctx, q.Members)
+		for _, m := range a.Assigned {
+			a.Members = append(a.Members, m.Name)
+		}
 	default:
 		err = outcome.Refuse(outcome.ReasonBadRequest, "empty call to the log")
 	}
@@ -114,6 +135,18 @@
 	return r, err
 }
 
+// members returns the members of a group. A host of an earlier version names them only.
+func (a *logAnswer) members() []partitionlog.Member {
+	if len(a.Assigned) > 0 {
+		return a.Assigned
+	}
+	var r []partitionlog.Member
+	for _, n := range a.Members {
+		r = append(r, partitionlog.Member{Name: n})
+	}
+	return r
+}
+
 // err returns the error of the answer, nil if there is none.
 func (a *logAnswer) err() error {
 	if a.Err == nil {
@@ -129,7 +162,8 @@
 		return true
 	}
 	switch a.Err.Reason {
-	case partitionlog.ReasonMoved, partitionlog.ReasonExpired, partitionlog.ReasonFenced, outcome.ReasonBadRequest:
+	case partitionlog.ReasonMoved, partitionlog.ReasonExpired, partitionlog.ReasonFenced, partitionlog.ReasonFull,
+		outcome.ReasonBadRequest:
 		return true
 	}
 	return false
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -18,6 +18,7 @@
 	steps      *prometheus.CounterVec
 	orders     *prometheus.CounterVec
 	logErrors  *prometheus.CounterVec
+	logLatency prometheus.Gauge
 	unreadable *prometheus.CounterVec
 	bugs       *prometheus.CounterVec
 	viaPeers   *prometheus.CounterVec
@@ -47,6 +48,8 @@
 	bytesGivenUp *prometheus.CounterVec
 	// stepReadStages is the time of reads of steps by stage.
 	stepReadStages *prometheus.HistogramVec
+	// stepAnswers counts answered reads of steps by where the answer came from.
+	stepAnswers *prometheus.CounterVec
 }
 
 // wallClockMetrics tells of steps of the time of day.
@@ -84,6 +87,10 @@
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
+	m.logLatency = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "mulberrypier_log_latency_seconds", Help: "Time that the log takes for a small call of this host.",
+	})
+	r.MustRegister(m.logLatency)
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mulberrypier_connections_opened_total", Help: "Connections opened to backend servers.",
 	})
@@ -96,6 +103,7 @@
 
 func newJournalMetrics(r *prometheus.Registry) journalMetrics {
 	m := journalMetrics{
+		stepAnswers:    newCounter(r, "step_read_answers_total", "Answered reads of steps, by whether this host followed the step, another one answered, or the log was read.", "source"),
 		stepReads:      newCounter(r, "step_reads_total", "Reads of steps, by call and result.", "call", "result"),
 		checkpoints:    newCounter(r, "journal_checkpoints_total", "Checkpoints of partitions of the journal, by what this host did with them.", "event"),
 		journalBytes:   newCounter(r, "journal_read_bytes_total", "Bytes of the journal's records that were read, by purpose.", "purpose"),
--- a/pier/gateway/peerpath.go
+++ b/pier/gateway/peerpath.go
@@ -34,7 +34,9 @@
 		if !ok {
 			return
 		}
-		d.add(l.askPeer(ctx, p, d.q))
+		peerCtx, cancel := l.keepTime(ctx, d.q)
+		d.add(l.askPeer(peerCtx, p, d.q))
+		cancel()
 		if d.settled(ctx) {
 			return
 		}
@@ -48,8 +50,11 @@
 	l.lastAsked[p] = now
 	l.mu.Unlock()
 	var a logAnswer
+	reason := outcome.ReasonLogDown
 	if err := l.g.peers.Call(ctx, p, kindLogCall, q, &a); err != nil {
-		a = logAnswer{Err: outcome.AsError(err)}
+		// An error of the peer itself, whatever it says, is no answer of the log.
+		reason = outcome.AsError(err).Reason
+		a = logAnswer{Err: outcome.AsError(err).WithReason(outcome.ReasonLogDown)}
 	}
 	if !a.answered() && errors.Is(ctx.Err(), context.Canceled) {
 		return &a
@@ -61,7 +66,10 @@
 		l.g.metrics.viaPeers.WithLabelValues("answered").Inc()
 		return &a
 	}
-	l.g.metrics.viaPeers.WithLabelValues(string(a.Err.Reason)).Inc()
+	if a.Err.Reason != outcome.ReasonLogDown {
+		reason = a.Err.Reason
+	}
+	l.g.metrics.viaPeers.WithLabelValues(string(reason)).Inc()
 	a.Err = a.Err.WithReason(outcome.ReasonLogDown)
 	return &a
 }
@@ -100,7 +108,7 @@
 
 // readMembers reads the group's members, which are the peers that carry calls.
 func (l *peerLog) readMembers() {
-	ctx, cancel := context.WithTimeout(l.g.ctx, membersTimeout)
+	ctx, cancel := context.WithTimeout(l.g.ctx, l.limit(membersTimeout))
 	defer cancel()
 	a := l.askDirect(ctx, &logCall{Members: watchGroup})
 	if a.Err != nil {
@@ -109,16 +117,54 @@
 	}
 	l.g.limits.setHosts(a.Members)
 	var peers []netip.AddrPort
-	for _, m := range a.Members {
-		if p, ok := peerAddress(m); ok {
-			peers = append(peers, p)
+	holders := make(map[int]netip.AddrPort)
+	for _, m := range a.members() {
+		p, ok := peerAddress(m.Name)
+		if !ok {
+			continue
+		}
+		peers = append(peers, p)
+		for _, x := range m.Parts {
+			holders[x.Number] = p
 		}
 	}
 	l.mu.Lock()
 	l.paths.SetPeers(peers)
+	l.holders, l.membersStale = holders, false
 	l.mu.Unlock()
 }
 
+// membersDue reports whether the group's members should be read, and notes that they are.
+func (l *peerLog) membersDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	interval := membersInterval
+	if l.membersStale {
+		interval = staleMembersInterval
+	}
+	if time.Since(l.membersAt) < interval {
+		return false
+	}
+	l.membersAt = time.Now()
+	return true
+}
+
+// holder returns the peer address of the host to which the log assigned a partition of the journal,
+// as last read. ok is false if none is known, or it is this host.
+func (l *peerLog) holder(part int) (a netip.AddrPort, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok = l.holders[part]
+	return a, ok && a != l.g.self.Peers
+}
+
+// holderFailed notes that the holder of a partition did not answer, or no longer holds it.
+func (l *peerLog) holderFailed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.membersStale = true
+}
+
 // peerAddress returns the peer address in the name of a member, as hostID makes it.
 func peerAddress(member string) (netip.AddrPort, bool) {
 	i := strings.LastIndexByte(member, '@')
--- a/pier/partitionlog/partitionlog.go
+++ b/pier/partitionlog/partitionlog.go
@@ -24,6 +24,9 @@
 	// ReasonFenced means that another producer with a higher epoch has appended, so that
 	// appends of this one are rejected.
 	ReasonFenced outcome.Reason = "producer-fenced"
+	// ReasonFull means that the log stores all that it can, and appends nothing until records
+	// expire. It serves other calls.
+	ReasonFull outcome.Reason = "log-full"
 )
 
 // NoCondition is the value of AppendRequest.ExpectedEnd for an unconditional append.
@@ -109,6 +112,13 @@
 	Parts []Partition
 }
 
+// Member is a member of a consumer group.
+type Member struct {
+	Name string
+	// Parts are the partitions that are assigned to the member, at least one.
+	Parts []Partition
+}
+
 // Log is the interface to a partitioned log, as a set of functions. Their errors are
 // *outcome.Error. The outcome is not-run if the call had and will have no effect, and unknown
 // if it may have taken effect or may still do so.
@@ -130,7 +140,7 @@
 	// Leave removes a member from a consumer group.
 	Leave func(ctx context.Context, group, member string) error
 	// Members returns the members of a consumer group that hold partitions, each once.
-	Members func(ctx context.Context, group string) ([]string, error)
+	Members func(ctx context.Context, group string) ([]Member, error)
 }
 
 // DecodeKeyed decodes a record of a keyed topic into key and value. It returns false if the
