--- a/mulberrybench/internal/experiment/streams.go
+++ b/mulberrybench/internal/experiment/streams.go
@@ -64,7 +64,7 @@
 	t := r.trainer(w.Key.Trainer)
 	r.after(r.c.HopLatency.D(), func() {
 		if p := t.findStep(w.Key.Step); p != nil {
-			r.executeCancels(p.Seal(r.now, m))
+			r.executeCancels(p.Seal(m))
 			t.canPull = true
 		}
 	})
--- a/pier/daemon/assignments.go
+++ b/pier/daemon/assignments.go
@@ -82,7 +82,7 @@
 		if p == nil || !p.c.Opened(x.Slot) {
 			return outcome.Refuse(outcome.ReasonUnknownStep, x.Key.String())
 		}
-		s.cancelAll(p.c.Seal(time.Now(), x))
+		s.cancelAll(p.c.Seal(x))
 		if !p.c.HasUnacknowledged(x.Slot) {
 			go s.sendRelease(q.Host, &entryhost.ReleaseSamplesRequest{
 				Key:   x.Key,
--- a/pier/rollout/coordinator.go
+++ b/pier/rollout/coordinator.go
@@ -213,7 +213,7 @@
 // Seal records a finished sample. The first one of a slot is kept, and the slot's other
 // attempts are returned to be cancelled. An incomplete sample is ignored; one that is over
 // the staleness bound is discarded and its slot generated again.
-func (c *Coordinator) Seal(_ time.Time, d *Sample) []Cancel {
+func (c *Coordinator) Seal(d *Sample) []Cancel {
 	s, ok := c.slots[d.Slot]
 	if !ok || !d.Complete() {
 		return nil
@@ -228,6 +228,14 @@
 		c.discardStale(s, d)
 		return nil
 	}
+	x := c.endRuns(s, d)
+	c.keep(s, d)
+	return x
+}
+
+// endRuns ends all runs of the slot of a finished sample, and returns those of other attempts to be
+// cancelled.
+func (c *Coordinator) endRuns(s *slot, d *Sample) []Cancel {
 	var x []Cancel
 	for _, r := range s.runs {
 		c.uncountRun(&r)
@@ -245,6 +253,11 @@
 		delete(c.running, d.Slot)
 	}
 	delete(c.stragglers, d.Slot)
+	return x
+}
+
+// keep keeps a finished sample as that of its slot, which has no runs.
+func (c *Coordinator) keep(s *slot, d *Sample) {
 	s.partial = nil
 	s.state = slotSealed
 	s.sample, s.keptAttempt = d, d.Attempt
@@ -255,7 +268,6 @@
 	c.counts.Sealed++
 	c.counts.Tokens += int64(d.Tokens)
 	c.sealed = append(c.sealed, d.Slot)
-	return x
 }
 
 // discardStale discards a finished sample that is over the staleness bound.
--- a/pier/rollout/coordinator_test.go
+++ b/pier/rollout/coordinator_test.go
@@ -140,7 +140,7 @@
 	require.NoError(w.t, m.Extend(m.Tokens, m.Tokens+rapid.IntRange(1, 5).Draw(w.t, "tokens"), w.engineVersion))
 	delete(w.streams, x.Stream)
 	w.finished[x.Stream] = m
-	w.cancel(w.pickCoordinator().Seal(w.now, m))
+	w.cancel(w.pickCoordinator().Seal(m))
 }
 
 // failStream ends one of the running streams without a sample, with or without partial tokens.
@@ -171,7 +171,7 @@
 			}
 		}
 		for _, x := range w.finished {
-			w.cancel(c.Seal(w.now, x))
+			w.cancel(c.Seal(x))
 		}
 	}
 }
@@ -300,7 +300,7 @@
 	for _, x := range c.Assign(time.Unix(1, 0), "h", []Offer{{Server: "s", FreeSlots: n, Version: v, SecondsToLoad: -1}}) {
 		m := &Sample{Stream: x.Stream}
 		require.NoError(t, m.Extend(0, 3, v))
-		c.Seal(time.Unix(2, 0), m)
+		c.Seal(m)
 	}
 	return c
 }
--- a/pier/rollout/runs.go
+++ b/pier/rollout/runs.go
@@ -52,7 +52,7 @@
 	}
 	var x []Cancel
 	for _, d := range done {
-		x = append(x, c.Seal(now, d)...)
+		x = append(x, c.Seal(d)...)
 	}
 	return x
 }
