Tests: a keyed topic that forgets its history, a planned stop with results to append

The log in memory dropped the newest record of a key with the topic's history, which no keyed topic does, so that no test could expire the history of checkpoints. It keeps them now (Expire only; nothing that tests saw before changes).

A planned stop waits for a result that the log takes only half a second after the host has told everyone that it stops.

--- a/pier/gateway/checkpoint_test.go
+++ b/pier/gateway/checkpoint_test.go
@@ -205,6 +205,28 @@
 	require.Equal(t, partitionlog.NoCondition, v.checkpointEnd())
 }
 
+// The newest checkpoint outlives the history of its topic, and another is written after it.
+func TestCheckpointOutlivesTheHistoryOfItsTopic(t *testing.T) {
+	l := newLog()
+	a := newHost(t, "a", l.Functions())
+	v := fillPartition(t, a)
+	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
+	v.writeCheckpoint()
+	v.writeCheckpoint()
+	l.Expire(at, 2)
+	l.Expire(v.partition(), filledRecords)
+	b := newHost(t, "b", l.Functions())
+	r, err := b.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, r.Results, 1)
+	require.False(t, b.journal.get("s").cutOff(partitionMate(t, b)))
+	b.journal.get("s").writeCheckpoint()
+	n, err := l.Functions().Newest(context.Background(), at)
+	require.NoError(t, err)
+	require.Len(t, n.Records, 1)
+	require.EqualValues(t, 2, n.Records[0].Offset)
+}
+
 // A view whose next records have expired must not lose the steps that a checkpoint knows.
 func TestViewBehindTheLogGoesOnFromTheCheckpoint(t *testing.T) {
 	l := newLog()
--- a/pier/gateway/journalqueue_test.go
+++ b/pier/gateway/journalqueue_test.go
@@ -160,3 +160,28 @@
 	require.Equal(t, "s-1", waitResults(t, g, "s", 1)[0].ID)
 	require.Eventually(t, func() bool { return !v.hasPending() }, 5*time.Second, time.Millisecond)
 }
+
+// A planned stop must wait for the results that the log does not take yet.
+func TestPlannedStopWaitsForResultsToAppend(t *testing.T) {
+	var refused atomic.Bool
+	l := newLog()
+	g := newHost(t, "a", failAppends(l.Functions(), func(q partitionlog.AppendRequest) error {
+		if refused.Load() {
+			return outcome.Refuse(outcome.ReasonLogDown, q.Partition.Topic)
+		}
+		return nil
+	}))
+	s := newStep("s", 1)
+	v := g.journal.follow("s")
+	acceptAt(t, v, s, g.self, time.Now())
+	refused.Store(true)
+	b, err := stepjournal.Finished(&stepjournal.Result{Step: "s", ID: "s-0", State: stepjournal.Completed})
+	require.NoError(t, err)
+	v.post(b)
+	time.AfterFunc(unhealthyDetectionTime+500*time.Millisecond, func() { refused.Store(false) })
+	g.Drain()
+	g.Close()
+	r, err := newHost(t, "b", l.Functions()).Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, r.Results, 1)
+}
--- a/pier/gateway/losses_test.go
+++ b/pier/gateway/losses_test.go
@@ -164,6 +164,7 @@
 		}
 	}
 	x.log.Expire(partitionlog.Partition{Topic: stepjournal.Topic}, first)
+	x.log.Expire(partitionlog.Partition{Topic: checkpointsTopic}, rapid.Int64Range(0, maxLossExpired).Draw(t, "checkpoints"))
 	x.look(t)
 }
 
--- a/pier/memlog/memlog.go
+++ b/pier/memlog/memlog.go
@@ -34,6 +34,8 @@
 	// first is the offset of the oldest record kept, records[0].
 	first   int64
 	records [][]byte
+	// kept holds the newest expired record of each key, which a keyed topic keeps.
+	kept map[string]partitionlog.KeyedRecord
 	// changed is closed and replaced at each append.
 	changed chan struct{}
 }
@@ -98,12 +100,14 @@
 	l.delayed = nil
 }
 
-// Expire drops the records of a partition that precede an offset.
+// Expire drops the records of a partition that precede an offset. Of a keyed topic, the newest
+// record of each key is still listed.
 func (l *Log) Expire(p partitionlog.Partition, before int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.getPartition(p)
 	n := min(max(before-x.first, 0), int64(len(x.records)))
+	x.addNewest(x.kept, x.records[:n])
 	x.records = x.records[n:]
 	x.first += n
 }
@@ -112,7 +116,7 @@
 func (l *Log) getPartition(p partitionlog.Partition) *partition {
 	x := l.partitions[p]
 	if x == nil {
-		x = &partition{changed: make(chan struct{})}
+		x = &partition{changed: make(chan struct{}), kept: make(map[string]partitionlog.KeyedRecord)}
 		l.partitions[p] = x
 	}
 	return x
@@ -121,6 +125,15 @@
 // end returns the offset of the next append.
 func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
 
+// addNewest adds the newest record of each key to m. The records are those from the first on.
+func (p *partition) addNewest(m map[string]partitionlog.KeyedRecord, records [][]byte) {
+	for i, b := range records {
+		if k, v, ok := partitionlog.DecodeKeyed(b); ok {
+			m[k] = partitionlog.KeyedRecord{Key: k, Value: v, Offset: p.first + int64(i)}
+		}
+	}
+}
+
 // appendRecords appends records and wakes the readers that wait for them.
 func (p *partition) appendRecords(r [][]byte) partitionlog.AppendResult {
 	a := partitionlog.AppendResult{First: p.end()}
@@ -211,12 +224,8 @@
 		return partitionlog.Newest{}, outcome.Refuse(outcome.ReasonLogDown, at.Topic)
 	}
 	p := l.getPartition(at)
-	m := make(map[string]partitionlog.KeyedRecord)
-	for i, b := range p.records {
-		if k, v, ok := partitionlog.DecodeKeyed(b); ok {
-			m[k] = partitionlog.KeyedRecord{Key: k, Value: v, Offset: p.first + int64(i)}
-		}
-	}
+	m := maps.Clone(p.kept)
+	p.addNewest(m, p.records)
 	r := partitionlog.Newest{End: p.end()}
 	for _, k := range slices.Sorted(maps.Keys(m)) {
 		if len(m[k].Value) == 0 || after != "" && k <= after {
