Large calls tell nothing of the log's latency

The time to carry a large append, or a page of the newest records, counted as that of a small call, so that limits grew and no time was left for a peer. TestLargeCallsTellNothingOfTheLatency, TestAppendAfterALongCallGoesThroughAPeer (slowreads_test.go) fail before.

--- a/pier/gateway/logcall.go
+++ b/pier/gateway/logcall.go
@@ -84,7 +84,7 @@
 // latency returns the time that the log took for an answer, given the time until it arrived. ok is
 // false if most of that time may have passed otherwise: in the wait for records or in their transfer.
 func (q *logCall) latency(a *logAnswer, took time.Duration) (d time.Duration, ok bool) {
-	if !a.answered() || encodedSize(a.Page.Records) > maxQuickBytes {
+	if !a.answered() || q.transferred(a) > maxQuickBytes {
 		return 0, false
 	}
 	if q.wait() > 0 && (len(a.Page.Records) > 0 || a.Err != nil) {
@@ -93,6 +93,18 @@
 	return max(took-q.wait(), 0), true
 }
 
+// transferred returns about how many bytes the call and its answer moved.
+func (q *logCall) transferred(a *logAnswer) int {
+	n := encodedSize(a.Page.Records)
+	if q.Append != nil {
+		n += encodedSize(q.Append.Records)
+	}
+	for _, r := range a.Newest.Records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
 // make calls a log.
 func (q *logCall) make(ctx context.Context, l partitionlog.Log) *logAnswer {
 	var a logAnswer
