--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -19,6 +19,9 @@
 	// refuses it. There are few, since the caller can turn to another host.
 	acceptAttempts   = 3
 	acceptRetryDelay = 100 * time.Millisecond
+	// startTimeout is how long a host that was given a step may read in a quick log whether it is the
+	// driver before the step is taken over.
+	startTimeout = time.Second
 )
 
 // steps accepts the steps of trainers and keeps track of those that this host runs.
@@ -27,34 +30,37 @@
 	mu sync.Mutex
 	// running holds the drivers of the steps that this host runs, by step ID.
 	running map[string]*stepDriver
-	// starting counts the goroutines that read whether this host is the driver of a step, and are about
-	// to run it then, by step ID.
-	starting map[string]int
+	// starting holds since when this host has read whether it is the driver of a step, to run it then,
+	// by step ID. Times are since boot.
+	starting map[string]time.Duration
 }
 
 func newSteps(g *Gateway) *steps {
-	return &steps{g: g, running: make(map[string]*stepDriver), starting: make(map[string]int)}
+	return &steps{g: g, running: make(map[string]*stepDriver), starting: make(map[string]time.Duration)}
 }
 
 // start notes that this host is about to run a step. The returned function ends that.
 func (p *steps) start(id string) (end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.starting[id]++
+	now := boottime.Now()
+	p.starting[id] = now
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if p.starting[id]--; p.starting[id] == 0 {
+		if p.starting[id] == now {
 			delete(p.starting, id)
 		}
 	}
 }
 
-// isStarting reports whether this host is about to run a step.
+// isStarting reports whether this host is about to run a step. One that cannot read the journal leaves
+// the step to others.
 func (p *steps) isStarting(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.starting[id] > 0
+	since, ok := p.starting[id]
+	return ok && boottime.Now()-since < p.g.peerLog.limit(startTimeout)
 }
 
 // Accept accepts a step. A nil error means that the step is stored in the log. Errors are
