Reads at a slow log: bounded pages, whole steps, and what a checkpoint tells

Found by the review of the reads that leave something for the next:

- Pages of readers that had left had no bound: 300 at once in the test.
- The records of a step with long bodies are more than the cache holds, and each try to read a body began with the first: never read in 10 s at 0.4 s a call.
- A host that just started read the tail of the partition also if the checkpoint knew the step: one call of three less now.
- A partition that failed once waited for its turn behind those that do not answer, 0.8 s each: never read in 10 s beside 19.
Pages of partitions that failed have 0.25 s, or three times the latency.
- Limits shorter than the calls that they bound: the write of a checkpoint and the claim of a trial (5 of 5 failed at 0.6 s a call), leaving the group.

--- a/pier/gateway/checkpoint.go
+++ b/pier/gateway/checkpoint.go
@@ -84,15 +84,12 @@
 	return c.bytesBehind >= c.size && (c.bytesBehind >= checkpointBytes || idle && c.bytesBehind >= checkpointIdleBytes)
 }
 
-// startFromCheckpoint restores the newest checkpoint once after the view began to follow the log.
-func (v *view) startFromCheckpoint(ctx context.Context) error {
+// needsCheckpoint reports whether the newest checkpoint was not read yet since the view began to
+// follow the log.
+func (v *view) needsCheckpoint() bool {
 	v.mu.Lock()
-	done := v.checkpoint.restored
-	v.mu.Unlock()
-	if done {
-		return nil
-	}
-	return v.restoreNewest(ctx)
+	defer v.mu.Unlock()
+	return !v.checkpoint.restored
 }
 
 // restoreNewest goes on from the newest checkpoint of the partition, if that is further on than the
@@ -159,10 +156,8 @@
 // writeCheckpoint writes a checkpoint of the view. It is appended on the condition that no other was
 // since this host last looked, so that an older one never follows a newer one.
 func (v *view) writeCheckpoint() {
-	ctx, cancel := context.WithTimeout(v.j.g.ctx, appendTimeout)
-	defer cancel()
 	defer v.endCheckpoint()
-	if v.checkpointEnd() == partitionlog.NoCondition && v.restoreNewest(ctx) != nil {
+	if v.checkpointEnd() == partitionlog.NoCondition && v.restoreNewest(v.j.g.ctx) != nil {
 		return
 	}
 	end := v.checkpointEnd()
@@ -171,6 +166,8 @@
 		return
 	}
 	at := partitionlog.Partition{Topic: checkpointsTopic, Number: v.n}
+	ctx, cancel := context.WithTimeout(v.j.g.ctx, v.j.g.peerLog.limit(appendTimeout))
+	defer cancel()
 	a, err := v.j.g.c.Log.Append(ctx, partitionlog.AppendRequest{
 		Partition: at, Records: [][]byte{partitionlog.EncodeKeyed(checkpointKey, b)}, ExpectedEnd: end,
 	})
--- a/pier/gateway/journal.go
+++ b/pier/gateway/journal.go
@@ -29,11 +29,14 @@
 	views map[int]*view
 	cache *cache
 	pace  *journalPace
+	// recordPages holds an entry for each page of records that is being read.
+	recordPages chan struct{}
 }
 
 func newJournal(g *Gateway) *journal {
 	return &journal{
 		g: g, views: make(map[int]*view), cache: newCache(maxCacheBytes), pace: newJournalPace(),
+		recordPages: make(chan struct{}, maxRecordPages),
 	}
 }
 
@@ -77,7 +80,7 @@
 		v = &view{
 			j: j, n: n, reading: make(chan struct{}, 1), fold: stepjournal.NewFold(stepjournal.FoldConfig{Now: boottime.Now}),
 			end: -1, changed: make(chan struct{}), checkpoint: newCheckpointing(j.g.s.Log.Retention.D()),
-			pages: make(map[int64]*pageRead),
+			pages: make(map[int64]*pageRead), loads: make(map[string]*stepLoad),
 		}
 		j.views[n] = v
 	}
--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -186,29 +186,6 @@
 	return nil, outcome.Refuse(outcome.ReasonUnknownName, item)
 }
 
-// loadStep reads an accepted step from the log.
-func (v *view) loadStep(ctx context.Context, id string) (*stepjournal.Step, error) {
-	if err := v.ensureKnown(ctx, id); err != nil {
-		return nil, err
-	}
-	defer enterStage(ctx, stageRecords)()
-	e, _, _ := v.entry(id)
-	var b [][]byte
-	for at := e.From; at < e.To; {
-		r, err := v.records(ctx, at, int(e.To-at))
-		if err != nil {
-			return nil, outcome.Refuse(outcome.ReasonLogDown, id).After(unavailableRetryAfter)
-		}
-		b = append(b, r...)
-		at += int64(len(r))
-	}
-	s, err := stepjournal.DecodeStep(b)
-	if err != nil {
-		return nil, outcome.Ambiguous(outcome.ReasonLogDown, id, err)
-	}
-	return s, nil
-}
-
 // End ends a step for good. A nil error means that the end is stored in the log. Ending a
 // step again is no error. It returns within endTimeout.
 func (g *Gateway) End(ctx context.Context, id string) error {
--- a/pier/gateway/suspects.go
+++ b/pier/gateway/suspects.go
@@ -27,7 +27,7 @@
 	// maxCatchUp bounds the time after the start for which calls wait until the events of before
 	// are known. A host that cannot read the topic then sends calls as if there were none.
 	maxCatchUp = 2 * time.Second
-	// claimTimeout bounds the time to ask for a trial.
+	// claimTimeout bounds the time to ask a quick log for a trial.
 	claimTimeout = 500 * time.Millisecond
 	// maxWaitingEvents bounds the events that wait for their append; the oldest are dropped.
 	// maxEventsAppended bounds those of one append.
@@ -234,7 +234,7 @@
 // claim asks for a trial of a request and reports whether this host has it. An error means that
 // the log did not tell in time.
 func (s *suspects) claim(ctx context.Context, e quarantine.Event) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.g.peerLog.limit(claimTimeout))
 	defer cancel()
 	offset, err := s.events.append(ctx, []quarantine.Event{e})
 	for err == nil {
--- a/pier/gateway/view.go
+++ b/pier/gateway/view.go
@@ -14,8 +14,14 @@
 	"mulberrypier.example/pier/stepjournal"
 )
 
-// viewIdleTimeout is how long a partition is followed after its last use.
-const viewIdleTimeout = 10 * time.Second
+const (
+	// viewIdleTimeout is how long a partition is followed after its last use.
+	viewIdleTimeout = 10 * time.Second
+	// retryPageTimeout and retryPageBytes bound the time in a quick log, and the size, of a page of a
+	// partition whose last page failed.
+	retryPageTimeout = 250 * time.Millisecond
+	retryPageBytes   = 32 << 10
+)
 
 // view is the replayed state of one partition. It follows the log while it is in use.
 type view struct {
@@ -48,6 +54,8 @@
 	replay replayCount
 	// pages holds the pages of records that are being read, by their first offset.
 	pages map[int64]*pageRead
+	// loads holds the accepted steps that are being read, or were a short time ago, by id.
+	loads map[string]*stepLoad
 	// queue holds records to append; flushing is set while flush appends them.
 	queue    [][]byte
 	flushing bool
@@ -88,7 +96,7 @@
 		if v.behind() {
 			err = v.catchUp(v.j.g.ctx, time.Now())
 		} else {
-			err = v.read(v.j.g.ctx, readWait)
+			err = v.read(v.j.g.ctx, partitionlog.ReadRequest{MaxBytes: v.j.pace.pageBytes(), Wait: readWait})
 		}
 		if err == nil {
 			failures = 0
@@ -136,11 +144,12 @@
 	}
 }
 
-// readInTurn is read without a wait, first of all of the newest checkpoint. Pages of a view that
-// is behind are large, and are read in turn; the time allowed for a page begins with its turn.
+// readInTurn reads the newest checkpoint, if that was not read, or else a page without a wait: what the
+// checkpoint tells may be enough for a reader. Pages of a view that is behind are large, and are read in
+// turn; the time allowed for a page begins with its turn.
 func (v *view) readInTurn() error {
-	if err := v.startFromCheckpoint(v.j.g.ctx); err != nil {
-		return err
+	if v.needsCheckpoint() {
+		return v.restoreNewest(v.j.g.ctx)
 	}
 	if v.behind() {
 		end, err := v.j.pace.takeTurn(v.j.g.ctx, v.failing)
@@ -149,19 +158,27 @@
 		}
 		defer end()
 	}
-	err := v.read(v.j.g.ctx, 0)
+	err := v.readTurn()
 	v.failing = err != nil
 	return err
 }
 
-// read reads and applies the next records, waiting for the first for up to wait. Records
-// that the log no longer holds are skipped.
-func (v *view) read(ctx context.Context, wait time.Duration) error {
-	from, _ := v.position()
+// readTurn reads a page in its turn. One of a partition that failed before is small and has little
+// time, as others wait for their turns behind it.
+func (v *view) readTurn() error {
+	if !v.failing {
+		return v.read(v.j.g.ctx, partitionlog.ReadRequest{MaxBytes: v.j.pace.pageBytes()})
+	}
+	ctx, cancel := context.WithTimeout(v.j.g.ctx, v.j.g.peerLog.limit(retryPageTimeout))
+	defer cancel()
+	return v.read(ctx, partitionlog.ReadRequest{MaxBytes: retryPageBytes})
+}
+
+// read reads and applies the next records. Records that the log no longer holds are skipped.
+func (v *view) read(ctx context.Context, q partitionlog.ReadRequest) error {
+	q.From, _ = v.position()
 	sent := time.Now()
-	p, err := v.fetch(ctx, pageReplay, partitionlog.ReadRequest{
-		From: from, MaxBytes: v.j.pace.pageBytes(), Wait: wait,
-	})
+	p, err := v.fetch(ctx, pageReplay, q)
 	if outcome.HasReason(err, partitionlog.ReasonExpired) {
 		return v.passExpired(ctx, p.First)
 	}
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -194,7 +194,7 @@
 // leave leaves the group, so that the partitions are reassigned at once. A restarted host
 // is the same member as before and gets its partitions back at once.
 func (w *watch) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), joinInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), min(w.g.peerLog.limit(joinInterval), maxJoinTime))
 	defer cancel()
 	if err := w.g.c.Log.Leave(ctx, watchGroup, w.g.hostID()); err != nil {
 		w.g.log.Warn("watch: leaving the group failed; partitions are reassigned after the member TTL",
