A step is read though the first host that knows it, or its holder, is silent

Only the first host that said that it knows the step was asked; the next one is asked as well now once that one fails or is late. If no host knows it after 0.1 s, a second one is asked that all hosts choose for the partition, and follows it from then on. That a step has no such item is passed on from the host that knows it.

--- a/pier/gateway/peerpath.go
+++ b/pier/gateway/peerpath.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/boottime"
@@ -158,6 +160,21 @@
 	return a, ok && a != l.g.self.Peers
 }
 
+// secondHolder returns the peer address of the host that is asked about a partition whose holder does
+// not answer. All hosts that know the same members choose the same one.
+func (l *peerLog) secondHolder(part int) (a netip.AddrPort, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var most uint64
+	for _, x := range l.holders {
+		w := xxhash.Sum64String(strconv.Itoa(part) + " " + x.String())
+		if x != l.holders[part] && w >= most {
+			a, most = x, w
+		}
+	}
+	return a, a.IsValid() && a != l.g.self.Peers
+}
+
 // holderFailed notes that the holder of a partition did not answer, or no longer holds it.
 func (l *peerLog) holderFailed() {
 	l.mu.Lock()
--- /dev/null
+++ b/pier/gateway/slowreads_test.go
@@ -0,0 +1,407 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/quarantine"
+	"mulberrypier.example/pier/stepjournal"
+	"mulberrypier.example/pier/streamorigin"
+)
+
+// reviewLatency is the time of a call in the tests of this file, unless they name another.
+const reviewLatency = 400 * time.Millisecond
+
+// listenAs has a host known to others answer by a handler.
+func (g *Gateway) listenAs(t *testing.T, h func(ctx context.Context, r *peer.Request) (any, error)) {
+	t.Helper()
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g.self.Peers = netip.MustParseAddrPort(n.Addr().String())
+	g.server = peer.NewServer(peer.ServerConfig{Listener: n, Handler: h})
+}
+
+// The records of a step with long bodies do not fit into the cache, so that each try to read a body
+// read them from the first on, and had no time for the last ones.
+func TestBodyOfALargeStepIsReadFromASlowLog(t *testing.T) {
+	l := newLog()
+	s := newStep("s", 8)
+	for i := range s.Items {
+		s.Items[i].Body = make([]byte, 200<<10)
+	}
+	s.Submitted = time.Now()
+	b, err := stepjournal.Accepted(s, stepjournal.Driver{Host: "gone"}, 256<<10)
+	require.NoError(t, err)
+	_, err = l.Functions().Append(context.Background(), partitionlog.AppendRequest{
+		Partition: stepPartition("s"), Records: b, ExpectedEnd: partitionlog.NoCondition,
+	})
+	require.NoError(t, err)
+	var pages atomic.Int64
+	g := newHost(t, "a", slowLog(l.Functions(), reviewLatency, &pages))
+	require.NoError(t, g.journal.follow("s").sync(context.Background()))
+	pages.Store(0)
+	for start := time.Now(); time.Since(start) < slowLogTime; {
+		if _, err = g.Body(context.Background(), "s", "s-7"); err == nil {
+			break
+		}
+	}
+	t.Log("pages read:", pages.Load(), "records of the step:", len(b))
+	require.NoError(t, err)
+}
+
+// A preferred driver says first that it knows the step, and then has no answer. The holder, which said the
+// same a little later and has the results at hand, was not asked for them.
+func TestSecondHostThatKnowsTheStepIsAsked(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	var pages atomic.Int64
+	a := newHost(t, "a", slowLog(l.Functions(), 700*time.Millisecond, &pages))
+	driver, holder := newHost(t, "driver", l.Functions()), newHost(t, "holder", l.Functions())
+	require.NoError(t, holder.journal.follow("s").sync(context.Background()))
+	driver.listenAs(t, func(ctx context.Context, r *peer.Request) (any, error) {
+		var q stepQuery
+		if err := peer.Decode(r.Body, &q); err != nil || !q.Knows {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return &stepAnswer{Total: 2}, nil
+	})
+	holder.listenAs(t, func(ctx context.Context, r *peer.Request) (any, error) {
+		time.Sleep(20 * time.Millisecond)
+		return holder.answerPeer(ctx, r)
+	})
+	holder.logHealth.answered("test")
+	a.makeHolder(holder)
+	a.preferred.all = map[string]driverRecord{"m": {Driver: driver.self, Share: 1}}
+	a.preferred.readAt = time.Now()
+	_, err := a.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+}
+
+// The host that is asked follows the step, and the log does not answer it. The holder has the results at
+// hand and was not asked.
+func TestHostThatFollowsAStepAsksTheHolderIfTheLogIsAway(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	var away atomic.Bool
+	f := l.Functions()
+	read := f.Read
+	f.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if away.Load() {
+			<-ctx.Done()
+			return partitionlog.Page{}, ctx.Err()
+		}
+		return read(ctx, q)
+	}
+	a, holder := newHost(t, "a", f), newHost(t, "holder", l.Functions())
+	holder.listenPeers(t)
+	require.NoError(t, holder.journal.follow("s").sync(context.Background()))
+	require.NoError(t, a.journal.follow("s").sync(context.Background()))
+	a.makeHolder(holder)
+	a.journal.cache = newCache(maxCacheBytes) // Other steps were read meanwhile.
+	away.Store(true)
+	_, err := a.Results(context.Background(), "s", 0, 0)
+	require.NoError(t, err)
+}
+
+// The origins of streams are read in 0.6 s for all pages; a call that takes longer never ends, however
+// often the stream is taken up.
+func TestOriginsAreReadFromASlowLog(t *testing.T) {
+	l := newLog()
+	var pages atomic.Int64
+	g := newHost(t, "a", slowLog(l.Functions(), 800*time.Millisecond, &pages))
+	_, err := g.c.Log.Newest(context.Background(), partitionlog.Partition{Topic: checkpointsTopic})
+	require.NoError(t, err)
+	for range 8 {
+		if err = g.streams.read(context.Background(), "x"); err == nil {
+			break
+		}
+	}
+	require.NoError(t, err, streamorigin.Topic)
+}
+
+// A trial of a quarantined request is asked for in 0.5 s, an append and a read of it.
+func TestTrialIsClaimedAtASlowLog(t *testing.T) {
+	l := newLog()
+	var pages atomic.Int64
+	g := newHost(t, "a", slowLog(l.Functions(), 600*time.Millisecond, &pages))
+	g.wg.Go(g.suspects.run)
+	time.Sleep(2 * time.Second)
+	var err error
+	for n := range 5 {
+		if _, err = g.suspects.claim(context.Background(), quarantine.Event{Kind: quarantine.KindTrial, Claim: fmt.Sprint(n)}); err == nil {
+			break
+		}
+	}
+	require.NoError(t, err)
+}
+
+// A checkpoint takes two calls of 1.5 s together. At a slow log the second is given up though it is
+// executed, the end is unknown again, and the same checkpoint is written once more for good.
+func TestCheckpointIsWrittenOnceAtASlowLog(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 512<<10)
+	var pages, appends atomic.Int64
+	f := slowLog(l.Functions(), 0, &pages)
+	newest, write := f.Newest, f.Append
+	f.Newest = func(ctx context.Context, p partitionlog.Partition) (partitionlog.Newest, error) {
+		time.Sleep(800 * time.Millisecond)
+		return newest(ctx, p)
+	}
+	f.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		if q.Partition.Topic == checkpointsTopic {
+			appends.Add(1)
+		}
+		a, err := write(ctx, q) // The log has it, its answer takes long.
+		select {
+		case <-time.After(800 * time.Millisecond):
+			return a, err
+		case <-ctx.Done():
+			return partitionlog.AppendResult{}, ctx.Err()
+		}
+	}
+	g := newHost(t, "a", f)
+	v := g.journal.follow("s")
+	require.NoError(t, v.sync(context.Background()))
+	v.mu.Lock()
+	v.checkpoint.end = partitionlog.NoCondition // As after any append of a checkpoint that failed.
+	v.mu.Unlock()
+	for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(50 * time.Millisecond) {
+		v.use()
+		v.saveCheckpoint()
+	}
+	require.LessOrEqual(t, appends.Load(), int64(2))
+	require.Positive(t, metric(t, g, `journal_checkpoints_total{event="written"}`))
+}
+
+// Readers that have left leave their pages behind, each of up to 256 KB: nothing bounds how many a host reads at
+// once.
+func TestPagesOfReadersThatLeftAreBounded(t *testing.T) {
+	const records = 300
+	l := newLog()
+	putStep(t, l.Functions(), "s", records, 8<<10, 0)
+	var atOnce, most atomic.Int64
+	f := l.Functions()
+	read := f.Read
+	f.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if q.Wait == 0 {
+			most.Store(max(most.Load(), atOnce.Add(1)))
+			defer atOnce.Add(-1)
+			time.Sleep(reviewLatency)
+		}
+		return read(ctx, q)
+	}
+	g := newHost(t, "a", f)
+	v := g.journal.get("s")
+	for i := range records {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		_, _ = v.records(ctx, int64(i+1), 1)
+		cancel()
+	}
+	t.Log("pages at once:", most.Load())
+	require.LessOrEqual(t, most.Load(), int64(64))
+}
+
+// silentBut returns a log that does not answer reads of the journal but of one partition.
+func silentBut(l partitionlog.Log, good int) partitionlog.Log {
+	read := l.Read
+	l.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if q.Partition.Topic == stepjournal.Topic && q.Partition.Number != good {
+			<-ctx.Done()
+			return partitionlog.Page{}, ctx.Err()
+		}
+		return read(ctx, q)
+	}
+	return l
+}
+
+// followFailing has a host follow partitions whose last page failed.
+func (g *Gateway) followFailing(from, to int) {
+	for n := from; n < to; n++ {
+		v := g.journal.view(n)
+		v.failing = true
+		v.use()
+	}
+}
+
+// A partition whose last page failed once waits for its turn behind those that do not answer at all, one at a
+// time.
+func TestPartitionThatFailedOnceIsReadBesideSilentOnes(t *testing.T) {
+	for _, silent := range []int{3, 8, 19} {
+		t.Run(fmt.Sprint(silent), func(t *testing.T) {
+			l := newLog()
+			putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+			good := stepPartition("s").Number
+			g := newHost(t, "a", silentBut(l.Functions(), good))
+			g.followFailing(testParts, testParts+silent)
+			v := g.journal.view(good)
+			v.failing = true
+			time.Sleep(time.Second)
+			var err error
+			start := time.Now()
+			for time.Since(start) < slowLogTime {
+				if _, err = g.Results(context.Background(), "s", 0, 0); err == nil {
+					break
+				}
+			}
+			t.Log("read after", time.Since(start))
+			require.NoError(t, err)
+		})
+	}
+}
+
+// A host that was handed a step waits for its turn to read the journal behind partitions that do not answer. It
+// says meanwhile that it drives the step, so that no other host takes it over, and does not.
+func TestHostThatCannotReadTheJournalLeavesTheStepToOthers(t *testing.T) {
+	l := newLog()
+	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", silentBut(l.Functions(), -1))
+	for _, g := range []*Gateway{a, b} {
+		g.table(nil)
+		g.listenPeers(t)
+	}
+	b.preferred.claim("m")
+	b.followFailing(testParts, testParts+19)
+	b.journal.get("s").failing = true
+	time.Sleep(time.Second)
+	b.logHealth.answered("test")
+	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 1)))
+	time.Sleep(300 * time.Millisecond)
+	start := time.Now()
+	for b.steps.isStarting("s") && time.Since(start) < 15*time.Second {
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Log("neither driven nor taken over for", time.Since(start))
+	require.Less(t, time.Since(start), 3*time.Second)
+}
+
+// The holder knows that the step has no such item, and its answer was dropped: the caller is told to come again.
+func TestItemThatIsNotOfTheStepIsNotFoundAtASlowLog(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	var pages atomic.Int64
+	a, holder := newHost(t, "a", slowLog(l.Functions(), 700*time.Millisecond, &pages)), newHost(t, "holder", l.Functions())
+	holder.listenPeers(t)
+	a.makeHolder(holder)
+	require.NoError(t, holder.journal.follow("s").sync(context.Background()))
+	_, err := a.Body(context.Background(), "s", "none")
+	require.True(t, outcome.HasReason(err, outcome.ReasonUnknownName), "%v", err)
+}
+
+// The time to carry a large append, or a page of the newest records, counted as the time that the log takes for a small
+// call. Limits grow by it, and no time is left for a peer.
+func TestLargeCallsTellNothingOfTheLatency(t *testing.T) {
+	large := make([]byte, 1<<20)
+	tests := map[string]struct {
+		q logCall
+		a logAnswer
+	}{
+		"append": {q: logCall{Append: &partitionlog.AppendRequest{Records: [][]byte{large}}}},
+		"newest": {
+			q: logCall{Newest: "keyed.x", Paged: true},
+			a: logAnswer{Newest: partitionlog.Newest{Records: []partitionlog.KeyedRecord{{Key: "k", Value: large}}}},
+		},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, ok := x.q.latency(&x.a, 500*time.Millisecond)
+			require.False(t, ok)
+		})
+	}
+}
+
+// A host whose last call took long, as it was large, is then turned away by silence. Its next append used up all of its
+// time on the direct path.
+func TestAppendAfterALongCallGoesThroughAPeer(t *testing.T) {
+	l := newLog()
+	var silent atomic.Bool
+	f := l.Functions()
+	write := f.Append
+	f.Append = func(ctx context.Context, q partitionlog.AppendRequest) (partitionlog.AppendResult, error) {
+		if silent.Load() {
+			<-ctx.Done()
+			return partitionlog.AppendResult{}, ctx.Err()
+		}
+		time.Sleep(time.Duration(encodedSize(q.Records)) * time.Second / hostLinkRate)
+		return write(ctx, q)
+	}
+	a, b := newHost(t, "a", f), newHost(t, "b", l.Functions())
+	b.listenPeers(t)
+	a.knowPeers(b)
+	record, err := stepjournal.Ended("other", time.Now())
+	require.NoError(t, err)
+	var large [][]byte
+	for range 14 {
+		large = append(large, make([]byte, 250<<10))
+	}
+	v := a.journal.get("s")
+	_, err = v.append(context.Background(), large)
+	require.NoError(t, err)
+	silent.Store(true)
+	_, err = v.append(context.Background(), [][]byte{record})
+	require.NoError(t, err)
+}
+
+// The partition of a step that was handed to a host does not answer it. The host says that it drives the step
+// while it waits.
+func TestHostWithoutThePartitionLeavesTheStepToOthers(t *testing.T) {
+	l := newLog()
+	f := silentBut(l.Functions(), -1)
+	f.Newest = func(ctx context.Context, _ partitionlog.Partition) (partitionlog.Newest, error) {
+		<-ctx.Done()
+		return partitionlog.Newest{}, ctx.Err()
+	}
+	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", f)
+	for _, g := range []*Gateway{a, b} {
+		g.table(nil)
+		g.listenPeers(t)
+	}
+	b.preferred.claim("m")
+	b.journal.follow("s")
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 1)))
+	time.Sleep(300 * time.Millisecond)
+	start := time.Now()
+	for b.steps.isStarting("s") && time.Since(start) < 15*time.Second {
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Log("neither driven nor taken over for", time.Since(start))
+	require.Less(t, time.Since(start), 3*time.Second)
+}
+
+// The log answers the holder of a partition, which no host can reach. Each try of a caller is at a host that had not read
+// the partition before: 0.3 s for the search, and three calls to the log, do not fit into the time of a read.
+func TestStepIsReadBackThoughItsHolderIsSilent(t *testing.T) {
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	first := newHost(t, "first", l.Functions())
+	v := first.journal.follow("s")
+	require.NoError(t, v.sync(context.Background()))
+	v.writeCheckpoint()
+	holder := newHost(t, "holder", l.Functions())
+	holder.listenAs(t, func(ctx context.Context, _ *peer.Request) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	var pages atomic.Int64
+	var err error
+	start := time.Now()
+	for n := range 11 {
+		cold := newHost(t, fmt.Sprint("cold", n), slowLog(l.Functions(), reviewLatency, &pages))
+		cold.makeHolder(holder)
+		if _, err = cold.Results(context.Background(), "s", 0, 0); err == nil {
+			break
+		}
+	}
+	t.Log("tried for", time.Since(start))
+	require.NoError(t, err)
+}
--- a/pier/gateway/stepquery.go
+++ b/pier/gateway/stepquery.go
@@ -129,7 +129,10 @@
 		return nil, err
 	}
 	if q.Knows {
-		e, _, _ := v.entry(q.Step)
+		e, _, ok := v.entry(q.Step)
+		if !ok {
+			return nil, outcome.Refuse(outcome.ReasonLogDown, q.Step).After(unavailableRetryAfter)
+		}
 		return &stepAnswer{Total: e.Total}, nil
 	}
 	if q.Item != "" {
--- a/pier/gateway/stepsearch.go
+++ b/pier/gateway/stepsearch.go
@@ -11,6 +11,9 @@
 	"mulberrypier.example/pier/outcome"
 )
 
+// secondHolderDelay is the time without a host that knows the step after which one more is asked.
+const secondHolderDelay = 100 * time.Millisecond
+
 // stepSearch is the search for a host that knows a step. It is used by one goroutine.
 type stepSearch struct {
 	g *Gateway
@@ -33,29 +36,49 @@
 	return &stepSearch{g: g, q: q, asked: make(map[netip.AddrPort]bool), answers: make(chan knowingHost)}
 }
 
-// run asks the holder of the step's partition and all preferred drivers at the same time, and returns
-// the first host that knows the step. Its answer is nil if none says so within knowsStepTimeout.
-func (s *stepSearch) run(ctx context.Context) knowingHost {
+// run asks the holder of the step's partition and all preferred drivers at the same time. It sends those
+// that know the step, as they answer, and closes the channel once all have, or after knowsStepTimeout.
+func (s *stepSearch) run(ctx context.Context, knowing chan<- knowingHost) {
+	defer close(knowing)
 	ctx, cancel := context.WithTimeout(ctx, knowsStepTimeout)
 	defer cancel()
 	s.askHolder(ctx)
 	s.askDrivers(ctx)
 	driversRead := s.g.preferred.readingDone()
+	second := time.NewTimer(secondHolderDelay)
+	defer second.Stop()
 	for s.pending > 0 || driversRead != nil {
 		select {
+		case <-second.C:
+			s.askSecondHolder(ctx)
 		case h := <-s.answers:
 			s.pending--
-			if h.answer != nil {
-				return h
+			if h.answer == nil {
+				continue
+			}
+			select {
+			case knowing <- h:
+			case <-ctx.Done():
+				return
 			}
 		case <-driversRead:
 			driversRead = nil
 			s.askDrivers(ctx)
 		case <-ctx.Done():
-			return knowingHost{}
+			return
 		}
 	}
-	return knowingHost{}
+}
+
+// askSecondHolder asks the host that all others ask as well if they get no answer of the holder.
+func (s *stepSearch) askSecondHolder(ctx context.Context) {
+	a, ok := s.g.peerLog.secondHolder(s.g.journal.get(s.q.Step).n)
+	if !ok {
+		return
+	}
+	q := s.q
+	q.Follow = true
+	s.ask(ctx, a, func(ctx context.Context) (*stepAnswer, error) { return s.g.askStep(ctx, a, &q) })
 }
 
 // askHolder asks the host to which the log assigned the step's partition.
@@ -119,21 +142,82 @@
 }
 
 // askPeers asks the hosts that may know a step about it. It calls found once one does, before that
-// one is asked for what is wanted. It returns nil if none does, or that one has no answer.
-func (g *Gateway) askPeers(ctx context.Context, q stepQuery, found func()) *stepAnswer {
-	began := time.Now()
-	h := newStepSearch(g, q).run(ctx)
-	switch q.next(h.answer) {
-	case readLog:
-		return nil
-	case useAnswer:
-		return h.answer
+// one is asked for what is wanted. If that one fails or is late, the next one that knows the step is
+// asked as well. The outcome is empty if none has an answer.
+func (g *Gateway) askPeers(ctx context.Context, q stepQuery, found func()) stepOutcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	knowing := make(chan knowingHost)
+	go newStepSearch(g, q).run(ctx, knowing)
+	p := &peerQuery{g: g, q: q, began: time.Now(), answers: make(chan stepOutcome)}
+	for knowing != nil || p.pending > 0 {
+		select {
+		case h, ok := <-knowing:
+			if !ok {
+				knowing = nil
+				continue
+			}
+			if q.next(h.answer) == useAnswer {
+				return stepOutcome{answer: h.answer}
+			}
+			found()
+			p.add(ctx, h)
+		case x := <-p.answers:
+			p.pending--
+			if x.err == nil || isPeerFinal(x.err) {
+				return x
+			}
+			p.askNext(ctx)
+		case <-p.late:
+			p.askNext(ctx)
+		}
 	}
-	found()
-	q.Wait = max(q.Wait-time.Since(began), 0)
-	a, err := g.askStep(ctx, h.peers, &q)
-	if err != nil {
-		return nil
+	return stepOutcome{}
+}
+
+// isPeerFinal reports whether an error is what another host that knows the step says of it for good.
+func isPeerFinal(err error) bool {
+	return outcome.AsError(err).Remote && outcome.HasReason(err, outcome.ReasonUnknownName)
+}
+
+// peerQuery asks hosts that know a step, one after the other, for what is wanted. It is used by one
+// goroutine.
+type peerQuery struct {
+	g     *Gateway
+	q     stepQuery
+	began time.Time
+	// next holds the hosts that were not asked yet, pending is the number of those that were and have
+	// not answered.
+	next    []netip.AddrPort
+	pending int
+	answers chan stepOutcome
+	// late yields once the host that was asked last is late. It is nil before one is asked.
+	late <-chan time.Time
+}
+
+// add adds a host. It is asked at once if it is the first.
+func (p *peerQuery) add(ctx context.Context, h knowingHost) {
+	p.next = append(p.next, h.peers)
+	if p.pending == 0 {
+		p.askNext(ctx)
 	}
-	return a
+}
+
+// askNext asks the next host, if there is one.
+func (p *peerQuery) askNext(ctx context.Context) {
+	if len(p.next) == 0 {
+		return
+	}
+	a, q := p.next[0], p.q
+	p.next = p.next[1:]
+	p.pending++
+	q.Wait = max(q.Wait-time.Since(p.began), 0)
+	p.late = time.After(q.Wait + stepQuerySlack)
+	go func() {
+		r, err := p.g.askStep(ctx, a, &q)
+		select {
+		case p.answers <- stepOutcome{r, err}:
+		case <-ctx.Done():
+		}
+	}()
 }
