--- a/pier/stepjournal/checkpoint_test.go
+++ b/pier/stepjournal/checkpoint_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -95,6 +96,8 @@
 	require.NoError(t, f.Apply(r[0]))
 	b, ok := f.Checkpoint(3)
 	require.True(t, ok)
+	other, err := msgpack.Marshal(&checkpoint{Format: checkpointFormat + 1, Partition: 3, Next: 1})
+	require.NoError(t, err)
 	tests := map[string]struct {
 		b         []byte
 		partition int
@@ -103,6 +106,7 @@
 		"no checkpoint":        {[]byte{0xff, 0x81, 0xa1}, 3},
 		"cut":                  {b[:len(b)-3], 3},
 		"of another partition": {b, 4},
+		"of another format":    {other, 3},
 	}
 	for name, x := range tests {
 		t.Run(name, func(t *testing.T) {
