A coordinator that was frozen does not grant the whole limit at once

A host grants a server's whole limit only if it was the coordinator in all lists of hosts of the last 6 s. It compared lists only. A coordinator that is frozen or cut off for longer than that, and reads the same list again after it, had no other list in between and granted the whole limit at once, while the deputy, which had become the coordinator meanwhile, went on to grant the whole limit until it read the list again (2 s, with a slow log up to 5 s): twice the limit together.

A host that has read no list for longer than a list may be used (5 s) now begins as one without a list: a quarter of the limit for 6 s. That holds after a lull too, in which nobody asked it; it cannot be told from a freeze here.

TestRosterSharesWhileHostsDisagree has the case now (frozen for 15 s, the deputy reads the list 4 s late); without the change the shares add up to 2 where 1.5 is the most. Two tests of the roster let hosts read the list 19 and 6 s apart and expect the whole limit after that; they read it each 2 s now, as hosts do, and expect the same.

--- a/pier/serverlimit/roster.go
+++ b/pier/serverlimit/roster.go
@@ -47,8 +47,13 @@
 // NewRoster returns a roster without hosts.
 func NewRoster(self string) *Roster { return &Roster{self: self} }
 
-// Set sets the list of hosts, which was read at now.
+// Set sets the list of hosts, which was read at now. A host that has read none for long may have been
+// frozen or cut off: another one may have become the coordinator and not know yet that it is none
+// any more. So it begins as one without a list.
 func (r *Roster) Set(hosts []string, now time.Duration) {
+	if now-r.readAt > rosterMaxAge {
+		r.lists = nil
+	}
 	r.readAt = now
 	hosts = slices.Clone(hosts)
 	slices.Sort(hosts)
--- a/pier/serverlimit/roster_test.go
+++ b/pier/serverlimit/roster_test.go
@@ -30,8 +30,9 @@
 	rosters := make(map[string]*Roster)
 	for _, h := range hosts {
 		rosters[h] = NewRoster(h)
-		rosters[h].Set(hosts, time.Second)
-		rosters[h].Set(hosts, 20*time.Second)
+		for at := time.Second; at <= 21*time.Second; at += RosterInterval {
+			rosters[h].Set(hosts, at)
+		}
 	}
 	for i := range 50 {
 		s := fmt.Sprint("server-", i)
@@ -51,7 +52,7 @@
 	server := "server"
 	probe := NewRoster("")
 	probe.Set(all, 0)
-	first, _ := probe.Coordinators(server)
+	first, deputy := probe.Coordinators(server)
 	without := func() []string {
 		var l []string
 		for _, h := range all {
@@ -65,17 +66,27 @@
 		before, after []string
 		// reads reports whether a host reads the list at a time after the change.
 		reads func(host string, since time.Duration) bool
+		// frozen is set if the coordinator reads nothing for 15 s before the change, in which the
+		// others do not know it.
+		frozen bool
 	}{
-		"the coordinator leaves, all learn of it": {all, without, func(string, time.Duration) bool { return true }},
+		"the coordinator leaves, all learn of it": {all, without, func(string, time.Duration) bool { return true }, false},
 		"the coordinator is cut off and does not learn of it": {
 			all, without,
 			func(h string, _ time.Duration) bool { return h != first },
+			false,
 		},
 		"the coordinator joins, the others learn of it late": {
 			without, all,
 			func(h string, d time.Duration) bool { return h == first || d > 4*time.Second },
+			false,
+		},
+		"the coordinator is frozen, the deputy learns late that it is back": {
+			all, all,
+			func(h string, d time.Duration) bool { return h != deputy || d > 4*time.Second },
+			true,
 		},
-		"nobody can read the list": {all, without, func(string, time.Duration) bool { return false }},
+		"nobody can read the list": {all, without, func(string, time.Duration) bool { return false }, false},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -86,13 +97,19 @@
 					rosters[h].Set(c.before, 10*time.Second)
 				}
 			}
-			for now := start - 20*time.Second; now < start+30*time.Second; now += 250 * time.Millisecond {
+			for now := start - 40*time.Second; now < start+30*time.Second; now += 250 * time.Millisecond {
+				frozen := c.frozen && now >= start-15*time.Second && now < start
 				for h, r := range rosters {
+					list := c.before
+					if frozen {
+						list = without
+					}
 					switch {
+					case frozen && h == first:
 					case now >= start && c.reads(h, now-start) && r.Due(now):
 						r.Set(c.after, now)
 					case now < start && r.Len() > 0 && r.Due(now):
-						r.Set(c.before, now)
+						r.Set(list, now)
 					}
 				}
 				require.LessOrEqual(t, totalShare(rosters, server, now), 1.5, "at %s", now)
@@ -111,7 +128,10 @@
 	require.Empty(t, deputy)
 	r.Set([]string{"a"}, 0)
 	require.Equal(t, deputyShare, r.Share("s", time.Second))
-	r.Set([]string{"a"}, 6*time.Second)
+	for at := RosterInterval; at <= 6*time.Second; at += RosterInterval {
+		r.Set([]string{"a"}, at)
+	}
+	require.Equal(t, deputyShare, r.Share("s", 6*time.Second))
 	require.Equal(t, 1.0, r.Share("s", 7*time.Second))
 }
 
