--- a/pier/gateway/peerlog.go
+++ b/pier/gateway/peerlog.go
@@ -23,6 +23,8 @@
 	// membersInterval is the time between two reads of the group's members, which are the
 	// peers that carry calls.
 	membersInterval = 10 * time.Second
+	// staleMembersInterval is that time once a member proved to be out of date.
+	staleMembersInterval = time.Second
 	// probeInterval is the time between two direct calls that probe whether the log answers
 	// this host again. Each waits for probeTimeout, so that a slow log counts as answering.
 	probeInterval = 150 * time.Millisecond
@@ -46,6 +48,11 @@
 
 	mu    sync.Mutex
 	paths *logpath.Chooser
+	// holders maps the partitions of the journal to the peer addresses of the hosts to which the log
+	// assigned them as of membersAt. membersStale is set once one of them proved to be out of date.
+	holders      map[int]netip.AddrPort
+	membersAt    time.Time
+	membersStale bool
 	// lastAsked holds when each peer with an open connection was last asked.
 	lastAsked map[netip.AddrPort]time.Duration
 	// turnedAway reports whether the direct path failed after the last direct call.
@@ -95,9 +102,9 @@
 		Leave: func(ctx context.Context, group, member string) error {
 			return l.do(ctx, &logCall{Leave: &leaveCall{Group: group, Member: member}}).err()
 		},
-		Members: func(ctx context.Context, group string) ([]string, error) {
+		Members: func(ctx context.Context, group string) ([]partitionlog.Member, error) {
 			a := l.do(ctx, &logCall{Members: group})
-			return a.Members, a.err()
+			return a.members(), a.err()
 		},
 	}
 }
@@ -134,20 +141,44 @@
 	return d.answer
 }
 
-// askDirectFirst is askDirect with part of the time kept for a peer, if there is one and the
-// call may be repeated. A large read needs all of its time.
+// askDirectFirst is askDirect with part of the time kept for a peer, if there is one.
 func (l *peerLog) askDirectFirst(ctx context.Context, q *logCall) *logAnswer {
-	_, ok := l.nextPeer()
-	end, limited := ctx.Deadline()
-	if !ok || !limited || !q.repeatable() || q.isLarge() {
+	if _, ok := l.nextPeer(); !ok {
 		return l.askDirect(ctx, q)
 	}
-	left := time.Until(end) - q.wait()
-	ctx, cancel := context.WithTimeout(ctx, q.wait()+left/2)
+	ctx, cancel := l.keepTime(ctx, q)
 	defer cancel()
 	return l.askDirect(ctx, q)
 }
 
+// keepTime returns a context for one path that keeps part of the time for the next one, if the call
+// may be repeated and there is enough of it. A large read needs all of its time.
+func (l *peerLog) keepTime(ctx context.Context, q *logCall) (context.Context, context.CancelFunc) {
+	end, limited := ctx.Deadline()
+	if !limited || !q.repeatable() || q.isLarge() {
+		return ctx, func() {}
+	}
+	left := time.Until(end) - q.wait()
+	l.mu.Lock()
+	left = l.paths.PathTime(left)
+	l.mu.Unlock()
+	return context.WithTimeout(ctx, q.wait()+left)
+}
+
+// limit returns the time that a call to the log may take which may take base at a quick log.
+func (l *peerLog) limit(base time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.Limit(base)
+}
+
+// latency returns the time that a small call to the log takes, as far as known.
+func (l *peerLog) latency() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.Latency()
+}
+
 // askDirect makes a call directly. It gives the call up when the end of an outage shows that
 // its answer was lost.
 func (l *peerLog) askDirect(ctx context.Context, q *logCall) *logAnswer {
@@ -172,6 +203,10 @@
 func (l *peerLog) observeDirect(q *logCall, a *logAnswer, sent time.Duration) {
 	now := boottime.Now()
 	l.mu.Lock()
+	if d, ok := q.latency(a, now-sent); ok {
+		l.paths.Took(d)
+		l.g.metrics.logLatency.Set(l.paths.Latency().Seconds())
+	}
 	if !a.answered() && q.isLarge() && isTimeout(a.Err) && l.paths.Congested(now) {
 		l.mu.Unlock()
 		return
@@ -227,13 +262,11 @@
 
 // run learns the peers, and probes the direct path while it fails.
 func (l *peerLog) run() {
-	var readAt time.Time
 	for l.g.ctx.Err() == nil {
 		if l.directFails() {
 			l.g.wg.Go(l.probe)
-		} else if time.Since(readAt) > membersInterval {
+		} else if l.membersDue() {
 			l.readMembers()
-			readAt = time.Now()
 		}
 		l.closeIdle(boottime.Now())
 		backoff.Sleep(l.g.ctx, probeInterval)
@@ -242,7 +275,7 @@
 
 // probe makes a direct call.
 func (l *peerLog) probe() {
-	ctx, cancel := context.WithTimeout(l.g.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(l.g.ctx, l.limit(probeTimeout))
 	defer cancel()
 	l.askDirect(ctx, &logCall{Members: watchGroup})
 }
