--- a/pier/orderlease/orderlease_test.go
+++ b/pier/orderlease/orderlease_test.go
@@ -35,7 +35,7 @@
 			})}
 		}
 		lastFence, lastHolder := int64(0), ""
-		lastOrder, lastOrderBy := time.Duration(-ttl), ""
+		lastOrder, lastOrderBy := -ttl, ""
 		for n := range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pass")) * time.Millisecond
 			i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
