--- a/pier/gateway/slowlog_test.go
+++ b/pier/gateway/slowlog_test.go
@@ -129,6 +129,7 @@
 
 // A page of results was dropped as its reader left, and the next reader began anew.
 func TestPageIsKeptThoughItsReaderLeft(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	var pages atomic.Int64
@@ -162,6 +163,7 @@
 // A host that had just started read the log by itself though the holder of the partition had the
 // step at hand, and had no time left for the results.
 func TestHolderOfAPartitionAnswersForOthers(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	var pages atomic.Int64
@@ -183,6 +185,7 @@
 // A read at one host must leave something for the next, which goes to another: the holder of the
 // partition follows it once it was asked.
 func TestHolderFollowsAPartitionOnceItWasAsked(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	var pages atomic.Int64
@@ -201,6 +204,7 @@
 
 // The holder says that it knows the step and is silent then. The log must be read meanwhile.
 func TestSilentHolderDoesNotDelayTheLog(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", l.Functions())
@@ -226,6 +230,7 @@
 // Half of the time of a call was kept for a peer, and the other half was too short for an answer: no
 // host could stay in the group, which then assigned its partitions to nobody.
 func TestHostsStayInTheGroupOfASlowLog(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	var pages atomic.Int64
 	a, b := newHost(t, "a", slowLog(l.Functions(), 400*time.Millisecond, &pages)), newHost(t, "b", l.Functions())
@@ -243,6 +248,7 @@
 // A step was taken over from a driver that had just got it, as it still read from a slow log whether
 // it is the driver.
 func TestDriverThatReadsTheJournalIsNotGone(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	var pages atomic.Int64
 	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", slowLog(l.Functions(), 600*time.Millisecond, &pages))
@@ -266,6 +272,7 @@
 // A look-up of what began a stream was dropped with the caller that it took too long for, at each
 // host anew.
 func TestLookUpOfAStreamIsKeptThoughItsCallerLeft(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	var pages atomic.Int64
 	b, err := streamorigin.Encode([]streamorigin.Record{{Stream: "s", Writer: directory.Software{Service: "desk", Version: "1"}}})
--- a/pier/gateway/slowreads_test.go
+++ b/pier/gateway/slowreads_test.go
@@ -34,6 +34,7 @@
 // The records of a step with long bodies do not fit into the cache, so that each try to read a body
 // read them from the first on, and had no time for the last ones.
 func TestBodyOfALargeStepIsReadFromASlowLog(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	s := newStep("s", 8)
 	for i := range s.Items {
@@ -62,6 +63,7 @@
 // A preferred driver says first that it knows the step, and then has no answer. The holder, which said the
 // same a little later and has the results at hand, was not asked for them.
 func TestSecondHostThatKnowsTheStepIsAsked(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	var pages atomic.Int64
@@ -91,6 +93,7 @@
 // The host that is asked follows the step, and the log does not answer it. The holder has the results at
 // hand and was not asked.
 func TestHostThatFollowsAStepAsksTheHolderIfTheLogIsAway(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	var away atomic.Bool
@@ -117,6 +120,7 @@
 // The origins of streams are read in 0.6 s for all pages; a call that takes longer never ends, however
 // often the stream is taken up.
 func TestOriginsAreReadFromASlowLog(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	var pages atomic.Int64
 	g := newHost(t, "a", slowLog(l.Functions(), 800*time.Millisecond, &pages))
@@ -132,6 +136,7 @@
 
 // A trial of a quarantined request is asked for in 0.5 s, an append and a read of it.
 func TestTrialIsClaimedAtASlowLog(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	var pages atomic.Int64
 	g := newHost(t, "a", slowLog(l.Functions(), 600*time.Millisecond, &pages))
@@ -149,6 +154,7 @@
 // A checkpoint takes two calls of 1.5 s together. At a slow log the second is given up though it is
 // executed, the end is unknown again, and the same checkpoint is written once more for good.
 func TestCheckpointIsWrittenOnceAtASlowLog(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 512<<10)
 	var pages, appends atomic.Int64
@@ -187,6 +193,7 @@
 // Readers that have left leave their pages behind, each of up to 256 KB: nothing bounds how many a host reads at
 // once.
 func TestPagesOfReadersThatLeftAreBounded(t *testing.T) {
+	t.Parallel()
 	const records = 300
 	l := newLog()
 	putStep(t, l.Functions(), "s", records, 8<<10, 0)
@@ -237,6 +244,7 @@
 // A partition whose last page failed once waits for its turn behind those that do not answer at all, one at a
 // time.
 func TestPartitionThatFailedOnceIsReadBesideSilentOnes(t *testing.T) {
+	t.Parallel()
 	for _, silent := range []int{3, 8, 19} {
 		t.Run(fmt.Sprint(silent), func(t *testing.T) {
 			l := newLog()
@@ -263,6 +271,7 @@
 // A host that was handed a step waits for its turn to read the journal behind partitions that do not answer. It
 // says meanwhile that it drives the step, so that no other host takes it over, and does not.
 func TestHostThatCannotReadTheJournalLeavesTheStepToOthers(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	a, b := newHost(t, "a", l.Functions()), newHost(t, "b", silentBut(l.Functions(), -1))
 	for _, g := range []*Gateway{a, b} {
@@ -286,6 +295,7 @@
 
 // The holder knows that the step has no such item, and its answer was dropped: the caller is told to come again.
 func TestItemThatIsNotOfTheStepIsNotFoundAtASlowLog(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	var pages atomic.Int64
@@ -300,6 +310,7 @@
 // The time to carry a large append, or a page of the newest records, counted as the time that the log takes for a small
 // call. Limits grow by it, and no time is left for a peer.
 func TestLargeCallsTellNothingOfTheLatency(t *testing.T) {
+	t.Parallel()
 	large := make([]byte, 1<<20)
 	tests := map[string]struct {
 		q logCall
@@ -322,6 +333,7 @@
 // A host whose last call took long, as it was large, is then turned away by silence. Its next append used up all of its
 // time on the direct path.
 func TestAppendAfterALongCallGoesThroughAPeer(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	var silent atomic.Bool
 	f := l.Functions()
@@ -354,6 +366,7 @@
 // The partition of a step that was handed to a host does not answer it. The host says that it drives the step
 // while it waits.
 func TestHostWithoutThePartitionLeavesTheStepToOthers(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	f := silentBut(l.Functions(), -1)
 	f.Newest = func(ctx context.Context, _ partitionlog.Partition) (partitionlog.Newest, error) {
@@ -381,6 +394,7 @@
 // The log answers the holder of a partition, which no host can reach. Each try of a caller is at a host that had not read
 // the partition before: 0.3 s for the search, and three calls to the log, do not fit into the time of a read.
 func TestStepIsReadBackThoughItsHolderIsSilent(t *testing.T) {
+	t.Parallel()
 	l := newLog()
 	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
 	first := newHost(t, "first", l.Functions())
