A read ends with its time though another host is about to answer

The answer of a host that knows the step was dropped if the caller's time was up, and the read went on waiting for it, for ever: a run of the package under the race detector on a busy machine hung for 6 minutes in TestStepsAreReadBackFromASlowLog. TestReadEndsWithItsTimeThoughAHostIsAboutToAnswer fails before, in each run.

--- a/pier/gateway/slowlog_test.go
+++ b/pier/gateway/slowlog_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"mulberrypier.example/pier/backoff"
@@ -292,3 +293,39 @@
 	}, time.Second, time.Millisecond)
 	require.NoError(t, g.streams.read(context.Background(), "s"))
 }
+
+// A read whose time was up while another host was about to answer waited for that answer for ever.
+func TestReadEndsWithItsTimeThoughAHostIsAboutToAnswer(t *testing.T) {
+	t.Parallel()
+	l := newLog()
+	putStep(t, l.Functions(), "s", 2, 1<<10, 0)
+	a, holder := newHost(t, "a", silentBut(l.Functions(), -1)), newHost(t, "holder", l.Functions())
+	holder.listenAs(t, func(ctx context.Context, r *peer.Request) (any, error) {
+		var q stepQuery
+		if err := peer.Decode(r.Body, &q); err != nil || !q.Knows {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return &stepAnswer{Total: 2}, nil
+	})
+	a.makeHolder(holder)
+	var w sync.WaitGroup
+	for range 100 {
+		w.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			_, err := a.Results(ctx, "s", 0, 0)
+			assert.Error(t, err)
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("reads have not ended")
+	}
+}
--- a/pier/gateway/stepsearch.go
+++ b/pier/gateway/stepsearch.go
@@ -170,6 +170,8 @@
 			p.askNext(ctx)
 		case <-p.late:
 			p.askNext(ctx)
+		case <-ctx.Done():
+			return stepOutcome{}
 		}
 	}
 	return stepOutcome{}
