The test of hosts that add up waits until they know the quarantine

TestHostsAddUpOnceTheLogIsBack failed 2 of 7 runs under the race detector on a busy machine ("4 is not less than or equal to 3"). The log went away before the hosts had read the quarantine for the first time; they then hold requests back for 2 s, nothing was sent while the log was away, and all four servers that the rule allows were lost after it. Forced (reads of the topic refused until the log is away), it failed 6 of 6 so; otherwise 4 or 6 are sent in that time, and 2 more afterwards. The deployment of these tests now waits until each host has read the topic. Bounds and checks are as they were.

--- a/pier/gateway/crashserver_test.go
+++ b/pier/gateway/crashserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -176,8 +177,12 @@
 	h := startHosts(t, l, hosts)
 	for _, g := range h {
 		g.table(nil)
+		g.suspects.catchUpEnd.Store(math.MaxInt64)
 		g.wg.Go(g.suspects.run)
 	}
+	for _, g := range h {
+		require.Eventually(t, func() bool { return g.suspects.catchUpEnd.Load() == 0 }, 5*time.Second, time.Millisecond)
+	}
 	var sent sendLog
 	var s []*crashServer
 	for i := range servers {
--- a/pier/gateway/stepsearch.go
+++ b/pier/gateway/stepsearch.go
@@ -11,7 +11,7 @@
 	"mulberrypier.example/pier/outcome"
 )
 
-// secondHolderDelay is the time without a host that knows the step after which one more is asked.
+// secondHolderDelay is the time after which a search that still goes on asks one more host.
 const secondHolderDelay = 100 * time.Millisecond
 
 // stepSearch is the search for a host that knows a step. It is used by one goroutine.
