--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -43,7 +43,8 @@
 // kindPermit is the kind of a message that asks for a permit.
 const kindPermit = kindLogCall + 1
 
-// permitRequest asks for a permit, or tells a coordinator that a limit has ended. Times are relative, since the clocks of hosts differ.
+// permitRequest asks for a permit, or tells a coordinator that a limit has ended. Times are relative,
+// since the clocks of hosts differ.
 type permitRequest struct {
 	Server    directory.Incarnation `msgpack:"s"`
 	PerSecond float64               `msgpack:"p"`
