Read organisations, autoscaling and the provider's API from configuration and settings

Cause: the configuration's organisations, keys, public routes and autoscaling were ignored, and the settings named no provider. The parts that use them are built side by side and need one set of types.

Nothing uses them yet.

--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -39,4 +39,8 @@
 	// Resumes carries, in a caller's request that continues a stream, the id of the request
 	// that brought its first event.
 	Resumes string
+	// Organisation carries the name of the organisation that makes the request.
+	Organisation string
+	// Priority carries the priority of the request; 0 is the highest.
+	Priority string
 }
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/peer"
+	"mulberrypier.example/pier/provider"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -100,6 +101,8 @@
 	// EngineControl returns the control calls, made through the connection pool that the
 	// gateway uses for all calls to backend servers.
 	EngineControl func(p *backend.Pool) EngineControl
+	// Provider holds the calls to the infrastructure provider; its fields are nil in deployments without them.
+	Provider provider.API
 	// MemoryBytes is the memory that the process may use, 0 if that is not known.
 	MemoryBytes int64
 	// Handler returns the handler for callers and trainers.
--- a/pier/gateway/settings.go
+++ b/pier/gateway/settings.go
@@ -26,6 +26,8 @@
 	Timing Timing `toml:"timing"`
 	// Policy holds the policies for loads of weights and for samples.
 	Policy Policy `toml:"policy"`
+	// Provider is the API of the infrastructure provider. It is absent in deployments without duties there.
+	Provider Provider `toml:"provider"`
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `toml:"log-level"`
 }
@@ -79,6 +81,35 @@
 	LoadShare float64 `toml:"load-share"`
 }
 
+// Provider describes the API of the infrastructure provider and what the hosts have to do there.
+type Provider struct {
+	// Address is the address of the API; without it, the deployment has no duties.
+	Address netip.AddrPort `toml:"address"`
+	// Duties are the provider's names of what one host at a time does on behalf of all.
+	Duties []string `toml:"duties"`
+	// CallsPerSecond is the number of calls that the provider takes in a second from all hosts together.
+	CallsPerSecond float64 `toml:"calls-per-second"`
+	// UsageWindow is the length of the windows of usage reports, UsageDue how long after the end of a window its
+	// report is due.
+	UsageWindow settings.Duration `toml:"usage-window"`
+	UsageDue    settings.Duration `toml:"usage-due"`
+}
+
+// check returns the key of the first setting that is out of range, "" if there is none.
+func (p *Provider) check() string {
+	switch {
+	case !p.Address.IsValid():
+		return ""
+	case p.CallsPerSecond <= 0:
+		return "provider.calls-per-second"
+	case p.UsageWindow.D() < 0 || p.UsageWindow.D() > 24*time.Hour:
+		return "provider.usage-window"
+	case p.UsageDue.D() < 0 || p.UsageDue.D() > 24*time.Hour:
+		return "provider.usage-due"
+	}
+	return ""
+}
+
 // ReadSettings reads and checks the settings in a file. Unknown keys are an error, since
 // they are usually misspelt ones. Its errors are of type *settings.Error.
 func ReadSettings(path string) (*Settings, error) {
@@ -135,6 +166,8 @@
 		return bad("policy.loads-at-once")
 	case s.Policy.LoadShare <= 0:
 		return bad("policy.load-share")
+	case s.Provider.check() != "":
+		return bad(s.Provider.check())
 	}
 	return nil
 }
--- a/pier/orderlease/orderlease.go
+++ b/pier/orderlease/orderlease.go
@@ -18,6 +18,7 @@
 	"mulberrypier.example/pier/boundedmsgpack"
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/provider"
 )
 
 // Topic is the name of the topic that holds the lease and the orders given under it.
@@ -68,6 +69,10 @@
 	Slack time.Duration `msgpack:"k,omitempty"`
 	// Limits holds limits of servers of which all hosts are to learn.
 	Limits []Limit `msgpack:"x,omitempty"`
+	// Usage is a usage report that is sent to the provider next. All holders send the same for a window.
+	Usage *provider.UsageReport `msgpack:"u,omitempty"`
+	// Target is a number of servers that is ordered from the provider next.
+	Target *provider.Target `msgpack:"t,omitempty"`
 }
 
 // SameAppend reports whether both records are that of one append.
--- a/pier/stepjournal/record.go
+++ b/pier/stepjournal/record.go
@@ -77,6 +77,8 @@
 	Host  string `msgpack:"h"`
 	Path  string `msgpack:"p"`
 	Items []Item `msgpack:"l"`
+	// Organisation is the one whose key submitted the step, "" if there is none.
+	Organisation string `msgpack:"o,omitempty"`
 	// Submitted is when the step was accepted, by the clock of the host that accepted it.
 	Submitted time.Time `msgpack:"t"`
 }
