Rank engines by their pace over seconds

Cause: one estimate served for pauses of a shared machine and for engines that are slow for good.

Change: package enginepace averages the pace over three seconds and keeps it while an engine is idle. Placement and moves go by it.

TestPausesOfASharedMachineAreNoSlowness fails with the average used before (weight one half for each measurement).

--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -11,6 +11,7 @@
 
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/directory"
+	"mulberrypier.example/pier/enginepace"
 	"mulberrypier.example/pier/loadplan"
 	"mulberrypier.example/pier/orderlease"
 )
@@ -38,10 +39,6 @@
 	maxRefusalDoublings = 3
 	// loadDuration is how long an engine usually takes to load a version.
 	loadDuration = 950 * time.Millisecond
-	// paceMaxAge is how long the measured pace of a server is used.
-	paceMaxAge = 3 * time.Second
-	// paceWeight is the weight of a new measurement in the moving average of the pace.
-	paceWeight = 0.5
 )
 
 // fleet is this host's view of the backend servers.
@@ -92,10 +89,8 @@
 	refusals int
 	// ordered holds the versions that the server was ordered to load, by model.
 	ordered map[string]orderedVersion
-	// pace is the moving average of the time between two events of a generation; paced is
-	// when it was last measured.
-	pace  time.Duration
-	paced time.Time
+	// pace is how fast the server generates, as far as this host has measured it.
+	pace enginepace.Estimate
 }
 
 // orderedVersion is a version that is expected to be loaded from ready on.
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -88,7 +88,7 @@
 	l := f.byService[service]
 	c := make([]stepplan.Engine, 0, len(l))
 	at := make([]int, 0, len(l))
-	fastest := f.fastest(l, now)
+	fastest := f.fastest(l)
 	for i, s := range l {
 		t := f.states[s.ID]
 		if s.Leaving || now.Before(t.avoidUntil) {
@@ -105,32 +105,32 @@
 		c = append(c, stepplan.Engine{
 			ID: s.ID, Version: t.version(s, model, now), Software: s.Software, Slots: n,
 			Running: t.estimatedRunning(now), SameDomain: s.Domain == f.g.s.Domain,
-			RelativeTokenTime: t.relativeTokenTime(fastest, now),
+			RelativeTokenTime: t.relativeTokenTime(fastest),
 		})
 	}
 	return c, at
 }
 
-// fastest returns the pace of the fastest server, or 0 if none was measured recently. The
-// caller holds mu.
-func (f *fleet) fastest(l []directory.Server, now time.Time) time.Duration {
+// fastest returns the pace of the fastest server, or 0 if none was measured. The caller holds mu.
+func (f *fleet) fastest(l []directory.Server) time.Duration {
 	var r time.Duration
 	for _, s := range l {
-		t := f.states[s.ID]
-		if t.pace > 0 && now.Sub(t.paced) < paceMaxAge && (r == 0 || t.pace < r) {
-			r = t.pace
+		p := f.states[s.ID].pace.Mean()
+		if p > 0 && (r == 0 || p < r) {
+			r = p
 		}
 	}
 	return r
 }
 
 // relativeTokenTime returns the server's pace as a multiple of the fastest one's, or 1 if
-// it was not measured recently.
-func (t *serverState) relativeTokenTime(fastest time.Duration, now time.Time) float64 {
-	if fastest == 0 || t.pace == 0 || now.Sub(t.paced) >= paceMaxAge {
+// it was not measured.
+func (t *serverState) relativeTokenTime(fastest time.Duration) float64 {
+	p := t.pace.Mean()
+	if fastest == 0 || p == 0 {
 		return 1
 	}
-	return float64(t.pace) / float64(fastest)
+	return float64(p) / float64(fastest)
 }
 
 // version returns the version of a model that the server is expected to have.
--- a/pier/gateway/reservation.go
+++ b/pier/gateway/reservation.go
@@ -37,17 +37,9 @@
 func (u *reservation) paced(d time.Duration) {
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
-	t := u.f.states[u.s.ID]
-	if t == nil {
-		return
-	}
-	now := time.Now()
-	if t.pace == 0 || now.Sub(t.paced) >= paceMaxAge {
-		t.pace = d
-	} else {
-		t.pace += time.Duration(paceWeight * float64(d-t.pace))
+	if t := u.f.states[u.s.ID]; t != nil {
+		t.pace.Observe(d, time.Now())
 	}
-	t.paced = now
 }
 
 // observeLoad records the load that a server states in an answer.
--- a/pier/gateway/serverlimits_test.go
+++ b/pier/gateway/serverlimits_test.go
@@ -281,7 +281,7 @@
 			g.table(nil)
 			for id, pace := range map[string]time.Duration{"slow": 50 * time.Millisecond, "fast": 5 * time.Millisecond} {
 				g.register(directory.Server{ID: id, Service: "engines", Software: "1", Slots: 4, Versions: map[string]int64{"m": 1}})
-				g.fleet.states[id].pace, g.fleet.states[id].paced = pace, time.Now()
+				g.fleet.states[id].pace.Observe(pace, time.Now())
 			}
 			q := &backend.Request{Server: c.limited}
 			g.limits.observe(q, backend.Admission{}, []string{"2"})
