--- a/pier/gateway/acceptedsteps_test.go
+++ b/pier/gateway/acceptedsteps_test.go
@@ -53,10 +53,10 @@
 	require.NoError(t, g.Accept(context.Background(), route(g), first))
 	listed := waitResults(t, g, "s", 1)
 	require.Eventually(t, func() bool { return len(e.runs()) == 2 }, 5*time.Second, time.Millisecond)
-	require.NoError(t, g.End(context.Background(), "s"))
+	require.NoError(t, g.End(context.Background(), Principal{}, "s"))
 	require.NoError(t, g.Accept(context.Background(), route(g), second))
 	require.Len(t, waitResults(t, g, "t", 2), 2)
-	again, err := g.Results(context.Background(), "s", 0, 0)
+	again, err := g.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Equal(t, listed[0], again.Results[0])
 }
@@ -72,11 +72,11 @@
 	}
 	require.NoError(t, a.Accept(context.Background(), route(a), s))
 	for _, i := range s.Items {
-		body, err := b.Body(context.Background(), "s", i.ID)
+		body, err := b.Body(context.Background(), Principal{}, "s", i.ID)
 		require.NoError(t, err)
 		require.Equal(t, i.Body, body)
 	}
-	_, err := b.Body(context.Background(), "s", "other")
+	_, err := b.Body(context.Background(), Principal{}, "s", "other")
 	require.True(t, outcome.HasReason(err, outcome.ReasonUnknownName))
 }
 
@@ -100,7 +100,7 @@
 	require.Empty(t, n.Records)
 	b := newHost(t, "b", l.Functions())
 	for _, id := range ids {
-		r, err := b.Results(context.Background(), id, 0, 0)
+		r, err := b.Results(context.Background(), Principal{}, id, 0, 0)
 		require.NoError(t, err)
 		require.Len(t, r.Results, 1)
 	}
--- a/pier/gateway/checkpoint_test.go
+++ b/pier/gateway/checkpoint_test.go
@@ -85,7 +85,7 @@
 	writeCheckpoint(t, fillPartition(t, newHost(t, "a", l.Functions())), l)
 	var read atomic.Int64
 	b := newHost(t, "b", countReads(l.Functions(), &read))
-	r, err := b.Results(context.Background(), "s", 0, 0)
+	r, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, r.Results, 1)
 	require.Less(t, read.Load(), int64(filledRecords*filledRecordBytes/10))
@@ -124,7 +124,7 @@
 				}
 				return newest(ctx, p)
 			}
-			r, err := newHost(t, "b", f).Results(context.Background(), "s", 0, 0)
+			r, err := newHost(t, "b", f).Results(context.Background(), Principal{}, "s", 0, 0)
 			if !c.known {
 				require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
 				return
@@ -182,7 +182,7 @@
 	v.checkpoint.behindSince -= a.s.Log.Retention.D() / 2
 	writeCheckpoint(t, v, l)
 	l.Expire(v.partition(), 1)
-	r, err := newHost(t, "b", l.Functions()).Results(context.Background(), "s", 0, 0)
+	r, err := newHost(t, "b", l.Functions()).Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, r.Results, 1)
 }
@@ -216,7 +216,7 @@
 	l.Expire(at, 2)
 	l.Expire(v.partition(), filledRecords)
 	b := newHost(t, "b", l.Functions())
-	r, err := b.Results(context.Background(), "s", 0, 0)
+	r, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, r.Results, 1)
 	require.False(t, b.journal.get("s").cutOff(partitionMate(t, b)))
@@ -240,7 +240,7 @@
 	l.Expire(v.partition(), filledRecords+2)
 	require.NoError(t, w.sync(context.Background()))
 	require.False(t, w.cutOff("s"))
-	r, err := b.Results(context.Background(), "s", 0, 0)
+	r, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, r.Results, 1)
 }
@@ -292,7 +292,7 @@
 	tests := map[string]func(t *testing.T, g *Gateway) bool{
 		"read": func(t *testing.T, g *Gateway) bool {
 			t.Helper()
-			r, err := g.Results(context.Background(), "s", 0, 0)
+			r, err := g.Results(context.Background(), Principal{}, "s", 0, 0)
 			require.False(t, outcome.HasReason(err, outcome.ReasonUnknownStep), "%v", err)
 			return err == nil && len(r.Results) == 1
 		},
--- a/pier/gateway/clocks_test.go
+++ b/pier/gateway/clocks_test.go
@@ -97,14 +97,14 @@
 	acceptAt(t, v, s, a.self, time.Now())
 	appendResult(t, v, s, 1)
 	l.Expire(v.partition(), 1)
-	_, err := b.Results(context.Background(), "s", 0, 0)
+	_, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
 	b.table(nil)
 	err = b.Accept(context.Background(), route(b), newStep("s", 2))
 	require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
 	l.Expire(v.partition(), 2)
 	appendResult(t, v, newStep("other", 1), 0)
-	_, err = b.Results(context.Background(), "s", 0, 0)
+	_, err = b.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.True(t, outcome.HasReason(err, outcome.ReasonUnknownStep), "%v", err)
 }
 
--- a/pier/gateway/congestedlog_test.go
+++ b/pier/gateway/congestedlog_test.go
@@ -103,7 +103,7 @@
 		g := newHost(t, "h", c.functions())
 		w.Go(func() {
 			for time.Since(start) < 15*time.Second {
-				p, err := g.Results(context.Background(), "s", 0, time.Second)
+				p, err := g.Results(context.Background(), Principal{}, "s", 0, time.Second)
 				if err == nil && len(p.Results) == 4 {
 					took[i] = time.Since(start)
 					return
@@ -228,14 +228,14 @@
 		limit time.Duration
 	}{
 		"results": {func(g *Gateway) error {
-			_, err := g.Results(context.Background(), "s", 0, 500*time.Millisecond)
+			_, err := g.Results(context.Background(), Principal{}, "s", 0, 500*time.Millisecond)
 			return err
 		}, 500*time.Millisecond + resultsSlack},
 		"body": {func(g *Gateway) error {
-			_, err := g.Body(context.Background(), "s", "s-0")
+			_, err := g.Body(context.Background(), Principal{}, "s", "s-0")
 			return err
 		}, bodyTimeout},
-		"end": {func(g *Gateway) error { return g.End(context.Background(), "s") }, endTimeout},
+		"end": {func(g *Gateway) error { return g.End(context.Background(), Principal{}, "s") }, endTimeout},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -279,7 +279,7 @@
 	if e.Outcome == outcome.NotRun {
 		s.sent--
 		s.allowAgain(e.Reason, t.u.s.ID)
-		return true
+		return e.Reason != outcome.ReasonUnauthorized && e.Reason != outcome.ReasonStaleConfiguration
 	}
 	s.failed = e
 	if t.serverEnded && s.isSuspect() {
@@ -301,13 +301,13 @@
 	}
 }
 
-// check returns a refusal if the request must not be sent to a server any more: that one has left, or
-// so many servers have ended under the request meanwhile that it may be sent in trials only.
+// check returns a refusal if the request must not be sent to a server any more: its key was removed, the server
+// has left, or so many servers have ended under the request meanwhile that it may be sent in trials only.
 func (s *plainDispatch) check(u *reservation) error {
 	if s.isSuspect() {
 		return outcome.Refuse(outcome.ReasonQuarantined, u.s.ID).After(busyRetryAfter)
 	}
-	return u.check()
+	return s.c.check(u)
 }
 
 // isSuspect reports whether servers have ended under the request so often that it may be sent in
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -31,6 +31,7 @@
 	RequestID: "Request-Id", Deadline: "Deadline", ExpectedIncarnation: "Incarnation",
 	NotRun: "Not-Run", ServerStamp: "Signature",
 	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id", Resumes: "Resumes", Leaving: "Leaving", Limit: "Limit",
+	Organisation: "Organisation", Priority: "Priority",
 }
 
 const testParts = 4
@@ -247,7 +248,7 @@
 	defer cancel()
 	var r []*stepjournal.Result
 	for len(r) < n {
-		l, err := g.Results(ctx, id, len(r), time.Second)
+		l, err := g.Results(ctx, Principal{}, id, len(r), time.Second)
 		require.NoError(t, err)
 		r = append(r, l.Results...)
 		require.NoError(t, ctx.Err(), "got %d of %d results in time", len(r), n)
--- a/pier/gateway/follow.go
+++ b/pier/gateway/follow.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"mulberrypier.example/pier/backoff"
+	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/routetable"
@@ -56,6 +57,8 @@
 	// known. endReadAt is when the last read that reached the end of the topic was sent.
 	writtenAfter time.Time
 	endReadAt    time.Time
+	// currentAt is a time since boot at which the host had all records that the topic held, 0 before the first.
+	currentAt time.Duration
 	// starting is the reading of the newest records that has not come to its end, nil if there is none.
 	starting *followerStart
 	// ahead holds the offsets of the newest records that lie behind next, so that no key returns
@@ -110,20 +113,22 @@
 	}
 	ctx, cancel := context.WithTimeout(f.g.ctx, readWait+f.g.peerLog.limit(readSlack))
 	defer cancel()
-	sent := time.Now()
+	sent, sentAt := time.Now(), boottime.Now()
 	p, err := f.g.c.Log.Read(ctx, partitionlog.ReadRequest{
 		Partition: partitionlog.Partition{Topic: f.topic}, From: f.next, MaxBytes: maxReadBytes, Wait: readWait,
 	})
 	if err != nil {
 		return err
 	}
+	// The log answers when the wait is over at the latest. A host that was suspended sees the answer later.
+	answeredAt := min(boottime.Now(), sentAt+readWait)
 	f.writtenAfter = f.endReadAt
 	for i, b := range p.Records {
 		f.apply(p.From+int64(i), b)
 	}
 	f.next = p.From + int64(len(p.Records))
 	if f.next >= p.End {
-		f.endReadAt = sent
+		f.endReadAt, f.currentAt = sent, answeredAt
 	}
 	return nil
 }
@@ -153,15 +158,17 @@
 	// keys holds the keys that were read, offsets those of their records.
 	keys    map[string]bool
 	offsets map[string]int64
-	// sent is when the first page was asked for.
-	sent time.Time
+	// sent is when the first page was asked for, sentAt the same time since boot.
+	sent   time.Time
+	sentAt time.Duration
 	// failures is the number of attempts in a row that brought no page.
 	failures int
 }
 
 func newFollowerStart(topic string) *followerStart {
 	return &followerStart{
-		listing: newListing(partitionlog.Partition{Topic: topic}), keys: make(map[string]bool), offsets: make(map[string]int64), sent: time.Now(),
+		listing: newListing(partitionlog.Partition{Topic: topic}), keys: make(map[string]bool), offsets: make(map[string]int64),
+		sent: time.Now(), sentAt: boottime.Now(),
 	}
 }
 
@@ -192,7 +199,7 @@
 		f.g.log.Warn("log: keys cannot be listed to their end; those missing are known once they are written again",
 			zap.String("topic", f.topic), zap.Int("keys", len(s.keys)))
 	}
-	f.ahead, f.next, f.endReadAt = s.offsets, s.listing.end, s.sent
+	f.ahead, f.next, f.endReadAt, f.currentAt = s.offsets, s.listing.end, s.sent, s.sentAt
 	return nil
 }
 
@@ -213,6 +220,8 @@
 	g        *Gateway
 	table    atomic.Pointer[routetable.Table]
 	versions atomic.Pointer[map[string]namedVersion]
+	// currentAt is follower.currentAt of the operators' topic.
+	currentAt atomic.Int64
 }
 
 // namedVersion is a version of a model that a trainer has named.
@@ -230,14 +239,28 @@
 
 func (t *tables) current() *routetable.Table { return t.table.Load() }
 
+// configurationMaxAge is the time since the operators' topic was last read to its end after which a newer
+// configuration may be in it for long.
+const configurationMaxAge = 2 * time.Second
+
+// age returns the time since the operators' topic was last read to its end.
+func (t *tables) age() time.Duration { return boottime.Now() - time.Duration(t.currentAt.Load()) }
+
+// upToDate reports whether the operators' topic was read to its end shortly before a time since boot.
+func (t *tables) upToDate(now time.Duration) bool {
+	at := time.Duration(t.currentAt.Load())
+	return at != 0 && now-at <= configurationMaxAge
+}
+
 // newest returns the newest version of each model. The map must not be changed.
 func (t *tables) newest() map[string]namedVersion { return *t.versions.Load() }
 
 func (t *tables) run() {
 	f := follower{
 		g: t.g, topic: t.g.c.Sources.Operators, put: t.put,
-		retainKeys: func(map[string]bool) {}, readDone: func(error) {}, minInterval: operatorsReadInterval,
+		retainKeys: func(map[string]bool) {}, minInterval: operatorsReadInterval,
 	}
+	f.readDone = func(error) { t.currentAt.Store(int64(f.currentAt)) }
 	f.run()
 }
 
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -46,6 +46,11 @@
 	Body   []byte
 	// Caller is the credential that the caller presented, empty if there is none.
 	Caller string
+	// Organisation is the one whose key the caller presented, "" if there is none.
+	Organisation string
+	// Allowed, if not nil, returns a refusal once the caller's key is not valid any more. It is called right before
+	// the request is sent to a server.
+	Allowed func() error
 	// Deadline is the earlier of the caller's deadline and the route's timeout.
 	Deadline time.Time
 	// Purpose is PurposeCall or PurposeScore.
@@ -246,11 +251,12 @@
 	}
 	h[d.ExpectedIncarnation] = []string{u.s.ID}
 	delete(h, http.CanonicalHeaderKey(d.Deadline))
+	g.identify(h, c.Route, c.Organisation, c.kind())
 	return backend.Request{
 		Server: u.s.ID, Address: u.s.Address, Born: u.s.Born, Method: c.Method, Target: c.Target, Host: c.Host,
 		ID: c.ID, Header: h, Body: c.Body, Deadline: c.Deadline, MaxIdle: g.maxIdle(u.s.Service),
 		SameIncarnation: c.Route.Kind == routetable.KindStream && g.isEngine(u.s.Service), Continues: c.writer.Known(),
-		Check: u.check,
+		Check: func() error { return c.check(u) },
 	}
 }
 
--- a/pier/gateway/fulllog_test.go
+++ b/pier/gateway/fulllog_test.go
@@ -56,7 +56,7 @@
 	b, err := stepjournal.Finished(&stepjournal.Result{Step: "s", ID: "s-0", State: stepjournal.Completed})
 	require.NoError(t, err)
 	v.post(b)
-	r, err := g.Results(context.Background(), "s", 0, 0)
+	r, err := g.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Empty(t, r.Results)
 	require.True(t, v.hasPending())
--- a/pier/gateway/handoff.go
+++ b/pier/gateway/handoff.go
@@ -43,7 +43,7 @@
 	}
 	p.g.log.Info("step: preferred driver did not accept the hand-off; taking over",
 		zap.String("id", s.ID), zap.String("driver", to.Host), zap.Error(err))
-	if p.appendTakeover(v, s.ID, to.Host, p.g.self) && p.isDriver(v, s.ID) {
+	if p.appendTakeover(v, s.ID, to.Host, p.g.self) && p.drivenHere(v, s) {
 		p.g.preferred.claim(s.Model)
 		p.startDriving(r, s, v)
 	}
@@ -101,11 +101,7 @@
 	if host != p.g.self.Host && !p.appendTakeover(v, s.ID, host, p.g.self) {
 		return
 	}
-	e, known := p.synced(v, s.ID)
-	if known && e.Driver.Host != p.g.self.Host {
-		p.g.log.Info("step: handed off here, but another host drives it", zap.String("id", s.ID),
-			zap.String("driver", e.Driver.Host))
-		return
+	if p.drivenHere(v, s) {
+		p.startDriving(r, s, v)
 	}
-	p.startDriving(r, s, v)
 }
--- a/pier/gateway/journalqueue_test.go
+++ b/pier/gateway/journalqueue_test.go
@@ -181,7 +181,7 @@
 	time.AfterFunc(unhealthyDetectionTime+500*time.Millisecond, func() { refused.Store(false) })
 	g.Drain()
 	g.Close()
-	r, err := newHost(t, "b", l.Functions()).Results(context.Background(), "s", 0, 0)
+	r, err := newHost(t, "b", l.Functions()).Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, r.Results, 1)
 }
@@ -252,7 +252,7 @@
 	g.watch.partitions = []int{v.n}
 	require.Eventually(t, func() bool {
 		g.watch.checkSteps()
-		r, err := g.Results(context.Background(), "s", 0, 10*time.Millisecond)
+		r, err := g.Results(context.Background(), Principal{}, "s", 0, 10*time.Millisecond)
 		return err == nil && len(r.Results) == 1
 	}, 5*time.Second, 20*time.Millisecond)
 	require.EqualValues(t, 1, rejected.Load())
--- a/pier/gateway/largecheckpoint_test.go
+++ b/pier/gateway/largecheckpoint_test.go
@@ -73,7 +73,7 @@
 		g := newHost(t, "h", c.forHost())
 		w.Go(func() {
 			for time.Since(start) < within && !read[i] {
-				p, err := g.Results(context.Background(), "s", 0, time.Second)
+				p, err := g.Results(context.Background(), Principal{}, "s", 0, time.Second)
 				read[i] = err == nil && len(p.Results) == 2
 			}
 		})
@@ -133,7 +133,7 @@
 				})
 			}))
 			for _, id := range ids {
-				r, err := b.Results(context.Background(), id, 0, 0)
+				r, err := b.Results(context.Background(), Principal{}, id, 0, 0)
 				require.NoError(t, err)
 				require.Len(t, r.Results, 1)
 			}
--- a/pier/gateway/listbound_test.go
+++ b/pier/gateway/listbound_test.go
@@ -62,7 +62,7 @@
 			appendResults(t, g.journal.follow("s"), "s", c.items, c.result)
 			largest, n := 0, 0
 			for n < c.items {
-				p, err := g.Results(context.Background(), "s", n, time.Second)
+				p, err := g.Results(context.Background(), Principal{}, "s", n, time.Second)
 				require.NoError(t, err)
 				require.NotEmpty(t, p.Results)
 				b, err := json.Marshal(p.Results)
--- a/pier/gateway/losses_test.go
+++ b/pier/gateway/losses_test.go
@@ -203,7 +203,7 @@
 // read reads the results of a step at a host up to the last one that is listed.
 func (x *losses) read(g *Gateway, id string) (l []*stepjournal.Result, err error) {
 	for {
-		r, err := g.Results(context.Background(), id, len(l), 0)
+		r, err := g.Results(context.Background(), Principal{}, id, len(l), 0)
 		if err != nil || len(r.Results) == 0 {
 			return l, err
 		}
@@ -216,7 +216,7 @@
 	if w.From < x.first {
 		return
 	}
-	b, err := g.Body(context.Background(), w.ID, fmt.Sprint(w.ID, "-", lossItems-1))
+	b, err := g.Body(context.Background(), Principal{}, w.ID, fmt.Sprint(w.ID, "-", lossItems-1))
 	require.NoError(t, err)
 	require.Equal(t, []byte("p"), b)
 }
--- a/pier/gateway/peerlog_test.go
+++ b/pier/gateway/peerlog_test.go
@@ -45,14 +45,14 @@
 	b.watch.partitions = []int{stepjournal.PartitionOf("s", testParts)}
 	require.Eventually(t, func() bool {
 		b.watch.checkSteps()
-		n, err := b.Results(context.Background(), "s", 0, 0)
+		n, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 		return err == nil && len(n.Results) == 3
 	}, 10*time.Second, 100*time.Millisecond)
 	require.False(t, b.steps.isDriving("s"))
 	require.Len(t, e.runs(), 3)
 	cut.Store(false)
 	require.Eventually(t, func() bool { return !a.journal.hasPending() }, 5*time.Second, 10*time.Millisecond)
-	n, err := b.Results(context.Background(), "s", 0, 0)
+	n, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, n.Results, 3)
 }
@@ -85,7 +85,7 @@
 			require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 2)))
 			require.Len(t, waitResults(t, a, "s", 2), 2)
 			require.NoError(t, a.Accept(context.Background(), route(a), newStep("s2", 1)))
-			require.NoError(t, a.End(context.Background(), "s2"))
+			require.NoError(t, a.End(context.Background(), Principal{}, "s2"))
 			require.Less(t, time.Since(start), 5*time.Second)
 			require.Eventually(t, func() bool {
 				require.Positive(t, a.watch.join(0))
@@ -272,7 +272,7 @@
 	cut.Store(true)
 	a.register(e.Server)
 	require.Eventually(t, func() bool {
-		n, err := b.Results(context.Background(), "s", 0, 0)
+		n, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 		return err == nil && len(n.Results) == 3
 	}, 10*time.Second, 50*time.Millisecond)
 	require.Len(t, e.runs(), 3)
--- a/pier/gateway/permits.go
+++ b/pier/gateway/permits.go
@@ -151,7 +151,7 @@
 	}
 	switch e.Reason {
 	case outcome.ReasonServerLimit, outcome.ReasonPermitExpired, outcome.ReasonUnconfirmed, outcome.ReasonServerLeft,
-		outcome.ReasonQuarantined, outcome.ReasonDraining:
+		outcome.ReasonQuarantined, outcome.ReasonDraining, outcome.ReasonUnauthorized, outcome.ReasonStaleConfiguration:
 		return true
 	}
 	return false
--- a/pier/gateway/preferreddriver_test.go
+++ b/pier/gateway/preferreddriver_test.go
@@ -118,7 +118,7 @@
 	first := waitResults(t, a, "s", 3)
 	a.preferred.claim("m")
 	list := func() []string {
-		n, err := b.Results(context.Background(), "s", 0, 0)
+		n, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 		require.NoError(t, err)
 		require.Equal(t, 3, n.Total)
 		var ids []string
@@ -129,7 +129,7 @@
 	}
 	want := []string{first[0].ID, first[1].ID, first[2].ID}
 	require.Equal(t, want, list())
-	body, err := b.Body(context.Background(), "s", first[0].ID)
+	body, err := b.Body(context.Background(), Principal{}, "s", first[0].ID)
 	require.NoError(t, err)
 	require.Equal(t, []byte("p"), body)
 	_, follows := b.journal.following("s")
--- a/pier/gateway/readback_test.go
+++ b/pier/gateway/readback_test.go
@@ -217,7 +217,7 @@
 func (r *reader) read(ctx context.Context, id string) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, r.try)
 	defer cancel()
-	l, err := r.hosts[r.rand.IntN(len(r.hosts))].Results(ctx, id, len(r.got[id]), r.wait)
+	l, err := r.hosts[r.rand.IntN(len(r.hosts))].Results(ctx, Principal{}, id, len(r.got[id]), r.wait)
 	if err != nil {
 		return false, err
 	}
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/access"
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/bug"
@@ -333,6 +334,7 @@
 	for k, v := range s.item.Header {
 		h[k] = []string{v}
 	}
+	s.d.g.identify(h, s.d.route, s.d.step.Organisation, access.KindSample)
 	h[d.ExpectedIncarnation] = []string{u.s.ID}
 	purpose := backend.PurposeSample
 	if s.lastID > 0 {
--- a/pier/gateway/shutdownlimit_test.go
+++ b/pier/gateway/shutdownlimit_test.go
@@ -39,7 +39,7 @@
 	require.Less(t, time.Since(start), period)
 	require.True(t, v.hasPending())
 	g.Close()
-	p, err := newHost(t, "b", l.Functions()).Results(context.Background(), "s", 0, 0)
+	p, err := newHost(t, "b", l.Functions()).Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Empty(t, p.Results)
 	require.Equal(t, 1, p.Total)
--- a/pier/gateway/silentpartition_test.go
+++ b/pier/gateway/silentpartition_test.go
@@ -62,7 +62,7 @@
 			var err error
 			start := time.Now()
 			for time.Since(start) < slowLogTime {
-				if _, err = g.Results(context.Background(), "s", 0, 0); err == nil {
+				if _, err = g.Results(context.Background(), Principal{}, "s", 0, 0); err == nil {
 					break
 				}
 			}
--- a/pier/gateway/slowlog_test.go
+++ b/pier/gateway/slowlog_test.go
@@ -116,7 +116,7 @@
 	last := error(outcome.Refuse(outcome.ReasonDeadline, id))
 	for ctx.Err() == nil {
 		try, cancel := context.WithTimeout(ctx, r.try)
-		b, err := r.hosts[r.rand.IntN(len(r.hosts))].Body(try, id, item)
+		b, err := r.hosts[r.rand.IntN(len(r.hosts))].Body(try, Principal{}, id, item)
 		cancel()
 		if err == nil && len(b) > 0 {
 			return nil
@@ -205,12 +205,12 @@
 	a.makeHolder(b)
 	require.NoError(t, b.journal.follow("s").sync(context.Background()))
 	start := time.Now()
-	p, err := a.Results(context.Background(), "s", 0, 0)
+	p, err := a.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, p.Results, 2)
-	_, err = a.Body(context.Background(), "s", "s-0")
+	_, err = a.Body(context.Background(), Principal{}, "s", "s-0")
 	require.NoError(t, err)
-	require.NoError(t, a.End(context.Background(), "s"))
+	require.NoError(t, a.End(context.Background(), Principal{}, "s"))
 	require.Less(t, time.Since(start), 1200*time.Millisecond)
 	require.Zero(t, pages.Load())
 }
@@ -228,7 +228,7 @@
 	read := func() error {
 		g := newHost(t, "cold", slow)
 		g.makeHolder(holder)
-		_, err := g.Results(context.Background(), "s", 0, 0)
+		_, err := g.Results(context.Background(), Principal{}, "s", 0, 0)
 		return err
 	}
 	require.Error(t, read())
@@ -244,7 +244,7 @@
 	b.listenAs(t, knowsTwoItems)
 	a.makeHolder(b)
 	start := time.Now()
-	p, err := a.Results(context.Background(), "s", 0, 0)
+	p, err := a.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, p.Results, 2)
 	require.Less(t, time.Since(start), time.Second)
@@ -326,7 +326,7 @@
 		w.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 			defer cancel()
-			_, err := a.Results(ctx, "s", 0, 0)
+			_, err := a.Results(ctx, Principal{}, "s", 0, 0)
 			assert.Error(t, err)
 		})
 	}
--- a/pier/gateway/slowreads_test.go
+++ b/pier/gateway/slowreads_test.go
@@ -51,7 +51,7 @@
 	require.NoError(t, g.journal.follow("s").sync(context.Background()))
 	pages.Store(0)
 	for start := time.Now(); time.Since(start) < slowLogTime; {
-		if _, err = g.Body(context.Background(), "s", "s-7"); err == nil {
+		if _, err = g.Body(context.Background(), Principal{}, "s", "s-7"); err == nil {
 			break
 		}
 	}
@@ -78,7 +78,7 @@
 	a.makeHolder(holder)
 	a.preferred.all = map[string]driverRecord{"m": {Driver: driver.self, Share: 1}}
 	a.preferred.readAt = time.Now()
-	_, err := a.Results(context.Background(), "s", 0, 0)
+	_, err := a.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 }
 
@@ -105,7 +105,7 @@
 	a.makeHolder(holder)
 	a.journal.cache = newCache(maxCacheBytes) // Other steps were read meanwhile.
 	away.Store(true)
-	_, err := a.Results(context.Background(), "s", 0, 0)
+	_, err := a.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 }
 
@@ -221,7 +221,7 @@
 	holder.listenPeers(t)
 	a.makeHolder(holder)
 	require.NoError(t, holder.journal.follow("s").sync(context.Background()))
-	_, err := a.Body(context.Background(), "s", "none")
+	_, err := a.Body(context.Background(), Principal{}, "s", "none")
 	require.True(t, outcome.HasReason(err, outcome.ReasonUnknownName), "%v", err)
 }
 
@@ -302,7 +302,7 @@
 	for n := range 11 {
 		cold := newHost(t, fmt.Sprint("cold", n), slowLog(l.Functions(), reviewLatency, &pages))
 		cold.makeHolder(holder)
-		if _, err = cold.Results(context.Background(), "s", 0, 0); err == nil {
+		if _, err = cold.Results(context.Background(), Principal{}, "s", 0, 0); err == nil {
 			break
 		}
 	}
--- a/pier/gateway/stepmemory_test.go
+++ b/pier/gateway/stepmemory_test.go
@@ -20,7 +20,7 @@
 		require.NoError(t, g.Accept(context.Background(), route(g), s), "attempt %d", n)
 		require.Eventually(t, func() bool { return g.memory.Left() == g.bodyMemory()-stepBytes(s) }, 5*time.Second, time.Millisecond)
 	}
-	require.NoError(t, g.End(context.Background(), "s"))
+	require.NoError(t, g.End(context.Background(), Principal{}, "s"))
 	require.Eventually(t, func() bool { return g.memory.Left() == g.bodyMemory() }, 5*time.Second, time.Millisecond)
 }
 
--- a/pier/gateway/stepquery.go
+++ b/pier/gateway/stepquery.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/stepjournal"
@@ -47,6 +49,14 @@
 	// Follow is set in a query to the host that holds the step's partition, which must know the
 	// step soon if it does not yet.
 	Follow bool `msgpack:"f"`
+	// Organisation and Restricted are those of the Principal that asks.
+	Organisation string `msgpack:"o,omitempty"`
+	Restricted   bool   `msgpack:"r,omitempty"`
+}
+
+// principal returns who asks.
+func (q *stepQuery) principal() Principal {
+	return Principal{Organisation: q.Organisation, Restricted: q.Restricted}
 }
 
 // queryAction is what follows the search for a host that knows a step.
@@ -81,6 +91,10 @@
 	Total   int                   `msgpack:"t"`
 	Results []*stepjournal.Result `msgpack:"r"`
 	Body    []byte                `msgpack:"b"`
+	// Organisation is that of the step, if Checked is set. A host of a version that knows no organisations answers
+	// without Checked, whoever asks.
+	Organisation string `msgpack:"o,omitempty"`
+	Checked      bool   `msgpack:"c,omitempty"`
 }
 
 // answerStep answers a stepQuery of another host. It fails with unknown-step if this host
@@ -123,25 +137,30 @@
 	return outcome.Refuse(outcome.ReasonUnknownStep, q.Step)
 }
 
-// answer answers a query from the log. Its error is unknown-step if there is no such step.
+// answer answers a query from the log. Its error is unknown-step if there is no such step, or if it belongs to
+// another organisation than the one that asks.
 func (v *view) answer(ctx context.Context, q *stepQuery) (*stepAnswer, error) {
 	if err := v.ensureKnown(ctx, q.Step); err != nil {
 		return nil, err
 	}
+	e, _, ok := v.entry(q.Step)
+	if !ok {
+		return nil, outcome.Refuse(outcome.ReasonLogDown, q.Step).After(unavailableRetryAfter)
+	}
+	if !q.principal().mayUse(e.Organisation) {
+		v.j.g.log.Info("step: hidden from another organisation", zap.String("id", q.Step), zap.String("organisation", q.Organisation))
+		return nil, outcome.Refuse(outcome.ReasonUnknownStep, q.Step)
+	}
 	if q.Knows {
-		e, _, ok := v.entry(q.Step)
-		if !ok {
-			return nil, outcome.Refuse(outcome.ReasonLogDown, q.Step).After(unavailableRetryAfter)
-		}
-		return &stepAnswer{Total: e.Total}, nil
+		return &stepAnswer{Total: e.Total, Organisation: e.Organisation, Checked: true}, nil
 	}
 	if q.Item != "" {
 		b, err := v.body(ctx, q.Step, q.Item)
-		return &stepAnswer{Body: b}, err
+		return &stepAnswer{Body: b, Checked: true}, err
 	}
 	l, err := v.results(ctx, q.Step, q.After, q.Wait)
 	if err != nil {
 		return nil, err
 	}
-	return &stepAnswer{Total: l.Total, Results: l.Results}, nil
+	return &stepAnswer{Total: l.Total, Results: l.Results, Checked: true}, nil
 }
--- a/pier/gateway/stepread_test.go
+++ b/pier/gateway/stepread_test.go
@@ -57,7 +57,7 @@
 	g := newHost(t, "a", l)
 	lines := logged(g)
 	for range 3 {
-		_, err := g.Results(context.Background(), "s", 0, 0)
+		_, err := g.Results(context.Background(), Principal{}, "s", 0, 0)
 		require.True(t, outcome.HasReason(err, outcome.ReasonLogDown), "%v", err)
 	}
 	n := lines.FilterMessage("step: read failed").All()
--- a/pier/gateway/stepresults.go
+++ b/pier/gateway/stepresults.go
@@ -43,12 +43,12 @@
 
 // Results returns the results of a step from a position on. If there are none yet, it waits
 // for up to wait. Errors are of type *outcome.Error; unknown-step means that there is no
-// such step. It returns within wait and resultsSlack.
-func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (*ResultPage, error) {
+// such step, or none that p may read. It returns within wait and resultsSlack.
+func (g *Gateway) Results(ctx context.Context, p Principal, id string, after int, wait time.Duration) (*ResultPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+resultsSlack)
 	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "results", id, wait)
-	a, err := g.readStep(ctx, stepQuery{Step: id, After: after, Wait: wait})
+	a, err := g.readStep(ctx, stepQuery{Step: id, After: after, Wait: wait, Organisation: p.Organisation, Restricted: p.Restricted})
 	r.end(err)
 	if err != nil {
 		return nil, err
@@ -169,12 +169,12 @@
 	return !ok || time.Until(t) > d
 }
 
-// Body returns the body of one of a step's items, within bodyTimeout.
-func (g *Gateway) Body(ctx context.Context, id, item string) ([]byte, error) {
+// Body returns the body of one of a step's items to p, within bodyTimeout.
+func (g *Gateway) Body(ctx context.Context, p Principal, id, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, bodyTimeout)
 	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "body", id, 0)
-	a, err := g.readStep(ctx, stepQuery{Step: id, Item: item})
+	a, err := g.readStep(ctx, stepQuery{Step: id, Item: item, Organisation: p.Organisation, Restricted: p.Restricted})
 	r.end(err)
 	if err != nil {
 		return nil, err
@@ -196,19 +196,19 @@
 	return nil, outcome.Refuse(outcome.ReasonUnknownName, item)
 }
 
-// End ends a step for good. A nil error means that the end is stored in the log. Ending a
+// End ends a step for good, if p may do so. A nil error means that the end is stored in the log. Ending a
 // step again is no error. It returns within endTimeout.
-func (g *Gateway) End(ctx context.Context, id string) error {
+func (g *Gateway) End(ctx context.Context, p Principal, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	ctx, r := g.stepReads.begin(ctx, "end", id, 0)
-	err := g.end(ctx, id)
+	err := g.end(ctx, p, id)
 	r.end(err)
 	return err
 }
 
-func (g *Gateway) end(ctx context.Context, id string) error {
-	v, err := g.viewToEnd(ctx, id)
+func (g *Gateway) end(ctx context.Context, p Principal, id string) error {
+	v, err := g.viewToEnd(ctx, p, id)
 	if err != nil {
 		return err
 	}
@@ -227,11 +227,11 @@
 	return nil
 }
 
-// viewToEnd returns the view of the partition of a step that exists.
-func (g *Gateway) viewToEnd(ctx context.Context, id string) (*view, error) {
+// viewToEnd returns the view of the partition of a step that exists and that p may end.
+func (g *Gateway) viewToEnd(ctx context.Context, p Principal, id string) (*view, error) {
 	ctx, cancel := context.WithTimeout(ctx, knowTimeout)
 	defer cancel()
-	_, err := g.readStep(ctx, stepQuery{Step: id, Knows: true})
+	_, err := g.readStep(ctx, stepQuery{Step: id, Knows: true, Organisation: p.Organisation, Restricted: p.Restricted})
 	return g.journal.get(id), err
 }
 
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -19,6 +19,8 @@
 	// refuses it. There are few, since the caller can turn to another host.
 	acceptAttempts   = 3
 	acceptRetryDelay = 100 * time.Millisecond
+	// syncAttempts is the number of attempts to read which record of a step of an organisation came first.
+	syncAttempts = 5
 	// startTimeout is how long a host that was given a step may read in a quick log whether it is the
 	// driver before the step is taken over.
 	startTimeout = time.Second
@@ -88,7 +90,8 @@
 	}
 	v, known := p.g.journal.following(s.ID)
 	if known {
-		return nil
+		e, _, _ := v.entry(s.ID)
+		return checkSubmitter(s, e.Organisation)
 	}
 	if v.cutOff(s.ID) {
 		return v.refuseCutOff(s.ID)
@@ -110,13 +113,7 @@
 				zap.Int("items", len(s.Items)), zap.Int64("offset", a.First),
 				zap.String("driver", driver.Host))
 			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			end, n := p.start(s.ID), p.charge(s)
-			p.g.wg.Go(func() {
-				defer p.g.memory.Give(n)
-				defer end()
-				p.dispatch(r, s, v, driver, claim)
-			})
-			return nil
+			return p.stored(ctx, s, func() { p.dispatch(r, s, v, driver, claim) })
 		}
 		e := outcome.AsError(err)
 		if e.Outcome != outcome.NotRun || n == acceptAttempts || !backoff.Sleep(ctx, acceptRetryDelay) {
@@ -125,6 +122,67 @@
 	}
 }
 
+// stored handles a step whose records were appended: it has the step driven, unless another organisation submitted
+// it before. If that cannot be told in time, the outcome is unknown, and whoever drives the step finds out.
+func (p *steps) stored(ctx context.Context, s *stepjournal.Step, drive func()) error {
+	end, n := p.start(s.ID), p.charge(s)
+	err := p.confirmSubmitter(ctx, s)
+	if outcome.HasReason(err, outcome.ReasonOtherOrganisation) {
+		p.g.memory.Give(n)
+		end()
+		return err
+	}
+	p.g.wg.Go(func() {
+		defer p.g.memory.Give(n)
+		defer end()
+		drive()
+	})
+	return err
+}
+
+// confirmSubmitter returns nil if the first record of a step in the log is one of its submitter. A host that
+// knows the step has read that one, and none before it.
+func (p *steps) confirmSubmitter(ctx context.Context, s *stepjournal.Step) error {
+	if !p.g.restricted() {
+		return nil
+	}
+	a, err := p.g.readStep(ctx, stepQuery{Step: s.ID, Knows: true})
+	if err != nil {
+		return outcome.Ambiguous(outcome.ReasonDeadline, s.ID, err)
+	}
+	return checkSubmitter(s, a.Organisation)
+}
+
+// checkSubmitter returns a refusal if a step was submitted before by an organisation other than that of s. One that
+// was submitted before without any may be repeated with every valid key, as it may be read and ended.
+func checkSubmitter(s *stepjournal.Step, organisation string) error {
+	if organisation == "" || organisation == s.Organisation {
+		return nil
+	}
+	return outcome.Refuse(outcome.ReasonOtherOrganisation, s.ID)
+}
+
+// drivenHere syncs the view with the log and reports whether this host drives a step as it was submitted in s. A
+// record of another organisation may hold other items under the same ids. If the log cannot be read, the step is
+// driven only without organisations, as whoever submits it again has the same items then. Else the holder of the
+// partition has it driven later.
+func (p *steps) drivenHere(v *view, s *stepjournal.Step) bool {
+	free := s.Organisation == "" && !p.g.restricted()
+	e, known := p.synced(v, s.ID)
+	for n := 1; !known && !free && n < syncAttempts && backoff.Sleep(p.g.ctx, logRetryDelay); n++ {
+		e, known = p.synced(v, s.ID)
+	}
+	if !known {
+		return free
+	}
+	if e.Driver.Host == p.g.self.Host && e.Organisation == s.Organisation {
+		return true
+	}
+	p.g.log.Info("step: not driven here, another record came first", zap.String("id", s.ID),
+		zap.String("driver", e.Driver.Host), zap.Bool("other-organisation", e.Organisation != s.Organisation))
+	return false
+}
+
 // dispatch starts driving a step on this host, or hands it off to the driver that its record
 // names.
 //
@@ -135,9 +193,7 @@
 		p.handOff(r, s, v, driver)
 		return
 	}
-	if e, known := p.synced(v, s.ID); known && e.Driver.Host != p.g.self.Host {
-		p.g.log.Info("step: submitted again; another record came first", zap.String("id", s.ID),
-			zap.String("driver", e.Driver.Host))
+	if !p.drivenHere(v, s) {
 		return
 	}
 	p.startDriving(r, s, v)
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -70,7 +70,7 @@
 	s.MinVersion = 3
 	require.NoError(t, g.Accept(context.Background(), route(g), s))
 	require.Eventually(t, func() bool { return len(a.runs()) > 0 }, 5*time.Second, time.Millisecond)
-	l, err := g.Results(context.Background(), "s", 0, 200*time.Millisecond)
+	l, err := g.Results(context.Background(), Principal{}, "s", 0, 200*time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, l.Results)
 }
@@ -119,13 +119,13 @@
 	}
 	b := newHost(t, "b", functions)
 	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 2)))
-	n, err := b.Results(context.Background(), "s", 0, 0)
+	n, err := b.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Empty(t, n.Results)
 	hang.Store(true)
 	a.register(e.Server)
 	waitResults(t, a, "s", 2)
-	n, err = b.Results(context.Background(), "s", 1, 0)
+	n, err = b.Results(context.Background(), Principal{}, "s", 1, 0)
 	require.NoError(t, err)
 	require.Len(t, n.Results, 1, "the other host has listed a result at position 1")
 }
@@ -135,10 +135,10 @@
 func TestUnknownStepWithLogAwayIsNoDenial(t *testing.T) {
 	l := newLog()
 	g := newHost(t, "a", l.Functions())
-	_, err := g.Results(context.Background(), "s", 0, 0)
+	_, err := g.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.True(t, outcome.HasReason(err, outcome.ReasonUnknownStep))
 	l.SetDown(true)
-	_, err = g.Results(context.Background(), "s", 0, 0)
+	_, err = g.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.True(t, outcome.HasReason(err, outcome.ReasonLogDown))
 }
 
@@ -152,10 +152,10 @@
 	a.register(e.Server)
 	require.NoError(t, a.Accept(context.Background(), route(a), newStep("s", 3)))
 	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, 5*time.Second, time.Millisecond)
-	require.NoError(t, b.End(context.Background(), "s"))
+	require.NoError(t, b.End(context.Background(), Principal{}, "s"))
 	require.Eventually(t, func() bool { return !a.steps.isDriving("s") }, 5*time.Second, time.Millisecond)
 	require.Len(t, e.runs(), 1)
-	require.NoError(t, b.End(context.Background(), "s"), "ending a step again must succeed")
+	require.NoError(t, b.End(context.Background(), Principal{}, "s"), "ending a step again must succeed")
 }
 
 // Another host takes over the step of a lost host. It must list every result that was listed
@@ -197,7 +197,7 @@
 	r := waitResults(t, g, "s", 2)
 	require.NotEqual(t, r[0].ID, r[1].ID)
 	require.Eventually(t, func() bool { return !g.journal.hasPending() }, 5*time.Second, 10*time.Millisecond)
-	n, err := g.Results(context.Background(), "s", 0, 0)
+	n, err := g.Results(context.Background(), Principal{}, "s", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, n.Results, 2)
 }
@@ -366,7 +366,7 @@
 	var w sync.WaitGroup
 	for range 4 {
 		w.Go(func() {
-			n, err := g.Results(context.Background(), "s", 29, 0)
+			n, err := g.Results(context.Background(), Principal{}, "s", 29, 0)
 			require.NoError(t, err)
 			require.Len(t, n.Results, 1)
 		})
--- a/pier/gateway/stepsearch.go
+++ b/pier/gateway/stepsearch.go
@@ -126,12 +126,16 @@
 	}()
 }
 
-// askStep asks a host about a step. A failure that does not come from that host's own answer is
+// askStep asks a host about a step. With organisations, the answer of a host that knows none counts for nothing,
+// as it would show any step to anyone. A failure that does not come from that host's own answer is
 // logged.
 func (g *Gateway) askStep(ctx context.Context, a netip.AddrPort, q *stepQuery) (*stepAnswer, error) {
 	var r stepAnswer
 	err := g.peers.Probe(ctx, a, kindStepQuery, q, &r)
-	if err == nil {
+	switch {
+	case err == nil && g.restricted() && !r.Checked:
+		return nil, outcome.Refuse(outcome.ReasonUnknownStep, q.Step)
+	case err == nil:
 		return &r, nil
 	}
 	if e := outcome.AsError(err); !e.Remote && !errors.Is(ctx.Err(), context.Canceled) {
--- a/pier/gateway/takeover.go
+++ b/pier/gateway/takeover.go
@@ -86,9 +86,3 @@
 	}
 	return true
 }
-
-// isDriver syncs the view with the log and reports whether this host drives a step.
-func (p *steps) isDriver(v *view, id string) bool {
-	e, known := p.synced(v, id)
-	return known && e.Driver.Host == p.g.self.Host
-}
--- a/pier/gateway/textmemory_test.go
+++ b/pier/gateway/textmemory_test.go
@@ -100,7 +100,7 @@
 		}},
 		"ended by the trainer": {holdEvents, func(t *testing.T, x *textRun) {
 			require.Eventually(t, func() bool { return held(x) }, 5*time.Second, time.Millisecond)
-			require.NoError(t, x.g.End(context.Background(), "s"))
+			require.NoError(t, x.g.End(context.Background(), Principal{}, "s"))
 		}},
 		"taken over": {holdEvents, func(t *testing.T, x *textRun) {
 			require.Eventually(t, func() bool { return held(x) }, 5*time.Second, time.Millisecond)
@@ -173,7 +173,7 @@
 	}
 	require.Eventually(t, ended, 5*time.Second, time.Millisecond)
 	require.Never(t, func() bool { return len(e.runs()) > 1 }, 2*memoryDelay, 10*time.Millisecond, "asked though there is no memory")
-	l, err := g.Results(context.Background(), "s", 0, time.Millisecond)
+	l, err := g.Results(context.Background(), Principal{}, "s", 0, time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, l.Results)
 	g.fleet.mu.Lock()
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/access"
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
@@ -41,6 +42,25 @@
 	})}
 }
 
+// kind returns the kind of the call.
+func (c *plainCall) kind() access.Kind {
+	if c.deferrable() {
+		return access.KindReward
+	}
+	return access.KindPlain
+}
+
+// check returns a refusal if the call must not be sent to a server any more: the caller's key was removed, or the
+// server has left.
+func (c *plainCall) check(u *reservation) error {
+	if c.Allowed != nil {
+		if err := c.Allowed(); err != nil {
+			return err
+		}
+	}
+	return u.check()
+}
+
 // services returns the services that the call may go to, in the order in which it uses them.
 func (c *plainCall) services() []string {
 	if c.writer.Known() {
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -67,6 +67,11 @@
 	ReasonPermitExpired   Reason = "permit-expired"
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonUnknownOrigin   Reason = "unknown-origin"
+	// ReasonStaleConfiguration means that the host may not have read the newest configuration, in which the key of
+	// the request may stand.
+	ReasonStaleConfiguration Reason = "stale-configuration"
+	// ReasonOtherOrganisation means that the step was submitted by another organisation before.
+	ReasonOtherOrganisation Reason = "other-organisation"
 	// ReasonMemory means that the host has no memory for the request.
 	ReasonMemory Reason = "memory"
 	// ReasonOtherIncarnation means that the server has started again under its id.
--- a/pier/routetable/routetable.go
+++ b/pier/routetable/routetable.go
@@ -160,6 +160,8 @@
 	Access *access.Index
 	// hosts maps each host to its routes, longest prefix first.
 	hosts map[string][]*Route
+	// mixedPriorities is set if routes that share a service have different priorities.
+	mixedPriorities bool
 }
 
 // New returns a table of the given routes and services. Routes of the same host and prefix
@@ -180,9 +182,28 @@
 		h[i] = r
 		t.hosts[r.Host] = h
 	}
+	t.mixedPriorities = mixesPriorities(routes)
 	return t
 }
 
+// mixesPriorities reports whether routes that share a service have different priorities.
+func mixesPriorities(routes []*Route) bool {
+	first := make(map[string]int)
+	for _, r := range routes {
+		for _, s := range r.Services {
+			if p, ok := first[s.Service]; ok && p != r.Priority {
+				return true
+			}
+			first[s.Service] = r.Priority
+		}
+	}
+	return false
+}
+
+// StatesPriorities reports whether servers are told the priorities of requests: they tell requests of
+// one service apart only by organisations, or by routes of different priorities.
+func (t *Table) StatesPriorities() bool { return t.Access != nil || t.mixedPriorities }
+
 // Priority returns the priority of the requests of a route that an organisation, or "" for none, makes: that of
 // the organisation if it has one, and else that of the route.
 func (t *Table) Priority(r *Route, organisation string) int {
--- a/pier/stepjournal/checkpoint.go
+++ b/pier/stepjournal/checkpoint.go
@@ -19,6 +19,9 @@
 	// checkpointFormat is the version of the encoding of checkpoints. Others are not restored. It
 	// must change with each new kind of record, whose effect an older program would leave out.
 	checkpointFormat = 1
+	// ownedFormat is the version of checkpoints that hold steps of organisations. A program that restored one and
+	// did not know organisations would show these steps to all of them.
+	ownedFormat = 3
 	// maxItems bounds the items of all steps in a checkpoint, far above what trainers submit
 	// within the retention of the log.
 	maxItems = 1 << 20
@@ -43,6 +46,8 @@
 	Takeovers int       `msgpack:"k"`
 	Submitted time.Time `msgpack:"u"`
 	Ended     bool      `msgpack:"e"`
+	// Organisation is left out if there is none.
+	Organisation string `msgpack:"o,omitempty"`
 	// Age is the step's age as the checkpoint was made, ToLast the distance from From to
 	// the newest record that names the step.
 	Age    time.Duration `msgpack:"a"`
@@ -68,6 +73,9 @@
 	for _, e := range f.steps {
 		c.Steps = append(c.Steps, e.checkpoint(now))
 		items += e.Total
+		if e.Organisation != "" {
+			c.Format = ownedFormat
+		}
 	}
 	if items > maxItems {
 		return nil, false
@@ -82,7 +90,7 @@
 func (e *Entry) checkpoint(now time.Duration) checkpointStep {
 	s := checkpointStep{
 		ID: e.ID, From: e.From, To: e.To, Total: e.Total, Driver: e.Driver, Takeovers: e.Takeovers,
-		Submitted: e.Submitted, Ended: e.Ended, Age: e.Age(now), ToLast: e.last - e.From, Items: e.items, Progress: make(map[int]int64, len(e.ProgressOffsets)),
+		Submitted: e.Submitted, Ended: e.Ended, Organisation: e.Organisation, Age: e.Age(now), ToLast: e.last - e.From, Items: e.items, Progress: make(map[int]int64, len(e.ProgressOffsets)),
 	}
 	last := e.From
 	for _, o := range e.Results {
@@ -103,7 +111,7 @@
 	if err := boundedmsgpack.Unmarshal(b, &c); err != nil {
 		return outcome.RefuseWithCause(outcome.ReasonBadRequest, "checkpoint", err)
 	}
-	if c.Format != checkpointFormat || c.Partition != partition {
+	if c.Format != checkpointFormat && c.Format != ownedFormat || c.Partition != partition {
 		return outcome.Refuse(outcome.ReasonBadRequest, "checkpoint of another format or partition")
 	}
 	if c.Next <= f.Next {
@@ -135,7 +143,7 @@
 	}
 	e := &Entry{
 		ID: s.ID, From: s.From, To: s.To, Total: s.Total, Driver: s.Driver, Takeovers: s.Takeovers,
-		Submitted: s.Submitted, ObservedAt: now - s.Age, Ended: s.Ended, last: s.From + s.ToLast, ProgressOffsets: make(map[int]int64, len(s.Progress)),
+		Submitted: s.Submitted, ObservedAt: now - s.Age, Ended: s.Ended, Organisation: s.Organisation, last: s.From + s.ToLast, ProgressOffsets: make(map[int]int64, len(s.Progress)),
 	}
 	e.hasResult = make([]bool, s.Total)
 	at := s.From
--- a/pier/stepjournal/fold.go
+++ b/pier/stepjournal/fold.go
@@ -18,6 +18,8 @@
 	Total int
 	// Driver is the host that runs the step's samples at present.
 	Driver Driver
+	// Organisation is the one that submitted the step, "" if there is none. Only its keys give access to the step.
+	Organisation string
 	// Takeovers is the number of times that the driver changed.
 	Takeovers int
 	// Submitted is when the step was accepted, by the clock of the host that accepted it. It
@@ -233,7 +235,7 @@
 		return err
 	}
 	f.steps[e.Step] = &Entry{
-		ID: e.Step, From: f.pendingFrom, To: offset + 1, Total: len(s.Items), Driver: e.Driver,
+		ID: e.Step, From: f.pendingFrom, To: offset + 1, Total: len(s.Items), Driver: e.Driver, Organisation: e.Organisation,
 		Submitted: s.Submitted, ObservedAt: f.now(), last: offset,
 		ProgressOffsets: make(map[int]int64), hasResult: make([]bool, len(s.Items)),
 	}
--- a/pier/stepjournal/record.go
+++ b/pier/stepjournal/record.go
@@ -139,6 +139,8 @@
 	Step           string `msgpack:"s"`
 	Driver         Driver `msgpack:"d,omitempty"`
 	PreviousDriver string `msgpack:"q,omitempty"`
+	// Organisation is that of the accepted step, which is in Data as well. It is left out if there is none.
+	Organisation string `msgpack:"o,omitempty"`
 	// At is when the step was submitted or ended.
 	At time.Time `msgpack:"t,omitempty"`
 	// Chunk is the index, from 0 to Chunks-1, of the part of the encoded step in Data.
@@ -181,12 +183,14 @@
 	if err != nil {
 		return nil, outcome.RefuseWithCause(outcome.ReasonBadRequest, "step", err)
 	}
-	size := max(limit-chunkMargin, chunkMargin)
+	size := max(limit-chunkMargin-len(s.Organisation), chunkMargin)
 	n := (len(b) + size - 1) / size
 	r := make([][]byte, 0, n)
 	for i := range n {
 		c := b[i*size : min((i+1)*size, len(b))]
-		e, err := encode(&envelope{Kind: kindAccepted, Step: s.ID, Driver: d, At: s.Submitted, Chunk: i, Chunks: n, Data: c})
+		e, err := encode(&envelope{
+			Kind: kindAccepted, Step: s.ID, Driver: d, Organisation: s.Organisation, At: s.Submitted, Chunk: i, Chunks: n, Data: c,
+		})
 		if err != nil {
 			return nil, err
 		}
