--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -90,8 +90,10 @@
 	}
 	v, known := p.g.journal.following(s.ID)
 	if known {
-		e, _, _ := v.entry(s.ID)
-		return checkSubmitter(s, e.Organisation)
+		if e, _, _ := v.entry(s.ID); p.g.restricted() {
+			return checkSubmitter(s, e.Organisation)
+		}
+		return nil
 	}
 	if v.cutOff(s.ID) {
 		return v.refuseCutOff(s.ID)
