--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -110,12 +110,7 @@
 	for n := 1; ; n++ {
 		a, err := v.append(ctx, b)
 		if err == nil {
-			p.g.log.Info("step: accepted", zap.String("id", s.ID), zap.String("model", s.Model),
-				zap.Int64("step", s.Number), zap.Int64("min-version", s.MinVersion),
-				zap.Int("items", len(s.Items)), zap.Int64("offset", a.First),
-				zap.String("driver", driver.Host))
-			p.g.metrics.steps.WithLabelValues("accepted").Inc()
-			return p.stored(ctx, s, func() { p.dispatch(r, s, v, driver, claim) })
+			return p.stored(ctx, s, a.First, driver, func() { p.dispatch(r, s, v, driver, claim) })
 		}
 		e := outcome.AsError(err)
 		if e.Outcome != outcome.NotRun || n == acceptAttempts || !backoff.Sleep(ctx, acceptRetryDelay) {
@@ -124,9 +119,9 @@
 	}
 }
 
-// stored handles a step whose records were appended: it has the step driven, unless another organisation submitted
+// stored handles a step whose records were appended at an offset: it has the step driven, unless another organisation submitted
 // it before. If that cannot be told in time, the outcome is unknown, and whoever drives the step finds out.
-func (p *steps) stored(ctx context.Context, s *stepjournal.Step, drive func()) error {
+func (p *steps) stored(ctx context.Context, s *stepjournal.Step, offset int64, driver stepjournal.Driver, drive func()) error {
 	end, n := p.start(s.ID), p.charge(s)
 	err := p.confirmSubmitter(ctx, s)
 	if outcome.HasReason(err, outcome.ReasonOtherOrganisation) {
@@ -134,6 +129,11 @@
 		end()
 		return err
 	}
+	p.g.log.Info("step: accepted", zap.String("id", s.ID), zap.String("model", s.Model),
+		zap.Int64("step", s.Number), zap.Int64("min-version", s.MinVersion),
+		zap.Int("items", len(s.Items)), zap.Int64("offset", offset),
+		zap.String("driver", driver.Host), zap.String("organisation", s.Organisation))
+	p.g.metrics.steps.WithLabelValues("accepted").Inc()
 	p.g.wg.Go(func() {
 		defer p.g.memory.Give(n)
 		defer end()
