--- a/pier/gateway/access_test.go
+++ b/pier/gateway/access_test.go
@@ -224,6 +224,19 @@
 	return n
 }
 
+// avoidedServers returns the number of servers that count as failed.
+func (g *Gateway) avoidedServers() int {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	n := 0
+	for _, s := range g.fleet.states {
+		if s.failures > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a request that is sent, or hedged, after its key was removed while it waited, or whose key belongs to
 // another organisation by then. An attempt that a server runs goes on. The refusal must not go through all servers.
 func TestKeyIsCheckedRightBeforeARequestIsSent(t *testing.T) {
@@ -266,9 +279,11 @@
 			require.True(t, outcome.HasReason(err, c.reason), "%v", err)
 			require.Equal(t, outcome.NotRun, outcome.AsError(err).Outcome)
 			require.Zero(t, totalRuns(servers))
+			require.EqualValues(t, 1, metric(t, g, `retries_total{reason="`+string(c.reason)+`"}`), "servers that were tried")
+			require.Zero(t, g.avoidedServers(), "a server is avoided though it refused nothing")
 			trial := newPlainCall(q)
 			u, ok := g.fleet.pickServer(trial.choice(nil))
-			require.True(t, ok, "a server is avoided though it refused nothing")
+			require.True(t, ok)
 			defer u.release()
 			require.True(t, outcome.HasReason(g.request(trial, u).Check(), c.reason), "a trial would be sent")
 		})
--- a/pier/gateway/stepaccess_test.go
+++ b/pier/gateway/stepaccess_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/partitionlog"
 	"mulberrypier.example/pier/peer"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -139,3 +141,32 @@
 	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, 5*time.Second, time.Millisecond)
 	sent.require(t, 1, "a", "3")
 }
+
+// Guards against a step that a host runs before it has read who submitted it first, and against one that is called
+// accepted, or refused, as long as that cannot be told. It must run once the log can be read.
+func TestStepWaitsUntilItsSubmitterIsRead(t *testing.T) {
+	l := newLog()
+	var away atomic.Bool
+	away.Store(true)
+	f := l.Functions()
+	read := f.Read
+	f.Read = func(ctx context.Context, q partitionlog.ReadRequest) (partitionlog.Page, error) {
+		if away.Load() {
+			return partitionlog.Page{}, outcome.Refuse(outcome.ReasonLogDown, "read")
+		}
+		return read(ctx, q)
+	}
+	g := newHost(t, "a", f)
+	g.restrict(twoOrganisations(t), nil)
+	e := startServer(t, "e1", "engines", oneEvent)
+	g.register(e.Server)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	err := g.Accept(ctx, route(g), ownedStep("s", "a"))
+	require.Error(t, err)
+	require.Equal(t, outcome.Unknown, outcome.AsError(err).Outcome)
+	time.Sleep(100 * time.Millisecond)
+	require.Empty(t, e.runs())
+	away.Store(false)
+	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, 10*time.Second, time.Millisecond)
+}
