Send no priorities with samples

Cause: engines preempt running samples for more urgent ones in the middle of their texts, and read them in again.

Change: plain requests, streams and calls to scorers carry the priority, samples do not; one in an item's header is dropped.

--- a/pier/gateway/access.go
+++ b/pier/gateway/access.go
@@ -162,6 +162,11 @@
 		return
 	}
 	deleteField(h, d.Priority)
+	if k == access.KindSample {
+		// An engine preempts running samples for more urgent ones and reads their texts in again, which costs the
+		// less urgent trainers more than the urgent ones gain.
+		return
+	}
 	h[d.Priority] = []string{strconv.Itoa(access.Level(t.Priority(r, organisation), k))}
 }
 
