Read which servers may be taken away, and when

Cause: the provider takes reclaimable servers away at 2 to 3 s notice, which they state in their registrations.

Change: directory.Server has Reclaimable and LeavesAt. The time left counts from when the registration was read, and the earliest end of an incarnation stays, as a registration may be repeated with the same time.

--- a/pier/directory/directory.go
+++ b/pier/directory/directory.go
@@ -38,6 +38,11 @@
 	// Leaving reports whether the server is shutting down and must get no new work, by its
 	// registration or by one of its answers.
 	Leaving bool
+	// Reclaimable reports whether the provider may take the server away at short notice.
+	Reclaimable bool
+	// LeavesAt is when a server that leaves ends at the latest, as of when its registration was read; zero
+	// if the registration states no time.
+	LeavesAt time.Time
 	// Versions maps each model to the version that the server last reported.
 	Versions map[string]int64
 	// RenewalSeq is the sequence number of the registration; it differs in each renewal.
@@ -88,7 +93,17 @@
 // equal reports whether two registrations are the same except for RenewalSeq.
 func (s *Server) equal(o *Server) bool {
 	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.Domain == o.Domain && s.Software == o.Software && s.Slots == o.Slots &&
-		s.Leaving == o.Leaving && s.Born.Equal(o.Born) && maps.Equal(s.Versions, o.Versions)
+		s.Leaving == o.Leaving && s.Reclaimable == o.Reclaimable && s.LeavesAt.Equal(o.LeavesAt) && s.Born.Equal(o.Born) && maps.Equal(s.Versions, o.Versions)
+}
+
+// leavesAt returns when the server leaves by its registration s and a newer one, o: at the earlier time, as a
+// repeated registration may state the same time left again.
+func (s *Server) leavesAt(o *Server) time.Time {
+	again := s.Leaving && o.Leaving && s.Incarnation() == o.Incarnation()
+	if again && !s.LeavesAt.IsZero() && (o.LeavesAt.IsZero() || s.LeavesAt.Before(o.LeavesAt)) {
+		return s.LeavesAt
+	}
+	return o.LeavesAt
 }
 
 // New returns an empty directory.
@@ -101,6 +116,9 @@
 // known.
 func (d *Directory) Register(s Server) {
 	e := d.servers[s.ID]
+	if e != nil {
+		s.LeavesAt = e.registered.leavesAt(&s)
+	}
 	if e != nil && e.removedAt.IsZero() && e.registered.equal(&s) {
 		return
 	}
--- a/pier/directory/directory_test.go
+++ b/pier/directory/directory_test.go
@@ -156,3 +156,22 @@
 	require.Contains(t, d.leaving, Incarnation{ID: "stays", Born: start.UnixNano()})
 	require.Len(t, d.leaving, 1)
 }
+
+// A server that is taken away repeats its registration with the time that it had left first. That must not put
+// off the end, and the next incarnation must not inherit it.
+func TestTheEarliestEndOfAServerCounts(t *testing.T) {
+	leaving := func(in time.Duration, born time.Time) Server {
+		return Server{ID: "a", Leaving: true, Reclaimable: true, Born: born, LeavesAt: start.Add(in)}
+	}
+	d := New()
+	d.Register(Server{ID: "a", Reclaimable: true, Born: start})
+	require.Zero(t, d.Snapshot(start)[0].LeavesAt)
+	d.Register(leaving(2*time.Second, start))
+	require.Equal(t, start.Add(2*time.Second), d.Snapshot(start)[0].LeavesAt)
+	d.Register(leaving(3*time.Second, start))
+	require.False(t, d.Changed(), "the same registration")
+	d.Register(leaving(time.Second, start))
+	require.Equal(t, start.Add(time.Second), d.Snapshot(start)[0].LeavesAt)
+	d.Register(leaving(5*time.Second, start.Add(time.Minute)))
+	require.Equal(t, start.Add(5*time.Second), d.Snapshot(start)[0].LeavesAt)
+}
