Let the holder of the order lease call the provider

The calls to the infrastructure provider need a host that makes them and rules that keep those of two holders apart. The order lease has both for the orders to engines.

Repeats may follow any later record of the term, since others wait for the lease duration from each of them. Planners return the calls that are due; hooks tell them of recorded decisions and answers. provider.Holder.Check is called right before a call is sent.

--- a/pier/gateway/loads.go
+++ b/pier/gateway/loads.go
@@ -109,12 +109,12 @@
 	if !ok || s.Leaving {
 		return
 	}
-	if !o.append(&orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}) {
+	if !o.append(&decision{Load: &orderlease.Load{Server: l.Server, Model: l.Model, Version: l.Version}}) {
 		return
 	}
 	n := &activeLoad{load: l, startedAt: time.Now(), concurrent: len(o.inProgress) + 1}
 	o.inProgress[l.Server] = n
-	t := term{fence: o.lease.Fence(), until: min(o.sent+orderlease.SafetyMargin+o.slack, o.lease.Until())}
+	t := o.term()
 	o.g.wg.Go(func() {
 		n.busy, n.err = o.carryOut(s, l, t)
 		select {
@@ -125,8 +125,8 @@
 	time.AfterFunc(o.limiter.SlotTime(), o.wake)
 }
 
-// term is the right to give one order. An order must be sent right after the record that
-// announces it: a successor waits for the lease to expire from that record on, so its
+// term is the right to give one order, or to make one call to the provider. It must be sent right after
+// a record of the lease: a successor waits for the lease to expire from that record on, so its
 // orders come well after this one.
 type term struct {
 	// fence is the fencing token of the order lease.
@@ -135,6 +135,11 @@
 	until time.Duration
 }
 
+// term returns the right to give an order after the record that was appended last.
+func (o *orders) term() term {
+	return term{fence: o.lease.Fence(), until: min(o.sent+orderlease.SafetyMargin+o.slack, o.lease.Until())}
+}
+
 // carryOut gives the order and waits until the load is done. If it returns an error, busy
 // reports whether the server was still loading.
 func (o *orders) carryOut(s directory.Server, l loadplan.Load, t term) (busy bool, err error) {
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -31,10 +31,12 @@
 	continued  *prometheus.CounterVec
 	anew       *prometheus.CounterVec
 	origins    *prometheus.CounterVec
-	opened     prometheus.Counter
-	plain      prometheus.Histogram
-	sample     prometheus.Histogram
-	accept     prometheus.Histogram
+	// providerCalls counts calls to the infrastructure provider by call and result.
+	providerCalls *prometheus.CounterVec
+	opened        prometheus.Counter
+	plain         prometheus.Histogram
+	sample        prometheus.Histogram
+	accept        prometheus.Histogram
 }
 
 // journalMetrics tells of reads of steps and of what they cost.
@@ -89,6 +91,7 @@
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
+	m.providerCalls = counter("provider_calls_total", "Calls to the infrastructure provider, by call and result.", "call", "result")
 	m.logLatency = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "mulberrypier_log_latency_seconds", Help: "Time that the log takes for a small call of this host.",
 	})
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -12,6 +12,7 @@
 	"mulberrypier.example/pier/orderlease"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/provider"
 )
 
 const (
@@ -43,6 +44,8 @@
 	demands *demands
 	// notices holds what the next record tells all hosts of servers' limits.
 	notices *limitNotices
+	// duties makes the calls to the infrastructure provider.
+	duties *duties
 	// appends is the number of records that this incarnation has sent.
 	appends int64
 	// sent is the time since boot at which this host last sent a record that was appended.
@@ -52,7 +55,7 @@
 }
 
 func newOrders(g *Gateway) *orders {
-	return &orders{
+	o := &orders{
 		g: g, woken: make(chan struct{}, 1), inProgress: make(map[string]*activeLoad),
 		excluded: make(map[string]exclusion), demands: newDemands(), endedLoads: make(chan *activeLoad, 64), notices: &limitNotices{},
 		limiter: loadplan.NewLimiter(loadplan.LimiterConfig{
@@ -62,6 +65,8 @@
 			Host: g.self.Host, HostID: g.hostID(), TTL: g.s.Timing.OrderLease.D(),
 		}),
 	}
+	o.duties = newDuties(o)
+	return o
 }
 
 // wake makes the holder of the lease look for loads to order at once.
@@ -79,6 +84,7 @@
 			continue
 		}
 		o.inProgress = make(map[string]*activeLoad)
+		o.duties.handleWaiting()
 		t := time.Now()
 		if err := o.read(readWait / 2); err != nil {
 			backoff.Sleep(o.g.ctx, logRetryDelay)
@@ -140,6 +146,7 @@
 		if r.Load != nil {
 			o.g.fleet.ordered(*r.Load, time.Now())
 		}
+		o.duties.observeRecord(r, now)
 		for _, n := range r.Limits {
 			o.g.limits.learnNotice(n, now)
 		}
@@ -148,14 +155,24 @@
 	return nil
 }
 
-// append renews or takes the lease, and announces the load l unless it is nil. It reports
+// decision is what a record announces besides the lease. At most one of the fields is set.
+type decision struct {
+	Load   *orderlease.Load
+	Usage  *provider.UsageReport
+	Target *provider.Target
+}
+
+// append renews or takes the lease, and announces a decision unless it is nil. It reports
 // whether the record was appended.
-func (o *orders) append(l *orderlease.Load) bool {
+func (o *orders) append(d *decision) bool {
+	if d == nil {
+		d = &decision{}
+	}
 	sent := boottime.Now()
 	o.appends++
 	r := orderlease.Record{
-		Holder: o.g.self.Host, HostID: o.g.hostID(), Append: o.appends, Load: l, Limits: o.notices.next(sent),
-		Slack: orderSlack(o.g.peerLog.latency()),
+		Holder: o.g.self.Host, HostID: o.g.hostID(), Append: o.appends, Load: d.Load, Limits: o.notices.next(sent),
+		Slack: orderSlack(o.g.peerLog.latency()), Usage: d.Usage, Target: d.Target,
 	}
 	if o.lease.Holds(sent) {
 		r.Fence = o.lease.Fence()
@@ -174,6 +191,7 @@
 	o.sent, o.slack = sent, r.Slack
 	o.notices.setHolder(o.g.hostID())
 	o.notices.done(len(r.Limits))
+	o.duties.observeRecord(&r, sent)
 	if !held {
 		o.g.log.Info("orders: lease taken", zap.Int64("fence", o.lease.Fence()))
 	}
@@ -208,6 +226,7 @@
 	for _, l := range o.plan() {
 		o.order(l)
 	}
+	o.duties.round()
 	t := time.NewTimer(renewInterval / 4)
 	defer t.Stop()
 	select {
@@ -216,5 +235,7 @@
 	case <-t.C:
 	case l := <-o.endedLoads:
 		o.loadEnded(l)
+	case a := <-o.duties.answers:
+		o.duties.handle(a)
 	}
 }
--- a/pier/provider/provider.go
+++ b/pier/provider/provider.go
@@ -9,6 +9,9 @@
 	// Host is the name of the host, Fence its fencing token, which grows with each change of the holder.
 	Host  string
 	Fence int64
+	// Check returns an error from the time on at which the call must not be sent any more. It is called
+	// right before the call is sent; nil if there is no such time.
+	Check func() error
 }
 
 // UsageReport is the number of requests of each organisation that servers began to run in a window.
