Order servers for open samples, and move samples off servers that are taken away

Cause: nothing orders servers from the infrastructure provider, and the samples of a server that it takes away run until their connections break.

Change: each host tells the holder of the order lease every 0.5 s what it runs at the servers of scaled services and which samples of its steps wait, through a peer if the holder does not answer. The holder plans the targets with package capacityplan and orders them through its duties; all hosts read the decisions in the orders' topic, so that the next holder repeats those of late. Decisions are logged with what they follow from, and metrics show targets, servers and demand at the holder. A sample on a server that is taken away leaves it 1 s before its end, unless it is expected to end in time (stepplan.LeavingRun).

Without the provider's call, or without bounds in the configuration, nothing of this runs.

--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -57,6 +57,10 @@
 	// were last written.
 	registrations map[string][]byte
 	renewals      map[string]renewal
+	// departing holds when servers are taken away, by id. It is replaced, never modified. readAt is when the
+	// registrations were last read.
+	departing map[string]time.Time
+	readAt    time.Time
 	// registeredBytes is the length of all registrations together.
 	registeredBytes int
 	// changed is closed and replaced when a server may have free capacity.
@@ -206,6 +210,7 @@
 		f.dir.LogUnavailable()
 	} else {
 		f.dir.LogRecovered(now)
+		f.readAt = now
 	}
 	if f.dir.Changed() {
 		f.rebuild(now)
@@ -216,8 +221,12 @@
 func (f *fleet) rebuild(now time.Time) {
 	l := make(map[string][]directory.Server)
 	byID := make(map[string]directory.Server)
+	departing := make(map[string]time.Time)
 	for _, s := range f.dir.Snapshot(now) {
 		byID[s.ID] = s
+		if s.Leaving && !s.LeavesAt.IsZero() {
+			departing[s.ID] = s.LeavesAt
+		}
 		l[s.Service] = append(l[s.Service], s)
 		if f.states[s.ID] == nil {
 			f.states[s.ID] = &serverState{ordered: make(map[string]orderedVersion)}
@@ -232,7 +241,7 @@
 	if f.g.ends.hasGivenUp() {
 		f.g.ends.gone(f.removed(l)...)
 	}
-	f.byService, f.byID = l, byID
+	f.byService, f.byID, f.departing = l, byID, departing
 	f.signalCapacity()
 }
 
@@ -336,6 +345,20 @@
 	return slices.ContainsFunc(f.byService[service], func(s directory.Server) bool { return !s.Leaving })
 }
 
+// registered returns the registered servers of a service. The list must not be changed.
+func (f *fleet) registered(service string) []directory.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byService[service]
+}
+
+// isCurrent reports whether the registrations were read of late.
+func (f *fleet) isCurrent(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.readAt) < logUnresponsiveAfter
+}
+
 // server returns a registered server.
 func (f *fleet) server(id string) (directory.Server, bool) {
 	f.mu.Lock()
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -144,6 +144,7 @@
 	unreadable *unreadable
 	watch      *watch
 	orders     *orders
+	scaling    *scaling
 	drain      *drainer
 	wallClock  *wallClock
 
@@ -200,6 +201,7 @@
 	g.preferred = newPreferred(g)
 	g.watch = newWatch(g)
 	g.orders = newOrders(g)
+	g.scaling = newScaling(g)
 	g.drain = newDrainer(g)
 	g.wallClock = newWallClock(g)
 	bug.SetSink(func(i bug.Invariant, w string) {
@@ -236,7 +238,7 @@
 			return err
 		}
 	}
-	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run, g.suspects.run, g.wallClock.run} {
+	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run, g.suspects.run, g.wallClock.run, g.scaling.reports.run} {
 		g.wg.Go(f)
 	}
 	g.log.Info("host: started", zap.String("host", g.self.Host), zap.String("domain", g.s.Domain))
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -76,6 +76,8 @@
 	// text holds the data of the complete events so far, lastID is the ID of the last one.
 	text   sampleText
 	lastID int64
+	// events is lastID for other goroutines than that of the run.
+	events atomic.Int64
 	// needsWhole is set once the host had no memory for more of the text: it is generated again only with
 	// memory for all that it may become.
 	needsWhole bool
@@ -300,10 +302,16 @@
 	if s.d.route.SingleVersion {
 		s.pinned.Store(v)
 	}
-	s.lastID = n.id
+	s.setLast(n.id)
 	return nil
 }
 
+// setLast sets the ID of the last event.
+func (s *sample) setLast(id int64) {
+	s.lastID = id
+	s.events.Store(id)
+}
+
 // discard discards a text that cannot grow. One for which the host has no memory leaves its room to
 // others, so that some of them are finished, and begins again only with room for a text of full length:
 // then the run is not in vain a second time.
@@ -322,7 +330,7 @@
 // reset discards what was generated.
 func (s *sample) reset() {
 	s.text.drop()
-	s.lastID = 0
+	s.setLast(0)
 	s.writer, s.generated, s.complete = directory.Software{}, 0, false
 	s.pinned.Store(0)
 }
--- a/pier/gateway/sampleprogress.go
+++ b/pier/gateway/sampleprogress.go
@@ -87,6 +87,6 @@
 			zap.Int("bytes", len(p.Text)), zap.Int("versions", len(p.Versions)))
 		return
 	}
-	s.lastID = p.LastEvent
+	s.setLast(p.LastEvent)
 	s.writer, s.generated, s.brokenAt = p.Writer, saveInterval, time.Now()
 }
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -62,6 +62,12 @@
 	// watched is the time since boot at which another host last queried the step. Hosts do
 	// so while the step is open and this host is its driver.
 	watched atomic.Int64
+	// open is what other goroutines see of the samples; sizes is the number of samples by service, by
+	// sizesTable. departing is set while a server is taken away that runs samples of the step.
+	open       atomic.Pointer[openSamples]
+	sizes      map[string]int
+	sizesTable *routetable.Table
+	departing  bool
 }
 
 func newStepDriver(g *Gateway, r *routetable.Route, s *stepjournal.Step, v *view) *stepDriver {
@@ -93,6 +99,8 @@
 		}
 		capacityChanged := d.g.fleet.capacityChanged()
 		d.startWaiting()
+		d.showOpen()
+		d.leaveServers()
 		d.moveSamples()
 		d.wait(changed, capacityChanged)
 	}
@@ -273,7 +281,7 @@
 		capacityChanged = nil
 	}
 	interval := driveInterval
-	if len(d.waiting) == 0 {
+	if len(d.waiting) == 0 && !d.departing {
 		interval = moveInterval
 	}
 	t := time.NewTimer(interval)
