--- a/pier/capacityplan/capacityplan_test.go
+++ b/pier/capacityplan/capacityplan_test.go
@@ -28,6 +28,7 @@
 func TestSteadyLoad(t *testing.T) {
 	m := newModel()
 	m.run(5 * time.Minute)
+	m.report(t, 0)
 	require.Empty(t, m.broken)
 	require.Zero(t, m.waitedBetween(0, m.now))
 	require.LessOrEqual(t, m.turns(time.Minute, m.now), 2)
@@ -52,6 +53,7 @@
 		return 100
 	}
 	m.run(3 * time.Minute)
+	m.report(t, from)
 	require.Empty(t, m.broken)
 	require.Zero(t, m.waitedBetween(0, from))
 	require.Less(t, m.waitedBetween(from, m.now), 30*time.Second)
@@ -77,6 +79,7 @@
 	m.run(at + m.scaling.StartupTime + 3*tick)
 	require.GreaterOrEqual(t, m.ready(true), before, "others must replace them at once")
 	m.run(2 * time.Minute)
+	m.report(t, at)
 	require.Empty(t, m.broken)
 	require.Less(t, m.waitedBetween(at, m.now), time.Second)
 	require.LessOrEqual(t, len(m.ordersOf(reclaimable("a"), at, at+8*time.Second)), 4)
@@ -96,6 +99,7 @@
 	m.run(at + m.scaling.StartupTime + 4*tick)
 	require.GreaterOrEqual(t, m.ready(false), needed-2)
 	m.run(3 * time.Minute)
+	m.report(t, at)
 	require.Empty(t, m.broken)
 	require.Less(t, m.waitedBetween(at, m.now), 10*time.Second)
 	require.Less(t, m.ready(false), 32)
--- a/pier/capacityplan/model_test.go
+++ b/pier/capacityplan/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"testing"
 	"time"
 
 	"mulberrypier.example/pier/routetable"
@@ -298,3 +299,9 @@
 	}
 	return n
 }
+
+// report logs what a run has cost and how long samples have waited since a time.
+func (m *model) report(t *testing.T, since time.Duration) {
+	t.Logf("%d servers, %d of them reclaimable; price %.0f; samples waited %v in all; %d orders", m.ready(false)+m.ready(true),
+		m.ready(true), m.cost, m.waitedBetween(since, m.now), len(m.orders))
+}
