Plan servers at once when some are taken away

Cause: a reclaim is known 2 to 3 s before its end, and the next plan came up to 0.45 s later.

Change: a registration of a server that is taken away wakes the holder of the order lease, which plans at once.

Result: TestPlanFollowsAReclaimAtOnce.

--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -241,6 +241,9 @@
 	if f.g.ends.hasGivenUp() {
 		f.g.ends.gone(f.removed(l)...)
 	}
+	if len(departing) > len(f.departing) {
+		f.g.orders.wake()
+	}
 	f.byService, f.byID, f.departing = l, byID, departing
 	f.signalCapacity()
 }
--- a/pier/gateway/scaling.go
+++ b/pier/gateway/scaling.go
@@ -39,10 +39,12 @@
 	g       *Gateway
 	reports *openReports
 	metrics *scalingMetrics
-	// planners holds the planner of each service, fence the term for which they plan, plannedAt when they last did.
+	// planners holds the planner of each service, fence the term for which they plan, plannedAt when they last did,
+	// and departing the number of servers that were being taken away then.
 	planners  map[string]*capacityplan.Planner
 	fence     int64
 	plannedAt time.Duration
+	departing int
 	// pending holds the decisions that have no answer.
 	pending map[dutySubject]provider.Target
 }
@@ -83,13 +85,22 @@
 	if f := s.g.orders.lease.Fence(); f != s.fence {
 		s.startTerm(f, now)
 	}
-	if now-s.plannedAt >= planInterval && s.g.fleet.isCurrent(time.Now()) {
+	if s.planDue(now) && s.g.fleet.isCurrent(time.Now()) {
 		s.plannedAt = now
 		s.plan(t, now)
 	}
 	return s.pendingCalls(t)
 }
 
+// planDue reports whether a plan is due: some time after the last one, and at once when servers are taken away,
+// as their replacements take longer to start than those have left.
+func (s *scaling) planDue(now time.Duration) bool {
+	n := len(s.g.fleet.departures())
+	more := n > s.departing
+	s.departing = n
+	return more || now-s.plannedAt >= planInterval
+}
+
 // startTerm has this host decide from now on.
 func (s *scaling) startTerm(fence int64, now time.Duration) {
 	s.fence = fence
--- a/pier/gateway/scaling_test.go
+++ b/pier/gateway/scaling_test.go
@@ -251,6 +251,25 @@
 	}
 }
 
+// Replacements must be ordered as soon as it is known that servers are taken away.
+func TestPlanFollowsAReclaimAtOnce(t *testing.T) {
+	g := newDutyHost(t, "a", &fakeProvider{}, newLog().Functions())
+	g.scale(2)
+	now := time.Hour
+	g.scaling.calls(now)
+	g.scaling.calls(now + planInterval/2)
+	require.Equal(t, now, g.scaling.plannedAt)
+	for len(g.orders.woken) > 0 {
+		<-g.orders.woken
+	}
+	g.register(directory.Server{ID: "taken", Service: "engines", Domain: "d1", Reclaimable: true, Leaving: true, LeavesAt: time.Now().Add(time.Second)})
+	require.Len(t, g.orders.woken, 1)
+	g.scaling.calls(now + planInterval/2)
+	require.Equal(t, now+planInterval/2, g.scaling.plannedAt)
+	g.scaling.calls(now + planInterval)
+	require.Equal(t, now+planInterval/2, g.scaling.plannedAt)
+}
+
 // What says nothing of a failure domain must not have others ordered in its place.
 func TestOrderResults(t *testing.T) {
 	tests := map[string]struct {
