--- a/pier/gateway/departures.go
+++ b/pier/gateway/departures.go
@@ -30,7 +30,7 @@
 		d.departing = true
 		r := stepplan.LeavingRun{
 			Left: at.Sub(now), Tokens: int(s.events.Load()), Expected: s.item.ExpectedTokens, Longest: longest,
-			TokenTime: d.g.fleet.pace(s.server, now),
+			TokenTime: d.g.fleet.pace(s.server),
 		}
 		if !r.MustLeave() {
 			continue
@@ -58,12 +58,12 @@
 	return f.departing
 }
 
-// pace returns the time between two events of a generation at a server, 0 if it was not measured of late.
-func (f *fleet) pace(server string, now time.Time) time.Duration {
+// pace returns the time between two events of a generation at a server, 0 if it was not measured.
+func (f *fleet) pace(server string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t := f.states[server]; t != nil && now.Sub(t.paced) < paceMaxAge {
-		return t.pace
+	if t := f.states[server]; t != nil {
+		return t.pace.Mean()
 	}
 	return 0
 }
