Accept a stated load with a slowdown

Servers may add a fourth figure to their load, the time that work takes on their machine now in percent of the normal time. Such a header was rejected as malformed, so these servers counted as idle but for this host's own requests.

Three or four figures are accepted. The slowdown is bounded, one of 0 or below is malformed, and it is used for 150 ms, the other figures for 400 ms as before. Figures that do not fit 32 bits are malformed now; their sum could overflow. Nothing changes for servers with three figures.

--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -24,8 +24,8 @@
 	// Limit is present in every answer of a server that limits its requests, and carries the
 	// number of requests a second that it takes from all callers together.
 	Limit string
-	// Load carries the numbers of running requests, waiting requests and slots, separated
-	// by commas.
+	// Load carries the numbers of running requests, waiting requests and slots, and optionally
+	// the time that work takes now in percent of the normal time, separated by commas.
 	Load string
 	// WeightVersion carries the version of the weights that generated the answer.
 	WeightVersion string
--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -104,24 +104,43 @@
 	Running int
 	Waiting int
 	Slots   int
+	// SlowdownPercent is the time that work takes on the server's machine now, in percent of the
+	// normal time, from 1 to maxSlowdownPercent. It is 0 if the server does not state it.
+	SlowdownPercent int
 }
 
-// Load returns the load stated in the answer. It returns false if the header field is
-// missing or malformed.
+const (
+	// loadFigures is the number of figures of a stated load without its slowdown.
+	loadFigures = 3
+	// maxSlowdownPercent bounds a stated slowdown, so that one wrong figure does not exclude a
+	// server more than a machine that is a hundred times slower.
+	maxSlowdownPercent = 10_000
+)
+
+// Load returns the load stated in the answer, with or without a slowdown. It returns false if the
+// header field is missing or malformed.
 func (r *Response) Load() (Load, bool) {
-	f := strings.Split(r.Header.Get(r.pool.c.Dialect.Load), ",")
-	if len(f) != 3 {
+	return parseLoad(r.Header.Get(r.pool.c.Dialect.Load))
+}
+
+// parseLoad reads three or four figures that are separated by commas. A slowdown of 0 is malformed.
+func parseLoad(s string) (Load, bool) {
+	f := strings.Split(s, ",")
+	if len(f) != loadFigures && len(f) != loadFigures+1 {
 		return Load{}, false
 	}
-	var n [3]int
+	var n [loadFigures + 1]int
 	for i, s := range f {
-		v, err := strconv.Atoi(strings.TrimSpace(s))
+		v, err := strconv.ParseInt(strings.TrimSpace(s), 10, 32)
 		if err != nil || v < 0 {
 			return Load{}, false
 		}
-		n[i] = v
+		n[i] = int(v)
+	}
+	if len(f) > loadFigures && n[loadFigures] == 0 {
+		return Load{}, false
 	}
-	return Load{Running: n[0], Waiting: n[1], Slots: n[2]}, true
+	return Load{Running: n[0], Waiting: n[1], Slots: n[2], SlowdownPercent: min(n[3], maxSlowdownPercent)}, true
 }
 
 // Version returns the version of the weights stated in the answer. It returns false if the
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -18,6 +18,9 @@
 const (
 	// loadMaxAge is how long the load that a server states in an answer is used.
 	loadMaxAge = 400 * time.Millisecond
+	// slowdownMaxAge is how long the slowdown that a server states with its load is used. It
+	// changes many times a second.
+	slowdownMaxAge = 150 * time.Millisecond
 	// initialAvoidTime is how long a server is avoided after a failure. The time doubles
 	// with each further failure, up to maxAvoidTime.
 	initialAvoidTime = 300 * time.Millisecond
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -152,6 +152,15 @@
 	return n
 }
 
+// slowdown returns the factor by which work takes longer on the server's machine than normally, as
+// the server last stated it; 1 if it has not done so recently.
+func (t *serverState) slowdown(now time.Time) float64 {
+	if t.load.SlowdownPercent == 0 || now.Sub(t.loadAt) >= slowdownMaxAge {
+		return 1
+	}
+	return float64(t.load.SlowdownPercent) / 100
+}
+
 // serverChoice is what a server has to be to get a plain request.
 type serverChoice struct {
 	// services holds the services to use, the preferred one first.
