Choose a server for a plain request by its expected time to finish

All hosts chose the server of lowest load per slot, the first of equal ones in their failure domain.

Package serverchoice takes the better of two random choices among servers that are neither avoided nor at their limit, by load and stated slowdown. It applies only where servers state a slowdown; others are chosen as before, at the same cost. The metrics server_choices_total and chosen_slowdown show what choices were based on.

--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -44,13 +44,13 @@
 }
 
 // newHost returns a gateway over a log, without listeners.
-func newHost(t *testing.T, name string, l partitionlog.Log) *Gateway {
+func newHost(t testing.TB, name string, l partitionlog.Log) *Gateway {
 	t.Helper()
 	return newHostAt(t, name, netip.MustParseAddrPort("127.0.0.1:1"), l)
 }
 
 // newHostAt returns a gateway without listeners whose peers reach it at an address.
-func newHostAt(t *testing.T, name string, peers netip.AddrPort, l partitionlog.Log) *Gateway {
+func newHostAt(t testing.TB, name string, peers netip.AddrPort, l partitionlog.Log) *Gateway {
 	t.Helper()
 	return newHostFrom(t, hostSettings(name, peers), l)
 }
@@ -70,7 +70,7 @@
 }
 
 // newHostFrom returns a gateway with given settings, without listeners.
-func newHostFrom(t *testing.T, s *Settings, l partitionlog.Log) *Gateway {
+func newHostFrom(t testing.TB, s *Settings, l partitionlog.Log) *Gateway {
 	t.Helper()
 	require.Nil(t, s.Check())
 	g := New(Config{
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -49,8 +50,10 @@
 
 // fleet is this host's view of the backend servers.
 type fleet struct {
-	g  *Gateway
-	mu sync.Mutex
+	g *Gateway
+	// random returns a random number from 0 to n-1; tests replace it.
+	random func(n int) int
+	mu     sync.Mutex
 	// mu guards the fields below. The slices in byService are replaced, never modified.
 	dir       *directory.Directory
 	byService map[string][]directory.Server
@@ -109,7 +112,7 @@
 
 func newFleet(g *Gateway) *fleet {
 	return &fleet{
-		g: g, dir: directory.New(), byService: make(map[string][]directory.Server),
+		g: g, random: rand.IntN, dir: directory.New(), byService: make(map[string][]directory.Server),
 		states: make(map[string]*serverState), registrations: make(map[string][]byte), renewals: make(map[string]renewal), changed: make(chan struct{}),
 	}
 }
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -12,6 +12,7 @@
 	registry *prometheus.Registry
 	journalMetrics
 	wallClockMetrics
+	placementMetrics
 	refusals   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	samples    *prometheus.CounterVec
@@ -60,9 +61,17 @@
 	wallClockStep  prometheus.Gauge
 }
 
+// placementMetrics tells of the choice of servers.
+type placementMetrics struct {
+	// serverChoices counts by basis the servers that were chosen for plain requests.
+	serverChoices *prometheus.CounterVec
+	// chosenSlowdown is the slowdown of the chosen servers that state one, 1 if it is not known at the time.
+	chosenSlowdown prometheus.Histogram
+}
+
 func newMetrics() *metrics {
 	r := prometheus.NewRegistry()
-	m := &metrics{registry: r, journalMetrics: newJournalMetrics(r), wallClockMetrics: newWallClockMetrics(r)}
+	m := &metrics{registry: r, journalMetrics: newJournalMetrics(r), wallClockMetrics: newWallClockMetrics(r), placementMetrics: newPlacementMetrics(r)}
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return newCounter(r, name, help, labels...)
 	}
@@ -131,6 +140,18 @@
 	return m
 }
 
+func newPlacementMetrics(r *prometheus.Registry) placementMetrics {
+	m := placementMetrics{
+		serverChoices: newCounter(r, "server_choices_total", "Servers chosen for plain requests, by what the choice was based on.", "basis"),
+		chosenSlowdown: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "mulberrypier_chosen_slowdown", Help: "Slowdown of the servers chosen for plain requests that state one.",
+			Buckets: []float64{0.5, 1, 1.25, 1.5, 2, 3, 5, 10},
+		}),
+	}
+	r.MustRegister(m.chosenSlowdown)
+	return m
+}
+
 func newCounter(r *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "mulberrypier_" + name, Help: help}, labels)
 	r.MustRegister(c)
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -7,6 +7,7 @@
 
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/serverchoice"
 	"mulberrypier.example/pier/stepplan"
 )
 
@@ -182,30 +183,34 @@
 	return outcome.Refuse(outcome.ReasonNoServer, what).After(unavailableRetryAfter)
 }
 
-// pickServer picks a server for a plain request: the best one of the first service that has one
+// pickServer picks a server for a plain request: one of the first service that has one
 // which can take the request at once, or else the best one of all services.
 func (f *fleet) pickServer(p serverChoice) (*reservation, bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var best *directory.Server
-	var bestCost float64
+	var choice serverchoice.Choice
 	for _, name := range p.services {
 		s, c := f.bestServer(name, p, now)
-		if s != nil && (best == nil || c < bestCost) {
-			best, bestCost = s, c
+		if s != nil && (best == nil || c.Ready || c.Cost < choice.Cost) {
+			best, choice = s, c
 		}
-		if best != nil && bestCost < avoidCost {
+		if best != nil && choice.Ready {
 			break
 		}
 	}
 	if best == nil {
 		return nil, false
 	}
+	f.g.metrics.serverChoices.WithLabelValues(string(choice.Basis)).Inc()
+	if t := f.states[best.ID]; t.load.SlowdownPercent > 0 {
+		f.g.metrics.chosenSlowdown.Observe(t.slowdown(now))
+	}
 	return f.reserve(*best), true
 }
 
-// bestServer returns the server of a service that costs a plain request least, nil if there is
+// bestServer returns the server of a service that a plain request should go to, nil if there is
 // none. A server that is avoided, at which a suspect request is tried, or whose limit leaves no
 // room for some time, is returned only if there is no other. One at whose address nothing listened
 // just before is not returned at all: a call finds out at once that no server is left.
@@ -213,22 +218,21 @@
 // A deferrable request, which comes again later, gets no server that is full: one that has
 // refused this host a request shortly before, or has as many requests waiting as running. The
 // caller holds mu.
-func (f *fleet) bestServer(service string, p serverChoice, now time.Time) (*directory.Server, float64) {
-	best, bestCost := -1, 0.0
+func (f *fleet) bestServer(service string, p serverChoice, now time.Time) (*directory.Server, serverchoice.Choice) {
 	l := f.byService[service]
+	candidates := make([]serverchoice.Server, 0, len(l))
+	at := make([]int, 0, len(l))
 	for i := range l {
-		if !f.mayTake(&l[i], p, now) {
-			continue
-		}
-		c := f.cost(&l[i], now)
-		if best < 0 || c < bestCost {
-			best, bestCost = i, c
+		if f.mayTake(&l[i], p, now) {
+			candidates = append(candidates, f.candidate(&l[i], now))
+			at = append(at, i)
 		}
 	}
-	if best < 0 {
-		return nil, 0
+	c, ok := serverchoice.Choose(candidates, f.random)
+	if !ok {
+		return nil, c
 	}
-	return &l[best], bestCost
+	return &l[at[c.Index]], c
 }
 
 // mayTake reports whether a server may get a request at all. The caller holds mu.
@@ -243,21 +247,16 @@
 	return !p.deferrable || !f.g.suspects.inTrial(s) && !t.isFull(*s, now)
 }
 
-// cost ranks a server for a plain request by its load per slot and by what speaks against it. The
-// caller holds mu.
-func (f *fleet) cost(s *directory.Server, now time.Time) float64 {
+// candidate returns what counts for the choice of a server for a plain request. The caller holds mu.
+func (f *fleet) candidate(s *directory.Server, now time.Time) serverchoice.Server {
 	t := f.states[s.ID]
-	c := float64(t.estimatedRunning(now)) / float64(max(s.Slots, 1))
-	if now.Before(t.avoidUntil) || f.g.suspects.inTrial(s) {
-		c += avoidCost
-	}
-	if s.Domain != f.g.s.Domain {
-		c += remoteDomainCost
+	_, wait := f.g.limits.wait(*s)
+	return serverchoice.Server{
+		Slots: s.Slots, Running: t.estimatedRunning(now),
+		StatesSlowdown: t.load.SlowdownPercent > 0, Slowdown: t.slowdown(now),
+		Avoided: now.Before(t.avoidUntil) || f.g.suspects.inTrial(s), LimitWait: wait,
+		OtherDomain: s.Domain != f.g.s.Domain,
 	}
-	if _, wait := f.g.limits.wait(*s); wait > 0 {
-		c += limitedCost * wait.Seconds()
-	}
-	return c
 }
 
 // isFull reports whether a server has no room for a deferrable request.
@@ -268,16 +267,6 @@
 	return s.Slots > 0 && t.estimatedRunning(now) >= fullAtSlots*s.Slots
 }
 
-const (
-	// fullAtSlots is the number of requests at a server, as a multiple of its slots, from
-	// which on it gets no deferrable ones.
-	fullAtSlots = 2
-	// avoidCost ranks a server that is avoided behind all others.
-	avoidCost = 100
-	// limitedCost is the cost of each second for which a server's limit leaves no room: a
-	// tenth of a second weighs as much as a server that is avoided.
-	limitedCost = 1000
-	// remoteDomainCost is the load per slot that offsets the longer round trip to another
-	// failure domain.
-	remoteDomainCost = 0.1
-)
+// fullAtSlots is the number of requests at a server, as a multiple of its slots, from
+// which on it gets no deferrable ones.
+const fullAtSlots = 2
