Keep long prompts from holding up short ones

An engine reads prompts one after the other, between the tokens of its streams. A host placed prompts by the number of samples alone, so short prompts waited behind long ones while other engines were free, and several long ones were read by one engine.

Requests state the tokens of their prompts; items of a step carry them. Package promptload keeps the unread ones by engine and says which engines may take a prompt now. Callers' streams use the same decision and are never held back. Metrics: prompt_placements_total by reason, prompt_tokens, unread_prompt_tokens, prompt_held_seconds.

Tests of the driver, samples and streams in pier/gateway passed, except TestStepsOfLargeResultsAreReadBackFromASlowLog/100_ms_a_call, once, on a busy machine: 96 steps were not read within 10 s from a slow log, which this change doesn't touch.

--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -34,6 +34,9 @@
 	EventVersion string
 	// LengthHint carries the caller's estimate of the number of tokens to generate.
 	LengthHint string
+	// TokenCounts carries, in a request, the number of tokens of its prompt and the maximum number of
+	// tokens to generate, separated by a comma.
+	TokenCounts string
 	// ResumeAfter carries the id of the last event that the caller received.
 	ResumeAfter string
 	// Resumes carries, in a caller's request that continues a stream, the id of the request
--- a/pier/gateway/answerbody.go
+++ b/pier/gateway/answerbody.go
@@ -95,8 +95,8 @@
 	now := time.Now()
 	b.waited += now.Sub(began)
 	b.read += int64(n)
-	if n > 0 {
-		b.u.begun.Store(true)
+	if n > 0 && !b.u.begun.Swap(true) {
+		b.u.promptRead()
 	}
 	b.hasLine = b.hasLine || b.stream && bytes.IndexByte(p[:n], '\n') >= 0
 	if over := b.read - b.bound; over > 0 {
--- a/pier/gateway/demands.go
+++ b/pier/gateway/demands.go
@@ -137,7 +137,7 @@
 	r := demand{Model: d.step.Model}
 	waiting, slots := 0, 1
 	for _, s := range d.waiting {
-		if now.Sub(s.waitsSince()) < demandAfter {
+		if now.Sub(s.waitsSince()) < demandAfter || s.prompt.Held {
 			continue
 		}
 		services := d.services(p.t, s)
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -30,7 +30,7 @@
 var testDialect = backend.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", ExpectedIncarnation: "Incarnation",
 	NotRun: "Not-Run", ServerStamp: "Signature",
-	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id", Resumes: "Resumes", Leaving: "Leaving", Limit: "Limit",
+	Load: "Load", WeightVersion: "Weights", EventVersion: "weights", LengthHint: "Hint", ResumeAfter: "Last-Event-Id", Resumes: "Resumes", Leaving: "Leaving", Limit: "Limit", TokenCounts: "Tokens",
 }
 
 const testParts = 4
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -14,6 +14,7 @@
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/loadplan"
 	"mulberrypier.example/pier/orderlease"
+	"mulberrypier.example/pier/promptload"
 )
 
 const (
@@ -59,6 +60,8 @@
 	byService map[string][]directory.Server
 	byID      map[string]directory.Server
 	states    map[string]*serverState
+	// prompts holds what is known of the prompts of each service.
+	prompts map[string]*promptload.Book
 	// registrations holds the encoded registrations in force, by server, and renewals when they
 	// were last written.
 	registrations map[string][]byte
@@ -112,7 +115,7 @@
 
 func newFleet(g *Gateway) *fleet {
 	return &fleet{
-		g: g, random: rand.IntN, dir: directory.New(), byService: make(map[string][]directory.Server),
+		g: g, random: rand.IntN, prompts: make(map[string]*promptload.Book), dir: directory.New(), byService: make(map[string][]directory.Server),
 		states: make(map[string]*serverState), registrations: make(map[string][]byte), renewals: make(map[string]renewal), changed: make(chan struct{}),
 	}
 }
--- a/pier/gateway/leaving_test.go
+++ b/pier/gateway/leaving_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/stepplan"
 )
 
@@ -42,7 +43,7 @@
 	g.register(e.Server)
 	require.NoError(t, g.Accept(context.Background(), route(g), newStep("s1", 1)))
 	waitResults(t, g, "s1", 1)
-	_, ok := g.fleet.pickEngine("engines", "m", stepplan.Need{MinVersion: 1}, 4)
+	_, ok := g.fleet.pickEngine("engines", "m", stepplan.Need{MinVersion: 1}, &promptload.Prompt{}, 4)
 	require.False(t, ok)
 	require.Empty(t, g.fleet.loadable("engines", e.Born))
 }
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -67,6 +67,11 @@
 	serverChoices *prometheus.CounterVec
 	// chosenSlowdown is the slowdown of the chosen servers that state one, 1 if it is not known at the time.
 	chosenSlowdown prometheus.Histogram
+	// promptPlacements counts by kind and reason the prompts that may go to some engines only.
+	promptPlacements *prometheus.CounterVec
+	// promptTokens is the length of the prompts that were sent, promptUnread that of the unread ones of this
+	// host at their engines, promptHeld the time for which prompts were held back.
+	promptTokens, promptUnread, promptHeld prometheus.Histogram
 }
 
 func newMetrics() *metrics {
@@ -148,7 +153,16 @@
 			Buckets: []float64{0.5, 1, 1.25, 1.5, 2, 3, 5, 10},
 		}),
 	}
-	r.MustRegister(m.chosenSlowdown)
+	m.promptPlacements = newCounter(r, "prompt_placements_total", "Prompts that may go to some engines only as some read long ones, by what for and by reason.", "for", "reason")
+	tokens := prometheus.ExponentialBuckets(64, 4, 8)
+	m.promptTokens = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "mulberrypier_prompt_tokens", Help: "Tokens of the prompts sent to engines, as far as they are stated.", Buckets: tokens,
+	})
+	m.promptUnread = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "mulberrypier_unread_prompt_tokens", Help: "Unread prompt tokens of this host at the engine that gets a prompt.", Buckets: tokens,
+	})
+	m.promptHeld = prometheus.NewHistogram(histogramOpts("prompt_held_seconds", "Time for which long prompts were held back."))
+	r.MustRegister(m.chosenSlowdown, m.promptTokens, m.promptUnread, m.promptHeld)
 	return m
 }
 
--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -7,21 +7,24 @@
 
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/serverchoice"
 	"mulberrypier.example/pier/stepplan"
 )
 
-// pickEngine picks an engine that meets a sample's need and reserves a slot there. ok is false
-// if none has a free slot.
-func (f *fleet) pickEngine(service, model string, n stepplan.Need, slots int) (*reservation, bool) {
+// pickEngine picks an engine that meets a sample's need and may take its prompt now, and reserves a slot
+// there. ok is false if none has a free slot or the prompt is held back, which p.Held tells.
+func (f *fleet) pickEngine(service, model string, n stepplan.Need, p *promptload.Prompt, slots int) (*reservation, bool) {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, at := f.eligibleEngines(service, model, slots, time.Now(), f.admitsSample)
+	c, at := f.eligibleEngines(service, model, slots, now, f.admitsSample)
+	f.limitToPrompt(service, c, n, p, now)
 	i := stepplan.PickEngine(c, n)
 	if i < 0 {
 		return nil, false
 	}
-	return f.reserve(f.byService[service][at[i]]), true
+	return f.reserve(f.byService[service][at[i]], p, now), true
 }
 
 // hasFreeEngine reports whether an engine that meets a sample's need, and none of the needs unmet,
@@ -51,11 +54,11 @@
 	return n
 }
 
-// reserve adds a request of this host to a server. The caller holds mu.
-func (f *fleet) reserve(s directory.Server) *reservation {
+// reserve adds a request of this host to a server, with its prompt if that is known. The caller holds mu.
+func (f *fleet) reserve(s directory.Server, p *promptload.Prompt, now time.Time) *reservation {
 	f.states[s.ID].running++
 	f.states[s.ID].permits++
-	return &reservation{f: f, s: s, permit: true}
+	return &reservation{f: f, s: s, permit: true, unread: f.sendPrompt(&s, p, now)}
 }
 
 // moves returns the indexes of at most limit runs that should move to another engine.
@@ -172,6 +175,8 @@
 	tried map[string]bool
 	// deferrable is set for a request that comes again later.
 	deferrable bool
+	// prompt is the prompt of a caller's stream, of unknown length for other requests.
+	prompt promptload.Prompt
 }
 
 // noServer returns the refusal of a request for which there is no server.
@@ -207,7 +212,7 @@
 	if t := f.states[best.ID]; t.load.SlowdownPercent > 0 {
 		f.g.metrics.chosenSlowdown.Observe(t.slowdown(now))
 	}
-	return f.reserve(*best), true
+	return f.reserve(*best, &p.prompt, now), true
 }
 
 // bestServer returns the server of a service that a plain request should go to, nil if there is
@@ -228,6 +233,9 @@
 			at = append(at, i)
 		}
 	}
+	if p.prompt.Tokens > 0 {
+		f.avoidForPrompt(service, candidates, at, &p.prompt, now)
+	}
 	c, ok := serverchoice.Choose(candidates, f.random)
 	if !ok {
 		return nil, c
--- a/pier/gateway/reservation.go
+++ b/pier/gateway/reservation.go
@@ -11,6 +11,7 @@
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/promptload"
 )
 
 // reservation is the use of a server by one request of this host. It must be released.
@@ -22,6 +23,8 @@
 	// begun is set once a byte of the answer's body has come. left is set if the answer goes on after another
 	// server has answered the request.
 	begun, left atomic.Bool
+	// unread is the prompt until its first event, nil if there is none of known length.
+	unread *promptload.Unread
 }
 
 // endPermit records that the request waits for no permit any more. The caller holds the
@@ -229,6 +232,7 @@
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
 	u.endPermit()
+	u.unread.End()
 	u.f.states[u.s.ID].running--
 	u.f.signalCapacity()
 }
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -16,6 +16,7 @@
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
 )
@@ -73,6 +74,8 @@
 	savedFailures int
 	cancel        context.CancelFunc
 
+	// prompt is what the next engine reads before it generates.
+	prompt promptload.Prompt
 	// text holds the data of the complete events so far, lastID is the ID of the last one.
 	text   sampleText
 	lastID int64
@@ -250,6 +253,7 @@
 			return err
 		}
 		alive()
+		u.promptRead()
 		if n.version > 0 {
 			v = n.version
 		}
--- a/pier/gateway/slotpicker.go
+++ b/pier/gateway/slotpicker.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepplan"
 )
@@ -21,18 +22,21 @@
 	f     *fleet
 	t     *routetable.Table
 	model string
+	// prompt is the prompt of the sample to start.
+	prompt *promptload.Prompt
 	// full holds the needs that no free slot meets.
 	full map[slotNeed]bool
 }
 
-// pick picks an engine of a service that meets a need and reserves a slot there.
+// pick picks an engine of a service that meets a need and reserves a slot there. A prompt that is held back
+// says nothing of the free slots.
 func (p *slotPicker) pick(service string, n stepplan.Need) (*reservation, bool) {
 	k := slotNeed{service, n}
 	if p.full[k] {
 		return nil, false
 	}
-	u, ok := p.f.pickEngine(service, p.model, n, p.t.Slots(service))
-	p.full[k] = !ok
+	u, ok := p.f.pickEngine(service, p.model, n, p.prompt, p.t.Slots(service))
+	p.full[k] = !ok && !p.prompt.Held
 	return u, ok
 }
 
--- a/pier/gateway/slotpicker_test.go
+++ b/pier/gateway/slotpicker_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/stepplan"
 )
 
@@ -81,5 +82,5 @@
 		}
 	}
 	s.writer, s.generated, s.brokenAt = at.Runs(), time.Millisecond, time.Now().Add(-time.Second)
-	return s, &slotPicker{f: g.fleet, t: g.Table(), model: step.Model, full: make(map[slotNeed]bool)}
+	return s, &slotPicker{f: g.fleet, t: g.Table(), model: step.Model, prompt: &promptload.Prompt{}, full: make(map[slotNeed]bool)}
 }
--- a/pier/gateway/software_test.go
+++ b/pier/gateway/software_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/stepjournal"
 	"mulberrypier.example/pier/stepplan"
 )
@@ -167,9 +168,9 @@
 	g.registerAll(l)
 	require.NoError(t, g.Accept(context.Background(), route(g), newStep("s", 1)))
 	require.Eventually(t, func() bool { return len(l[0].runs()) == 1 }, 5*time.Second, time.Millisecond)
-	u, ok := g.fleet.pickEngine("engines", "m", stepplan.Need{}, 1)
+	u, ok := g.fleet.pickEngine("engines", "m", stepplan.Need{}, &promptload.Prompt{}, 1)
 	for !ok {
-		u, ok = g.fleet.pickEngine("engines", "m", stepplan.Need{}, 1)
+		u, ok = g.fleet.pickEngine("engines", "m", stepplan.Need{}, &promptload.Prompt{}, 1)
 	}
 	time.Sleep(2 * initialAvoidTime)
 	u.release()
--- a/pier/gateway/stepdriver.go
+++ b/pier/gateway/stepdriver.go
@@ -13,6 +13,7 @@
 
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
 	"mulberrypier.example/pier/stepplan"
@@ -204,11 +205,15 @@
 		return false
 	}
 	s.checkWriter(services)
+	p.prompt = s.nextPrompt()
 	if s.hasText() {
 		if u, ok := p.pick(s.writer.Service, d.need(s)); ok {
 			d.start(s, u)
 			return true
 		}
+		if s.prompt.Held {
+			return false
+		}
 		anywhere := stepplan.Need{MinVersion: d.minVersion(s)}
 		if !p.hasFree(services, anywhere) || !s.givesTextUp(time.Now()) {
 			return false
@@ -223,9 +228,19 @@
 	return false
 }
 
+// nextPrompt returns what the next engine reads before it generates: the prompt and the text so far.
+func (s *sample) nextPrompt() *promptload.Prompt {
+	s.prompt.Tokens, s.prompt.Held = s.item.PromptTokens, false
+	if s.prompt.Tokens > 0 {
+		s.prompt.Tokens += int(s.lastID)
+	}
+	return &s.prompt
+}
+
 // start runs a sample at the server of a reservation.
 func (d *stepDriver) start(s *sample, u *reservation) {
 	s.server, s.service, s.placedAt = u.s.ID, u.s.Service, time.Now()
+	s.prompt.HeldSince = time.Time{}
 	if s.startedAt.IsZero() {
 		s.startedAt = time.Now()
 	}
--- a/pier/gateway/steps_test.go
+++ b/pier/gateway/steps_test.go
@@ -16,6 +16,7 @@
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/partitionlog"
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/routetable"
 	"mulberrypier.example/pier/stepjournal"
 	"mulberrypier.example/pier/stepplan"
@@ -382,7 +383,7 @@
 	g.table(nil)
 	e := startServer(t, "e1", "engines", func(_ *server, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	g.register(e.Server)
-	u, ok := g.fleet.pickEngine("engines", "m", stepplan.Need{MinVersion: 1}, 1)
+	u, ok := g.fleet.pickEngine("engines", "m", stepplan.Need{MinVersion: 1}, &promptload.Prompt{}, 1)
 	require.True(t, ok)
 	defer u.release()
 	s := &sample{d: &stepDriver{g: g, step: newStep("s", 1), route: route(g)}, item: &newStep("s", 1).Items[0]}
--- a/pier/gateway/streams.go
+++ b/pier/gateway/streams.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
@@ -36,6 +37,9 @@
 	originRetryAfter = 500 * time.Millisecond
 	// originConfirmTimeout is how long a host waits until it is known what began a stream.
 	originConfirmTimeout = 5 * time.Second
+	// maxResumedTokens bounds the events after which a stream is taken up, as far as they count as tokens that
+	// the server has to read.
+	maxResumedTokens = 1 << 20
 	// originRefreshes is how often the record of a stream is appended within the retention of
 	// the log, as long as the stream lasts.
 	originRefreshes = 3
@@ -91,6 +95,9 @@
 		return nil, err
 	}
 	c.writer = t.origin.Writer
+	if n := backend.PromptTokens(c.Header.Get(s.g.c.Dialect.TokenCounts)); n > 0 {
+		c.promptTokens = n + int(min(t.after, maxResumedTokens))
+	}
 	a, err := s.g.sendOrTry(ctx, c)
 	if err != nil {
 		return nil, err
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -14,6 +14,7 @@
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/directory"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/promptload"
 	"mulberrypier.example/pier/quarantine"
 	"mulberrypier.example/pier/routetable"
 )
@@ -29,6 +30,8 @@
 	writer directory.Software
 	// order holds the route's services in the order in which the call uses them.
 	order []string
+	// promptTokens is the number of tokens of a stream's prompt, 0 if it is not known.
+	promptTokens int
 	// key returns the key, which is computed when it is first needed.
 	key func() quarantine.Key
 }
@@ -51,7 +54,10 @@
 
 // choice returns what a server has to be to get the call, if it has not been tried.
 func (c *plainCall) choice(tried map[string]bool) serverChoice {
-	return serverChoice{services: c.services(), software: c.writer.Version, tried: tried, deferrable: c.deferrable()}
+	return serverChoice{
+		services: c.services(), software: c.writer.Version, tried: tried, deferrable: c.deferrable(),
+		prompt: promptload.Prompt{Tokens: c.promptTokens, NoWait: true},
+	}
 }
 
 // attempts sends a call to servers.
--- a/pier/stepjournal/record.go
+++ b/pier/stepjournal/record.go
@@ -58,6 +58,8 @@
 	// ExpectedTokens is the caller's estimate of the number of tokens to generate, 0 if
 	// there is none.
 	ExpectedTokens int `msgpack:"n"`
+	// PromptTokens is the number of tokens of the prompt, 0 if it is not known.
+	PromptTokens int `msgpack:"t,omitempty"`
 	// Scorer is the call that scores the finished sample; nil for an item that is not
 	// scored.
 	Scorer *Call `msgpack:"s"`
