Keep callers that read slowly from holding servers up

A host read the next 4 KB of an answer only once the caller had taken the last ones. A caller that did not read kept the server's answer open without any bound; servers abort answers that stay unread for seconds.

The rest of an answer, and streams, are read as fast as the server sends. What the caller has not read is charged to the bodies' budget, at most a quarter of it for all callers. Without room for 1 s the answer is aborted, which says nothing of the server; until then a caller that reads steadily is waited for, so that it gets a long answer whole though others have taken the memory. A caller that takes nothing for 10 s is given up. An answer that is held back while another server is asked is so for 1 s at most. slow_callers_total counts what became of such answers.

--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	err error
 	// closing is set if the server closes the connection after this answer.
 	closing bool
+	// aborted is set once the connection was closed by Abort.
+	aborted atomic.Bool
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body. After an error, each
@@ -73,6 +76,12 @@
 	_ = r.conn.Close()
 }
 
+// Abort closes the connection at once, also while the body is being read. Close must follow.
+func (r *Response) Abort() {
+	r.aborted.Store(true)
+	_ = r.conn.Close()
+}
+
 // release ends the use of the connection and reports whether it can be used again.
 func (r *Response) release() bool {
 	notCancelled := r.stop()
@@ -82,7 +91,7 @@
 		sent = true
 	default:
 	}
-	return notCancelled && r.complete && sent && !r.closing && r.conn.r.Buffered() == 0
+	return notCancelled && r.complete && sent && !r.closing && !r.aborted.Load() && r.conn.r.Buffered() == 0
 }
 
 // UnconfirmedSince returns a time at which the connection was open, if it is not known which
--- a/pier/gateway/answerbody.go
+++ b/pier/gateway/answerbody.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mulberrypier.example/pier/backend"
@@ -65,6 +66,8 @@
 	waited time.Duration
 	// err is the error that ended the body, io.EOF if it is complete, nil before that.
 	err error
+	// aborted is set once the host has closed the connection, which says nothing of the server.
+	aborted atomic.Bool
 }
 
 // newAnswerBody returns the body of an answer to a call. It fails with answer-too-large if the answer
@@ -109,6 +112,12 @@
 	return n, err
 }
 
+// abort closes the server's connection, also while the body is being read.
+func (b *answerBody) abort() {
+	b.aborted.Store(true)
+	b.r.Abort()
+}
+
 // long reports whether the body has passed what is buffered without a stated length, so that nothing says
 // that it ends.
 func (b *answerBody) long() bool {
@@ -134,7 +143,7 @@
 		}
 	case outcome.HasReason(err, outcome.ReasonAnswerTooLarge):
 		b.u.failed(string(outcome.ReasonAnswerTooLarge))
-	case errors.Is(b.ctx.Err(), context.Canceled), b.callerIsSlow(now):
+	case b.aborted.Load(), errors.Is(b.ctx.Err(), context.Canceled), b.callerIsSlow(now):
 	case b.ctx.Err() != nil && b.stream:
 		if !b.hasLine {
 			b.u.unfinished()
--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -164,7 +164,7 @@
 	}
 	s.g.metrics.retries.WithLabelValues(reasonLong).Inc()
 	if len(s.held) == 0 {
-		d := time.Until(s.c.Deadline) / holdShare
+		d := min(time.Until(s.c.Deadline)/holdShare, maxUnreadTime)
 		if o := s.c.Route.LatencyObjective; o > 0 {
 			d = min(d, o)
 		}
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -91,6 +91,8 @@
 	// Rest reads the rest of the body. Close must be called.
 	Rest  io.Reader
 	close func()
+	// buffer holds what was read of Rest; nil if Rest is.
+	buffer *answerBuffer
 	// taken is the number of bytes that Body takes from the host's memory.
 	taken int64
 	// mayBeEndless is set if nothing shows that Rest ends: its length is not stated, and no answer like it
@@ -133,6 +135,9 @@
 		return nil, e
 	}
 	g.metrics.plain.Observe(time.Since(start).Seconds())
+	if a.buffer != nil {
+		a.buffer.start()
+	}
 	return a, nil
 }
 
@@ -201,7 +206,13 @@
 		}
 		return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
-	a.close = func() { end(); g.memory.Give(a.taken) }
+	a.close = func() {
+		if a.buffer != nil {
+			a.buffer.close()
+		}
+		end()
+		g.memory.Give(a.taken)
+	}
 	a.Server, a.unconfirmedSince = u.s, r.UnconfirmedSince()
 	return a, nil
 }
@@ -284,8 +295,14 @@
 		return nil, err
 	}
 	a := &Answer{Status: r.Status, Header: r.Header}
+	bufferRest := func() {
+		a.buffer = newAnswerBuffer(body, body.abort, u.s.ID, g.unread, func(result string) {
+			g.metrics.slowCallers.WithLabelValues(result).Inc()
+		})
+		a.Rest = a.buffer
+	}
 	if body.stream {
-		a.Rest = body
+		bufferRest()
 		return a, nil
 	}
 	most := int64(maxBufferedBytes)
@@ -293,7 +310,7 @@
 		most = min(most, r.BodyLength+1)
 	}
 	if !g.memory.Take(most) {
-		a.Rest = body
+		bufferRest()
 		return a, nil
 	}
 	b, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
@@ -305,8 +322,8 @@
 	}
 	a.Body = b
 	if len(b) == maxBufferedBytes {
-		a.Rest = body
 		a.mayBeEndless = body.long() && !u.endsLong()
+		bufferRest()
 	}
 	return a, nil
 }
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -125,6 +125,8 @@
 	memory *bytebudget.Budget
 	// texts is the part of memory that the texts of samples take, and the records that wait for the journal.
 	texts *bytebudget.Share
+	// unread is what answers take of it whose callers read slowly.
+	unread *bytebudget.Share
 	// headers bounds the memory of the headers of requests.
 	headers *headers
 
@@ -168,6 +170,7 @@
 	g.texts = bytebudget.NewShare(bytebudget.ShareConfig{
 		Budget: g.memory, Reserve: g.bodyMemory() / textReserveShare, Most: g.bodyMemory() / textMostShare,
 	})
+	g.unread = bytebudget.NewShare(bytebudget.ShareConfig{Budget: g.memory, Most: g.bodyMemory() / unreadShare})
 	g.headers = &headers{
 		memory:  bytebudget.New(g.c.MemoryBytes / headerShare),
 		refused: g.metrics.refusals.WithLabelValues(string(outcome.ReasonMemory)).Inc,
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -36,6 +36,9 @@
 	plain      prometheus.Histogram
 	sample     prometheus.Histogram
 	accept     prometheus.Histogram
+
+	// slowCallers counts by result the answers whose callers read more slowly than the server sent.
+	slowCallers *prometheus.CounterVec
 }
 
 // journalMetrics tells of reads of steps and of what they cost.
@@ -103,6 +106,7 @@
 	m.continued = counter("continued_streams_total", "Streams that a server continued, by kind and by whether it runs the software that began them.", "kind", "software")
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
+	m.slowCallers = counter("slow_callers_total", "Answers whose callers read more slowly than the server sent, by what became of them.", "result")
 	m.logLatency = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "mulberrypier_log_latency_seconds", Help: "Time that the log takes for a small call of this host.",
 	})
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -245,7 +245,7 @@
 			return
 		}
 		w.tell(quarantine.KindAnswered)
-	case w.ctx.Err() != nil:
+	case w.ctx.Err() != nil, outcome.HasReason(err, outcome.ReasonSlowCaller):
 		w.g.ends.remember(w.c, w.u.s)
 		if trial {
 			w.tell(quarantine.KindUndecided)
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -77,6 +77,8 @@
 	ReasonServerLeft Reason = "server-left"
 	// ReasonNotEvents means that a server sent something else than the events that it was asked for.
 	ReasonNotEvents Reason = "not-events"
+	// ReasonSlowCaller means that an answer was aborted whose caller read it too slowly.
+	ReasonSlowCaller Reason = "slow-caller"
 )
 
 // Error is the error of a request that ended without an answer.
