--- a/pier/backend/dialect.go
+++ b/pier/backend/dialect.go
@@ -24,8 +24,8 @@
 	// Limit is present in every answer of a server that limits its requests, and carries the
 	// number of requests a second that it takes from all callers together.
 	Limit string
-	// Load carries the numbers of running requests, waiting requests and slots, separated
-	// by commas.
+	// Load carries the numbers of running requests, waiting requests and slots, and optionally
+	// the time that work takes now in percent of the normal time, separated by commas.
 	Load string
 	// WeightVersion carries the version of the weights that generated the answer.
 	WeightVersion string
@@ -34,6 +34,9 @@
 	EventVersion string
 	// LengthHint carries the caller's estimate of the number of tokens to generate.
 	LengthHint string
+	// TokenCounts carries, in a request, the number of tokens of its prompt and the maximum number of
+	// tokens to generate, separated by a comma.
+	TokenCounts string
 	// ResumeAfter carries the id of the last event that the caller received.
 	ResumeAfter string
 	// Resumes carries, in a caller's request that continues a stream, the id of the request
--- a/pier/gateway/fleet.go
+++ b/pier/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,11 +15,15 @@
 	"mulberrypier.example/pier/enginepace"
 	"mulberrypier.example/pier/loadplan"
 	"mulberrypier.example/pier/orderlease"
+	"mulberrypier.example/pier/promptload"
 )
 
 const (
 	// loadMaxAge is how long the load that a server states in an answer is used.
 	loadMaxAge = 400 * time.Millisecond
+	// slowdownMaxAge is how long the slowdown that a server states with its load is used. It
+	// changes many times a second.
+	slowdownMaxAge = 150 * time.Millisecond
 	// initialAvoidTime is how long a server is avoided after a failure. The time doubles
 	// with each further failure, up to maxAvoidTime.
 	initialAvoidTime = 300 * time.Millisecond
@@ -43,13 +48,17 @@
 
 // fleet is this host's view of the backend servers.
 type fleet struct {
-	g  *Gateway
-	mu sync.Mutex
+	g *Gateway
+	// random returns a random number from 0 to n-1; tests replace it.
+	random func(n int) int
+	mu     sync.Mutex
 	// mu guards the fields below. The slices in byService are replaced, never modified.
 	dir       *directory.Directory
 	byService map[string][]directory.Server
 	byID      map[string]directory.Server
 	states    map[string]*serverState
+	// prompts holds what is known of the prompts of each service.
+	prompts map[string]*promptload.Book
 	// registrations holds the encoded registrations in force, by server, and renewals when they
 	// were last written.
 	registrations map[string][]byte
@@ -105,7 +114,7 @@
 
 func newFleet(g *Gateway) *fleet {
 	return &fleet{
-		g: g, dir: directory.New(), byService: make(map[string][]directory.Server),
+		g: g, random: rand.IntN, prompts: make(map[string]*promptload.Book), dir: directory.New(), byService: make(map[string][]directory.Server),
 		states: make(map[string]*serverState), registrations: make(map[string][]byte), renewals: make(map[string]renewal), changed: make(chan struct{}),
 	}
 }
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -12,6 +12,7 @@
 	registry *prometheus.Registry
 	journalMetrics
 	wallClockMetrics
+	placementMetrics
 	refusals   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	samples    *prometheus.CounterVec
@@ -37,6 +38,9 @@
 	plain         prometheus.Histogram
 	sample        prometheus.Histogram
 	accept        prometheus.Histogram
+
+	// slowCallers counts by result the answers whose callers read more slowly than the server sent.
+	slowCallers *prometheus.CounterVec
 }
 
 // journalMetrics tells of reads of steps and of what they cost.
@@ -62,9 +66,22 @@
 	wallClockStep  prometheus.Gauge
 }
 
+// placementMetrics tells of the choice of servers.
+type placementMetrics struct {
+	// serverChoices counts by basis the servers that were chosen for plain requests.
+	serverChoices *prometheus.CounterVec
+	// chosenSlowdown is the slowdown of the chosen servers that state one, 1 if it is not known at the time.
+	chosenSlowdown prometheus.Histogram
+	// promptPlacements counts by kind and reason the prompts that may go to some engines only.
+	promptPlacements *prometheus.CounterVec
+	// promptTokens is the length of the prompts that were sent, promptUnread that of the unread ones of this
+	// host at their engines, promptHeld the time for which prompts were held back.
+	promptTokens, promptUnread, promptHeld prometheus.Histogram
+}
+
 func newMetrics() *metrics {
 	r := prometheus.NewRegistry()
-	m := &metrics{registry: r, journalMetrics: newJournalMetrics(r), wallClockMetrics: newWallClockMetrics(r)}
+	m := &metrics{registry: r, journalMetrics: newJournalMetrics(r), wallClockMetrics: newWallClockMetrics(r), placementMetrics: newPlacementMetrics(r)}
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return newCounter(r, name, help, labels...)
 	}
@@ -92,6 +109,7 @@
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
 	m.providerCalls = counter("provider_calls_total", "Calls to the infrastructure provider, by call and result.", "call", "result")
+	m.slowCallers = counter("slow_callers_total", "Answers whose callers read more slowly than the server sent, by what became of them.", "result")
 	m.logLatency = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "mulberrypier_log_latency_seconds", Help: "Time that the log takes for a small call of this host.",
 	})
@@ -134,6 +152,27 @@
 	return m
 }
 
+func newPlacementMetrics(r *prometheus.Registry) placementMetrics {
+	m := placementMetrics{
+		serverChoices: newCounter(r, "server_choices_total", "Servers chosen for plain requests, by what the choice was based on.", "basis"),
+		chosenSlowdown: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "mulberrypier_chosen_slowdown", Help: "Slowdown of the servers chosen for plain requests that state one.",
+			Buckets: []float64{0.5, 1, 1.25, 1.5, 2, 3, 5, 10},
+		}),
+	}
+	m.promptPlacements = newCounter(r, "prompt_placements_total", "Prompts that may go to some engines only as some read long ones, by what for and by reason.", "for", "reason")
+	tokens := prometheus.ExponentialBuckets(64, 4, 8)
+	m.promptTokens = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "mulberrypier_prompt_tokens", Help: "Tokens of the prompts sent to engines, as far as they are stated.", Buckets: tokens,
+	})
+	m.promptUnread = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "mulberrypier_unread_prompt_tokens", Help: "Unread prompt tokens of this host at the engine that gets a prompt.", Buckets: tokens,
+	})
+	m.promptHeld = prometheus.NewHistogram(histogramOpts("prompt_held_seconds", "Time for which long prompts were held back."))
+	r.MustRegister(m.chosenSlowdown, m.promptTokens, m.promptUnread, m.promptHeld)
+	return m
+}
+
 func newCounter(r *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "mulberrypier_" + name, Help: help}, labels)
 	r.MustRegister(c)
