--- a/pier/orderlease/orderlease.go
+++ b/pier/orderlease/orderlease.go
@@ -19,6 +19,7 @@
 	"mulberrypier.example/pier/bug"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/provider"
+	"mulberrypier.example/pier/usage"
 )
 
 // Topic is the name of the topic that holds the lease and the orders given under it.
@@ -71,6 +72,8 @@
 	Limits []Limit `msgpack:"x,omitempty"`
 	// Usage is a usage report that is sent to the provider next. All holders send the same for a window.
 	Usage *provider.UsageReport `msgpack:"u,omitempty"`
+	// Totals are the requests that the holder itself has counted: they must survive its loss.
+	Totals []usage.Total `msgpack:"c,omitempty"`
 	// Target is a number of servers that is ordered from the provider next.
 	Target *provider.Target `msgpack:"t,omitempty"`
 }
