Count the requests of organisations and report them by window

The provider bills organisations by what servers run for them, and no host sees all requests.

gateway/usagecount.go counts a request once, at the time it was sent, as soon as a response or an ambiguous failure shows that a server may have begun it; a plain request without an answer counts after 3 s, since its window is decided soon after. Streams count at their first event. gateway/usagereports.go sends totals to the holder of the order lease each 0.4 s, corrects the host's clock by the answers, and decides and reports windows while this host holds the lease. The holder's own totals are in its records, which are appended after 0.4 s while it counts. A host that shuts down sends its last totals. Each window's report is a subject of its own, so that one without an answer does not hold up the next.

--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -167,6 +167,7 @@
 		r.fire("idle")
 	}
 	g.endRequests()
+	g.flushUsage()
 	g.closeConnections()
 }
 
@@ -209,6 +210,14 @@
 	}
 }
 
+// flushUsage tells other hosts what this one has counted, in the time that the last answers have left.
+func (g *Gateway) flushUsage() {
+	left := min(time.Until(g.drain.window.Load().End), usageTimeout)
+	ctx, cancel := context.WithTimeout(g.ctx, max(left, answerReserve/4))
+	defer cancel()
+	g.usage.flush(ctx)
+}
+
 // closeConnections closes all connections.
 func (g *Gateway) closeConnections() {
 	ctx, cancel := context.WithTimeout(context.Background(), answerReserve/4)
--- a/pier/gateway/duties.go
+++ b/pier/gateway/duties.go
@@ -36,6 +36,8 @@
 	// minSendTime is the least time left for sending a call after its record; with less, the lease is
 	// renewed first.
 	minSendTime = 100 * time.Millisecond
+	// subjectLifetime is how long the failures of a subject are remembered after the wait for its next call.
+	subjectLifetime = 30 * time.Second
 	// maxDutyAnswers is the number of answers that wait for the loop of the lease's holder.
 	maxDutyAnswers = 64
 )
@@ -51,10 +53,12 @@
 	recorded bool
 }
 
-// dutySubject is what a call is about: the usage reports, or the servers of a kind for a service in a
-// failure domain. Calls of a subject are made one after the other.
+// dutySubject is what a call is about: the usage report of a window, or the servers of a kind for a service
+// in a failure domain. Calls of a subject are made one after the other. A report that gets no answer does
+// not hold up the next one, which is due as well.
 type dutySubject struct {
 	usage           bool
+	window          int64
 	service, domain string
 	reclaimable     bool
 }
@@ -103,7 +107,7 @@
 // subject returns what the call is about.
 func (c dutyCall) subject() dutySubject {
 	if c.Usage != nil {
-		return dutySubject{usage: true}
+		return dutySubject{usage: true, window: c.Usage.Window}
 	}
 	return dutySubject{service: c.Target.Service, domain: c.Target.Domain, reclaimable: c.Target.Reclaimable}
 }
@@ -128,6 +132,7 @@
 
 // round starts the calls that are due. The holder of the lease calls it.
 func (d *duties) round() {
+	d.dropSubjects(boottime.Now())
 	for _, plan := range d.planners {
 		for _, c := range plan(boottime.Now()) {
 			d.start(c)
@@ -135,6 +140,15 @@
 	}
 }
 
+// dropSubjects drops the failures of subjects that had no call for long.
+func (d *duties) dropSubjects(now time.Duration) {
+	for k, s := range d.subjects {
+		if !s.inFlight && now-s.retryAt > subjectLifetime {
+			delete(d.subjects, k)
+		}
+	}
+}
+
 // ready reports whether a call of a subject may be made: none is in flight, and the wait after the last
 // failure is over.
 func (d *duties) ready(s dutySubject, now time.Duration) bool {
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,10 @@
 	ID     string
 	Header http.Header
 	Body   []byte
+	// Organisation is the name of the organisation on behalf of which the request is made, empty if there is none.
+	Organisation string
+	// counted is shared by all attempts; it is nil if the request is in no usage report.
+	counted *atomic.Bool
 	// Caller is the credential that the caller presented, empty if there is none.
 	Caller string
 	// Deadline is the earlier of the caller's deadline and the route's timeout.
@@ -169,7 +174,9 @@
 // follow.
 func (g *Gateway) attempt(ctx context.Context, c Call, q backend.Request, u *reservation, more bool) (*Answer, error) {
 	idempotent := c.Route.Kind == routetable.KindIdempotent
+	n := g.usage.begin(&c, &q)
 	r, err := g.pool.Do(ctx, q)
+	n.ended(r, err)
 	if err != nil {
 		g.recordFailure(ctx, u, err)
 		u.release()
@@ -202,6 +209,7 @@
 		return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
 	a.close = func() { end(); g.memory.Give(a.taken) }
+	a.Rest = n.body(a.Rest, a.Status)
 	a.Server, a.unconfirmedSince = u.s, r.UnconfirmedSince()
 	return a, nil
 }
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -144,8 +144,10 @@
 	unreadable *unreadable
 	watch      *watch
 	orders     *orders
-	drain      *drainer
-	wallClock  *wallClock
+	// usage is nil in deployments without usage reports.
+	usage     *usageReports
+	drain     *drainer
+	wallClock *wallClock
 
 	servers []*http.Server
 	// listeners are those of servers.
@@ -200,6 +202,7 @@
 	g.preferred = newPreferred(g)
 	g.watch = newWatch(g)
 	g.orders = newOrders(g)
+	g.usage = newUsageReports(g)
 	g.drain = newDrainer(g)
 	g.wallClock = newWallClock(g)
 	bug.SetSink(func(i bug.Invariant, w string) {
@@ -239,6 +242,9 @@
 	for _, f := range []func(){g.tables.run, g.fleet.run, g.watch.run, g.orders.run, g.preferred.reclaim, g.peerLog.run, g.suspects.run, g.wallClock.run} {
 		g.wg.Go(f)
 	}
+	if g.usage != nil {
+		g.wg.Go(g.usage.run)
+	}
 	g.log.Info("host: started", zap.String("host", g.self.Host), zap.String("domain", g.s.Domain))
 	return nil
 }
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -33,10 +33,11 @@
 	origins    *prometheus.CounterVec
 	// providerCalls counts calls to the infrastructure provider by call and result.
 	providerCalls *prometheus.CounterVec
-	opened        prometheus.Counter
-	plain         prometheus.Histogram
-	sample        prometheus.Histogram
-	accept        prometheus.Histogram
+	usageMetrics
+	opened prometheus.Counter
+	plain  prometheus.Histogram
+	sample prometheus.Histogram
+	accept prometheus.Histogram
 }
 
 // journalMetrics tells of reads of steps and of what they cost.
@@ -92,6 +93,7 @@
 	m.anew = counter("samples_begun_anew_total", "Samples whose text was discarded as no server could continue it, by reason.", "reason")
 	m.origins = counter("stream_origins_total", "Records of what began callers' streams, by what became of them.", "event")
 	m.providerCalls = counter("provider_calls_total", "Calls to the infrastructure provider, by call and result.", "call", "result")
+	m.usageMetrics = newUsageMetrics(r)
 	m.logLatency = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "mulberrypier_log_latency_seconds", Help: "Time that the log takes for a small call of this host.",
 	})
@@ -134,6 +136,27 @@
 	return m
 }
 
+// usageMetrics tells of usage reports.
+type usageMetrics struct {
+	usageReports  *prometheus.CounterVec
+	usageRequests *prometheus.CounterVec
+	usageMessages *prometheus.CounterVec
+	usageOwed     prometheus.Gauge
+}
+
+func newUsageMetrics(r *prometheus.Registry) usageMetrics {
+	m := usageMetrics{
+		usageReports:  newCounter(r, "usage_reports_total", "Usage reports, by what became of them on this host.", "event"),
+		usageRequests: newCounter(r, "usage_requests_total", "Requests of organisations that servers began to run, by whether they were counted in time for a report.", "result"),
+		usageMessages: newCounter(r, "usage_messages_total", "Messages with which this host told the holder of the order lease what it counted, by result.", "result"),
+		usageOwed: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "mulberrypier_usage_reports_owed", Help: "Usage reports that this host, which holds the order lease, has to have accepted.",
+		}),
+	}
+	r.MustRegister(m.usageOwed)
+	return m
+}
+
 func newCounter(r *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "mulberrypier_" + name, Help: help}, labels)
 	r.MustRegister(c)
--- a/pier/gateway/orders.go
+++ b/pier/gateway/orders.go
@@ -143,6 +143,7 @@
 				zap.Int64("offset", p.From+int64(i)))
 		}
 		o.lease.Read(p.From+int64(i), r, now)
+		o.g.usage.observeTotals(r)
 		if r.Load != nil {
 			o.g.fleet.ordered(*r.Load, time.Now())
 		}
@@ -152,6 +153,7 @@
 		}
 	}
 	o.notices.setHolder(o.lease.HolderHost())
+	o.g.usage.setHolder(o.lease.Holder())
 	return nil
 }
 
@@ -173,6 +175,7 @@
 	r := orderlease.Record{
 		Holder: o.g.self.Host, HostID: o.g.hostID(), Append: o.appends, Load: d.Load, Limits: o.notices.next(sent),
 		Slack: orderSlack(o.g.peerLog.latency()), Usage: d.Usage, Target: d.Target,
+		Totals: o.g.usage.recordTotals(),
 	}
 	if o.lease.Holds(sent) {
 		r.Fence = o.lease.Fence()
@@ -191,8 +194,11 @@
 	o.sent, o.slack = sent, r.Slack
 	o.notices.setHolder(o.g.hostID())
 	o.notices.done(len(r.Limits))
+	o.g.usage.setHolder(o.g.self.Host)
+	o.g.usage.observeTotals(&r)
 	o.duties.observeRecord(&r, sent)
 	if !held {
+		o.g.usage.tookLease(sent)
 		o.g.log.Info("orders: lease taken", zap.Int64("fence", o.lease.Fence()))
 	}
 	return true
@@ -213,7 +219,7 @@
 	if o.notices.any() {
 		d = noticeRecordDelay
 	}
-	return now-o.sent > d
+	return now-o.sent > d || o.g.usage.recordDue(now-o.sent)
 }
 
 // hold does one round of the lease holder's work: it renews the lease if due, gives orders,
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,9 @@
 }
 
 func newPlainCall(c Call) *plainCall {
+	if c.Organisation != "" && !c.deferrable() {
+		c.counted = new(atomic.Bool)
+	}
 	return &plainCall{Call: c, order: c.Route.ServicesFor(xxhash.Sum64String(c.ID)), key: sync.OnceValue(func() quarantine.Key {
 		return quarantine.KeyOf(quarantine.Identity{
 			Host: c.Host, Method: c.Method, Target: c.Target, Caller: c.Caller, Body: c.Body,
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -74,6 +74,8 @@
 		return g.answerNotice(q)
 	case kindDemand:
 		return g.answerDemand(q)
+	case kindUsage:
+		return g.answerUsage(q)
 	}
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
--- a/pier/usage/collector.go
+++ b/pier/usage/collector.go
@@ -12,8 +12,10 @@
 const (
 	// settleTime is how long a new holder waits for the totals of the hosts.
 	settleTime = time.Second
-	// settleShare is the part of the time until a report is due after which a new holder waits no longer.
-	settleShare = 0.8
+	// settleShare is the part of the time until a report is due after which a new holder waits only for
+	// minSettleTime: by then most totals have arrived, and without them its counts would be wrong for good.
+	settleShare   = 0.8
+	minSettleTime = 600 * time.Millisecond
 	// maxTotals bounds the totals that a holder keeps, one for each host, window and organisation: at 26,000
 	// requests a second, three windows in which each request has a total of its own.
 	maxTotals = 400_000
@@ -128,7 +130,10 @@
 // isDue reports whether the counts of a window are decided now unless they have been.
 func (c *Collector) isDue(k int64, now time.Time, held time.Duration) bool {
 	since := now.Sub(c.c.Windows.End(k))
-	if held < settleTime {
+	switch {
+	case held < minSettleTime:
+		return false
+	case held < settleTime:
 		return since >= time.Duration(settleShare*float64(c.c.Due))
 	}
 	return since >= c.c.Due/2
