Keep calls below the provider's limit, and test losses of hosts

At 0.9 of the limit and a quarter of a second saved up, the bucket could grant 1.13 times the limit in one second. A new holder that knew true time could replace it by the median of the first clocks that it heard, of which more than half may be wrong. The names of two metrics contained a name of the platform's wire.

The bucket uses 0.75 of the limit, and a holder keeps its time for 2 s. Calls that the deployment does not have are not started.

--- a/pier/gateway/duties.go
+++ b/pier/gateway/duties.go
@@ -30,9 +30,9 @@
 	// answered or refused. The time doubles with each further failure, up to maxDutyBackoff.
 	initialDutyBackoff = 500 * time.Millisecond
 	maxDutyBackoff     = 8 * time.Second
-	// providerShare is the part of the provider's limit that is used: calls that are sent at
-	// equal intervals may arrive closer together.
-	providerShare = 0.9
+	// providerShare is the part of the provider's limit that is used. The bucket saves up calls for a
+	// quarter of a second, so it grants at most 1.25 times that in a second.
+	providerShare = 0.75
 	// minSendTime is the least time left for sending a call after its record; with less, the lease is
 	// renewed first.
 	minSendTime = 100 * time.Millisecond
@@ -160,7 +160,7 @@
 // answer. It reports whether the call was started; otherwise it may be started later.
 func (d *duties) start(c dutyCall) bool {
 	now := boottime.Now()
-	if !d.ready(c.subject(), now) {
+	if !d.o.g.hasDuty(c) || !d.ready(c.subject(), now) {
 		return false
 	}
 	if !d.bucket.Ask(d.ask(), providerShare, now).Granted {
@@ -200,6 +200,14 @@
 	return boottime.Now()+minSendTime < d.o.term().until || d.o.append(nil)
 }
 
+// hasDuty reports whether the deployment has a call.
+func (g *Gateway) hasDuty(c dutyCall) bool {
+	if c.Usage != nil {
+		return g.c.Provider.ReportUsage != nil
+	}
+	return g.c.Provider.SetTarget != nil
+}
+
 // callProvider makes a call under the right of a term.
 func (g *Gateway) callProvider(c dutyCall, t term) error {
 	check := func() error {
--- a/pier/gateway/metrics.go
+++ b/pier/gateway/metrics.go
@@ -146,11 +146,11 @@
 
 func newUsageMetrics(r *prometheus.Registry) usageMetrics {
 	m := usageMetrics{
-		usageReports:  newCounter(r, "usage_reports_total", "Usage reports, by what became of them on this host.", "event"),
+		usageReports:  newCounter(r, "usage_windows_total", "Windows of usage, by what became of their reports on this host.", "event"),
 		usageRequests: newCounter(r, "usage_requests_total", "Requests of organisations that servers began to run, by whether they were counted in time for a report.", "result"),
 		usageMessages: newCounter(r, "usage_messages_total", "Messages with which this host told the holder of the order lease what it counted, by result.", "result"),
 		usageOwed: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "mulberrypier_usage_reports_owed", Help: "Usage reports that this host, which holds the order lease, has to have accepted.",
+			Name: "mulberrypier_usage_windows_owed", Help: "Usage reports that this host, which holds the order lease, has to have accepted.",
 		}),
 	}
 	r.MustRegister(m.usageOwed)
--- a/pier/gateway/usagereports.go
+++ b/pier/gateway/usagereports.go
@@ -38,6 +38,9 @@
 	maxTotalsRecorded = 500
 	// consensusInterval is the time between two corrections of the holder's clock.
 	consensusInterval = 500 * time.Millisecond
+	// consensusSettle is how long a new holder that knows true time waits for the clocks of all hosts: of
+	// the first ones, more than half may be wrong.
+	consensusSettle = 2 * time.Second
 	// consensusWait is how long a new holder that has never learnt true time waits for the clocks of
 	// most hosts.
 	consensusWait = 3 * time.Second
@@ -241,7 +244,7 @@
 // agree sets the holder's clock to the time that most hosts agree on, if their clocks are known. A holder
 // that has no time yet waits for them for some time. The caller holds mu.
 func (u *usageReports) agree(now time.Duration) {
-	if u.clock.IsLearnt() && now-u.consensusAt < consensusInterval {
+	if u.clock.IsLearnt() && (now-u.consensusAt < consensusInterval || now-u.tookAt < consensusSettle) {
 		return
 	}
 	u.consensus.Add(u.g.self.Host, u.wall(), now)
--- a/pier/gateway/usagereports_test.go
+++ b/pier/gateway/usagereports_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -330,6 +332,50 @@
 	}
 }
 
+// A host dies. What it counted before its last message must be reported.
+func TestDeadHostsRequestsAreReported(t *testing.T) {
+	log, p := newLog().Functions(), &fakeProvider{}
+	a, b := newUsageHost(t, "a", p, log), newUsageHost(t, "b", p, log)
+	runUsage(t, a, b)
+	require.Eventually(t, func() bool { return len(p.received()) > 0 }, 10*time.Second, 20*time.Millisecond)
+	countRequests(b, "o", 4)
+	time.Sleep(500*time.Millisecond + usageTimeout)
+	countRequests(b, "o", 100)
+	b.Close()
+	require.Eventually(t, func() bool { return totalReported(t, p, "o") > 0 }, 10*time.Second, 50*time.Millisecond)
+	n := totalReported(t, p, "o")
+	require.True(t, n == 4 || n == 104, "%d requests reported", n)
+}
+
+// All hosts lose power at once: what was counted and not decided is lost. No window may be decided again or left out, and
+// the reports in the log must be repeated as they are.
+func TestLossOfAllHosts(t *testing.T) {
+	log, p := newLog().Functions(), &fakeProvider{}
+	a, b := newUsageHost(t, "a", p, log), newUsageHost(t, "b", p, log)
+	runUsage(t, a, b)
+	countRequests(a, "o", 2)
+	countRequests(b, "o", 3)
+	require.Eventually(t, func() bool { return totalReported(t, p, "o") == 5 }, 10*time.Second, 20*time.Millisecond)
+	countRequests(b, "lost", 7)
+	a.Close()
+	b.Close()
+	before := len(p.received())
+	c, d := newUsageHost(t, "c", p, log), newUsageHost(t, "d", p, log)
+	for i, g := range []*Gateway{c, d} {
+		g.watch.rank.Store(int64(i))
+		g.limits.hosts.Store(2)
+		g.wg.Go(g.orders.run)
+		g.wg.Go(g.usage.run)
+	}
+	require.Eventually(t, func() bool { return len(p.received()) > 2*before+5 }, 15*time.Second, 20*time.Millisecond)
+	r := reported(t, p)
+	require.EqualValues(t, 5, totalReported(t, p, "o"))
+	require.LessOrEqual(t, totalReported(t, p, "lost"), int64(7))
+	windows := slices.Sorted(maps.Keys(r))
+	require.EqualValues(t, len(windows)-1, windows[len(windows)-1]-windows[0], "a window is missing")
+	requireOrder(t, p)
+}
+
 // A deployment without a provider makes no reports, whatever its requests say.
 func TestNoReportsWithoutAProvider(t *testing.T) {
 	log := newLog().Functions()
