--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,10 +45,12 @@
 	ID     string
 	Header http.Header
 	Body   []byte
+	// Organisation is the name of the organisation on behalf of which the request is made, empty if there is none.
+	Organisation string
+	// counted is shared by all attempts; it is nil if the request is in no usage report.
+	counted *atomic.Bool
 	// Caller is the credential that the caller presented, empty if there is none.
 	Caller string
-	// Organisation is the one whose key the caller presented, "" if there is none.
-	Organisation string
 	// Allowed, if not nil, returns a refusal once the caller's key is not valid any more. It is called right before
 	// the request is sent to a server.
 	Allowed func() error
@@ -179,7 +182,9 @@
 // follow.
 func (g *Gateway) attempt(ctx context.Context, c Call, q backend.Request, u *reservation, more bool) (*Answer, error) {
 	idempotent := c.Route.Kind == routetable.KindIdempotent
+	n := g.usage.begin(&c, &q)
 	r, err := g.pool.Do(ctx, q)
+	n.ended(r, err)
 	if err != nil {
 		g.recordFailure(ctx, u, err)
 		u.release()
@@ -218,6 +223,7 @@
 		end()
 		g.memory.Give(a.taken)
 	}
+	a.Rest = n.body(a.Rest, a.Status)
 	a.Server, a.unconfirmedSince = u.s, r.UnconfirmedSince()
 	return a, nil
 }
--- a/pier/gateway/openreports.go
+++ b/pier/gateway/openreports.go
@@ -35,7 +35,7 @@
 
 // kindOpenSamples is the kind of a message that tells the holder of the order lease what a host runs. Its body is
 // an openReport.
-const kindOpenSamples = kindDemand + 1
+const kindOpenSamples = kindUsage + 1
 
 // openReport is what one host runs.
 type openReport struct {
--- a/pier/gateway/watch.go
+++ b/pier/gateway/watch.go
@@ -76,6 +76,8 @@
 		return g.answerDemand(q)
 	case kindOpenSamples:
 		return g.scaling.reports.answer(q)
+	case kindUsage:
+		return g.answerUsage(q)
 	}
 	return nil, outcome.Refuse(outcome.ReasonBadRequest, "message kind")
 }
