Draw two servers only with recent figures of two

Change: two servers are drawn only if at least two good ones stated their load within its lifetime of 400 ms; else the one of lowest cost is taken, as before. TestChoice expects lowest cost where one good server is left, which picks the same server.

--- a/pier/gateway/placement.go
+++ b/pier/gateway/placement.go
@@ -261,7 +261,7 @@
 	_, wait := f.g.limits.wait(*s)
 	return serverchoice.Server{
 		Slots: s.Slots, Running: t.estimatedRunning(now),
-		StatesSlowdown: t.load.SlowdownPercent > 0, Slowdown: t.slowdown(now),
+		StatesSlowdown: t.load.SlowdownPercent > 0, Recent: now.Sub(t.loadAt) < loadMaxAge, Slowdown: t.slowdown(now),
 		Avoided: now.Before(t.avoidUntil) || f.g.suspects.inTrial(s), LimitWait: wait,
 		OtherDomain: s.Domain != f.g.s.Domain,
 	}
--- a/pier/serverchoice/load_test.go
+++ b/pier/serverchoice/load_test.go
@@ -80,6 +80,7 @@
 		l[i] = Server{Slots: simSlots, Running: v.running, Slowdown: 1, StatesSlowdown: s.states, OtherDomain: i%simDomains != r.host%simDomains}
 		if v.statedMS > 0 && now-v.statedMS < simLoadMaxAgeMS {
 			l[i].Running += max(v.stated-v.ownRunning, 0)
+			l[i].Recent = true
 		}
 		if v.statedMS > 0 && now-v.statedMS < simSlowdownMaxAgeMS {
 			l[i].Slowdown = v.slowdown
--- a/pier/serverchoice/serverchoice.go
+++ b/pier/serverchoice/serverchoice.go
@@ -2,8 +2,9 @@
 // finish there. It performs no I/O.
 //
 // Servers that state how long work takes on their machines now get the better of two random choices:
-// hosts that see the same figures would otherwise all pick the same server. Among servers that do not
-// state it the one of lowest cost is chosen.
+// hosts that see the same figures would otherwise all pick the same server. Without recent figures of at least
+// two servers there is nothing to compare, and random choices would only open more connections. Then, and among
+// servers that do not state how long work takes, the one of lowest cost is chosen.
 package serverchoice
 
 import "time"
@@ -18,6 +19,8 @@
 	// which it takes longer than normally, 1 if that is not known now.
 	StatesSlowdown bool
 	Slowdown       float64
+	// Recent is set if Running rests on a load that the server stated recently.
+	Recent bool
 	// Avoided is set if the server should get a request only if no other one can take it.
 	Avoided bool
 	// LimitWait is the time for which the server's limit leaves no room.
@@ -74,10 +77,8 @@
 
 // The bases of a choice.
 const (
-	// LowestCost is the choice among servers that do not state a slowdown, or of which none is good.
+	// LowestCost is the choice among servers of which fewer than two good ones stated a slowdown recently.
 	LowestCost Basis = "lowest-cost"
-	// OnlyOne is the choice of the only good server.
-	OnlyOne Basis = "only-one"
 	// SoonerOfTwo is the choice of the random server that is expected to finish sooner than another one,
 	// EitherOfTwo that of two which are expected to finish at the same time.
 	SoonerOfTwo Basis = "sooner-of-two"
@@ -100,14 +101,16 @@
 	if len(l) == 0 {
 		return Choice{}, false
 	}
-	good, states := 0, false
+	good, stated := 0, 0
 	for i := range l {
 		if l[i].isGood() {
 			good++
-			states = states || l[i].StatesSlowdown
+			if l[i].StatesSlowdown && l[i].Recent {
+				stated++
+			}
 		}
 	}
-	if !states {
+	if stated < 2 {
 		return lowestCost(l), true
 	}
 	return soonerOfTwo(l, good, random), true
@@ -140,11 +143,8 @@
 }
 
 // soonerOfTwo returns the server that is expected to finish sooner of two different random ones among the
-// n good ones.
+// n good ones, of which there are at least two.
 func soonerOfTwo(l []Server, n int, random func(n int) int) Choice {
-	if n == 1 {
-		return Choice{Index: goodServer(l, 0), Basis: OnlyOne, Ready: true}
-	}
 	i, j := random(n), random(n-1)
 	if j >= i {
 		j++
--- a/pier/serverchoice/serverchoice_test.go
+++ b/pier/serverchoice/serverchoice_test.go
@@ -24,8 +24,10 @@
 // Guards against a choice that forgets something that speaks against a server.
 func TestChoice(t *testing.T) {
 	states := func(running int, slowdown float64) Server {
-		return Server{Slots: 6, Running: running, Slowdown: slowdown, StatesSlowdown: true}
+		return Server{Slots: 6, Running: running, Slowdown: slowdown, StatesSlowdown: true, Recent: true}
 	}
+	old := states(1, 2)
+	old.Recent = false
 	avoided := states(0, 1)
 	avoided.Avoided = true
 	limited := states(0, 1)
@@ -39,22 +41,23 @@
 		basis  Basis
 		ready  bool
 	}{
-		"three figures, lowest cost":      {[]Server{{Slots: 6, Running: 2}, {Slots: 6, Running: 1}}, nil, 1, LowestCost, true},
-		"three figures, first of equal":   {[]Server{{Slots: 6}, {Slots: 6}}, nil, 0, LowestCost, true},
-		"three figures, other domain":     {[]Server{{Slots: 6, OtherDomain: true}, {Slots: 6}}, nil, 1, LowestCost, true},
-		"less load of two":                {[]Server{states(3, 1), states(2, 1), states(0, 1)}, []int{0, 0}, 1, SoonerOfTwo, true},
-		"second is the one before":        {[]Server{states(1, 1), states(2, 1), states(0, 1)}, []int{1, 0}, 0, SoonerOfTwo, true},
-		"slow machine":                    {[]Server{states(0, 2.5), states(6, 1)}, []int{0, 0}, 1, SoonerOfTwo, true},
-		"slow machine, full other":        {[]Server{states(0, 2.5), states(18, 1)}, []int{0, 0}, 0, SoonerOfTwo, true},
-		"equal":                           {[]Server{states(1, 1), states(1, 1)}, []int{1, 0}, 1, EitherOfTwo, true},
-		"own domain":                      {[]Server{remote, states(0, 1)}, []int{0, 0}, 1, SoonerOfTwo, true},
-		"other domain, but less load":     {[]Server{remote, states(2, 1)}, []int{0, 0}, 0, SoonerOfTwo, true},
-		"avoided and limited not drawn":   {[]Server{avoided, limited, states(9, 9)}, []int{}, 2, OnlyOne, true},
-		"all avoided":                     {[]Server{avoided, avoided}, nil, 0, LowestCost, false},
-		"limited before avoided":          {[]Server{avoided, limited}, nil, 1, LowestCost, true},
-		"long limited behind avoided":     {[]Server{avoided, {Slots: 6, LimitWait: time.Second}}, nil, 0, LowestCost, false},
-		"no slots stated":                 {[]Server{{Running: 1}, {Running: 2}}, nil, 0, LowestCost, true},
-		"one of the good states slowdown": {[]Server{{Slots: 6, Slowdown: 1}, states(0, 2)}, []int{1, 0}, 0, SoonerOfTwo, true},
+		"three figures, lowest cost":    {[]Server{{Slots: 6, Running: 2}, {Slots: 6, Running: 1}}, nil, 1, LowestCost, true},
+		"three figures, first of equal": {[]Server{{Slots: 6}, {Slots: 6}}, nil, 0, LowestCost, true},
+		"three figures, other domain":   {[]Server{{Slots: 6, OtherDomain: true}, {Slots: 6}}, nil, 1, LowestCost, true},
+		"less load of two":              {[]Server{states(3, 1), states(2, 1), states(0, 1)}, []int{0, 0}, 1, SoonerOfTwo, true},
+		"second is the one before":      {[]Server{states(1, 1), states(2, 1), states(0, 1)}, []int{1, 0}, 0, SoonerOfTwo, true},
+		"slow machine":                  {[]Server{states(0, 2.5), states(6, 1)}, []int{0, 0}, 1, SoonerOfTwo, true},
+		"slow machine, full other":      {[]Server{states(0, 2.5), states(18, 1)}, []int{0, 0}, 0, SoonerOfTwo, true},
+		"equal":                         {[]Server{states(1, 1), states(1, 1)}, []int{1, 0}, 1, EitherOfTwo, true},
+		"own domain":                    {[]Server{remote, states(0, 1)}, []int{0, 0}, 1, SoonerOfTwo, true},
+		"other domain, but less load":   {[]Server{remote, states(2, 1)}, []int{0, 0}, 0, SoonerOfTwo, true},
+		"avoided and limited not drawn": {[]Server{avoided, limited, states(9, 9)}, nil, 2, LowestCost, true},
+		"all avoided":                   {[]Server{avoided, avoided}, nil, 0, LowestCost, false},
+		"limited before avoided":        {[]Server{avoided, limited}, nil, 1, LowestCost, true},
+		"long limited behind avoided":   {[]Server{avoided, {Slots: 6, LimitWait: time.Second}}, nil, 0, LowestCost, false},
+		"no slots stated":               {[]Server{{Running: 1}, {Running: 2}}, nil, 0, LowestCost, true},
+		"one recent figure only":        {[]Server{{Slots: 6, Slowdown: 1}, states(0, 2)}, nil, 0, LowestCost, true},
+		"figures too old":               {[]Server{old, old}, nil, 0, LowestCost, true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
