--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// closeBuffer ends the reading of the answer on behalf of a slow caller, if there is one.
+func (a *Answer) closeBuffer() {
+	if a.buffer != nil {
+		a.buffer.close()
+	}
+}
+
 // readRest reads the answer to its end. Its error shows that the answer broke off.
 func (a *Answer) readRest() error {
 	if a.Rest == nil {
@@ -217,9 +224,7 @@
 		return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err)
 	}
 	a.close = func() {
-		if a.buffer != nil {
-			a.buffer.close()
-		}
+		a.closeBuffer()
 		end()
 		g.memory.Give(a.taken)
 	}
