Leave the ordering of servers to a setting, and mend what the review of the diff found

Samples wait for engines with a version of the weights, not for slots, and reclaimable servers replaced ordinary ones.

Change: policy.order-servers turns the orders on; it is off in the platform's template.

--- a/pier/capacityplan/decide.go
+++ b/pier/capacityplan/decide.go
@@ -49,7 +49,9 @@
 }
 
 // occupied returns the number of servers of a group whose slots suffice for what runs there.
-func (p *Planner) occupied(g *group) int { return ceilDiv(g.servers.Running, p.in.Slots) }
+func (p *Planner) occupied(g *group) int {
+	return min(ceilDiv(g.servers.Running, p.in.Slots), g.servers.Ready)
+}
 
 // bounds returns orders for failure domains with fewer or more servers than the configuration allows.
 func (p *Planner) bounds() []Decision {
--- a/pier/gateway/answerbuffer.go
+++ b/pier/gateway/answerbuffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -215,7 +216,7 @@
 			b.share.Give(unreadChunkBytes)
 		}
 	}
-	b.chunks = append(b.chunks[:0], b.chunks[n:]...)
+	b.chunks = slices.Delete(b.chunks, 0, n)
 	b.off = 0
 }
 
--- a/pier/gateway/departures.go
+++ b/pier/gateway/departures.go
@@ -28,6 +28,9 @@
 			continue
 		}
 		d.departing = true
+		if s.leaves == s.server {
+			continue
+		}
 		r := stepplan.LeavingRun{
 			Left: at.Sub(now), Tokens: int(s.events.Load()), Expected: s.item.ExpectedTokens, Longest: longest,
 			TokenTime: d.g.fleet.pace(s.server),
@@ -38,6 +41,7 @@
 		d.g.metrics.retries.WithLabelValues(reasonTakenAway).Inc()
 		d.g.log.Info("sample: leaves a server that is taken away", zap.String("id", s.item.ID), zap.String("server", s.server),
 			zap.Duration("left", r.Left), zap.Int("tokens", r.Tokens), zap.Int("expected", r.Expected))
+		s.leaves = s.server
 		s.cancel()
 	}
 }
--- a/pier/gateway/fixture_test.go
+++ b/pier/gateway/fixture_test.go
@@ -66,7 +66,7 @@
 			Retention: settings.Duration(time.Hour), MemberTTL: settings.Duration(time.Second),
 		},
 		Timing: Timing{Grace: settings.Duration(8 * time.Second), OrderLease: settings.Duration(3 * time.Second)},
-		Policy: Policy{LoadsAtOnce: 0.2, LoadShare: 1},
+		Policy: Policy{LoadsAtOnce: 0.2, LoadShare: 1, OrderServers: true},
 	}
 }
 
--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -205,6 +205,9 @@
 	g.stepReads = newStepReads(g)
 	g.preferred = newPreferred(g)
 	g.watch = newWatch(g)
+	if !s.Policy.OrderServers {
+		g.c.Provider.SetTarget = nil
+	}
 	g.orders = newOrders(g)
 	g.scaling = newScaling(g)
 	g.usage = newUsageReports(g)
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -63,6 +63,9 @@
 	placedAt time.Time
 	runs     int
 	moves    int
+	// leaves is the ID of the server whose run was ended as that server is taken away, until the sample runs
+	// elsewhere.
+	leaves string
 	// finishing is set once the generation is complete, after which a move would gain
 	// nothing.
 	finishing atomic.Bool
--- a/pier/gateway/settings.go
+++ b/pier/gateway/settings.go
@@ -79,6 +79,9 @@
 	// LoadShare is the number of engines that load each version, as a multiple of an even
 	// share of the engines among the models.
 	LoadShare float64 `toml:"load-share"`
+	// OrderServers has the hosts order servers for services whose configuration allows it. Without it the number of
+	// servers is left to the provider. Default: false.
+	OrderServers bool `toml:"order-servers"`
 }
 
 // Provider describes the API of the infrastructure provider and what the hosts have to do there.
--- a/pier/gateway/usagereports.go
+++ b/pier/gateway/usagereports.go
@@ -390,6 +390,8 @@
 	}
 	if err := u.collector.Add(r.Holder, r.Totals, at); err != nil {
 		u.g.metrics.usageMessages.WithLabelValues(string(outcome.AsError(err).Reason)).Inc()
+		u.g.log.Info("usage: totals of a record were not taken", zap.String("holder", r.Holder), zap.Error(err))
+		return
 	}
 	if r.Holder == u.g.self.Host {
 		u.counter.Acknowledged(r.Holder, r.Totals)
