Say in plain terms what the new parts do

From a review by readers who had not seen the code: comments that told a story or left a subject out, names that said another thing than the field's (before, Around, Behind, ownedFormat, settling). No behaviour changes.

--- a/pier/capacityplan/allocate.go
+++ b/pier/capacityplan/allocate.go
@@ -10,8 +10,8 @@
 	p *Planner
 	// domains are the failure domains, the cheapest first.
 	domains []string
-	// count is the number of servers of each group, held that of each failure domain that counts towards its
-	// maximum, if that is more.
+	// count is the number of servers of each group; held is, by failure domain, the number that counts towards the
+	// maximum, where an unanswered decrease counts at its old value.
 	count map[Group]int
 	held  map[string]int
 	// half is the most servers of a failure domain, kindHalf that of a kind in it, so that no domain holds more
--- a/pier/capacityplan/capacityplan.go
+++ b/pier/capacityplan/capacityplan.go
@@ -39,7 +39,7 @@
 	// stepWindow is the time in which the largest step counts. Trainers submit one every few seconds.
 	stepWindow = 15 * time.Second
 	// burstSteps is the number of further steps for which there is room: a step that is 2.5 times as large as
-	// the others needs room for 1.5 more. With room for half a step the samples of the first bursts waited.
+	// the others needs room for 1.5 more. With less the samples of a burst wait.
 	burstSteps = 1.5
 )
 
@@ -125,7 +125,7 @@
 
 // Summary is what the decisions of a plan follow from.
 type Summary struct {
-	// Open is the number of samples that run or wait, Peak the highest number of late, and Headroom the
+	// Open is the number of samples that run or wait, Peak the highest number in demandWindow, and Headroom the
 	// number of further ones for which there is room.
 	Open, Peak, Headroom int
 	// Needed is the number of servers needed, Steady the number of those that are to be ordinary ones, Expected
--- a/pier/capacityplan/decide.go
+++ b/pier/capacityplan/decide.go
@@ -152,7 +152,7 @@
 // settled reports whether the demand has been observed for as long as a target is held.
 func (p *Planner) settled() bool { return p.in.Now-p.observedSince >= observationTime+holdTime }
 
-// compare notes whether other groups should have servers than do.
+// compare records since when the targets differ from the planned distribution by a number worth a change.
 func (p *Planner) compare() {
 	switch {
 	case p.distance() < p.worthwhile():
--- a/pier/capacityplan/group.go
+++ b/pier/capacityplan/group.go
@@ -13,8 +13,8 @@
 	// with each further failure, up to maxRefusalTime.
 	initialRefusalTime = time.Second
 	maxRefusalTime     = 8 * time.Second
-	// repeatTime is the age up to which a decision of another host may not have been sent: that host repeats an
-	// unanswered order after maxRefusalTime at most, and a successor waits for some seconds for the lease.
+	// repeatTime is the age up to which a decision of another host may not have been sent: it
+	// covers the longest backoff and the takeover of the lease.
 	repeatTime = 20 * time.Second
 	// answerTime is how long an order is expected to be answered and carried out.
 	answerTime = time.Second
@@ -35,13 +35,13 @@
 	Unanswered
 )
 
-// group is the state of a group.
+// group holds the observed servers of a Group and the orders for it.
 type group struct {
 	// servers are those at the last plan.
 	servers Servers
-	// target is the target that was ordered last, or that a record states; before is the one in force before
-	// it, which stays in force if the order is refused.
-	target, before int
+	// target is the target that was ordered last, or that a record states; fallback is the one that stays in
+	// force if the order is refused.
+	target, fallback int
 	// refused is the last target that was refused, 0 if it is not wanted any more.
 	refused int
 	// inFlight is set from an order to its answer, uncertain if the order may be carried out late.
@@ -51,8 +51,8 @@
 	// recorded is set if a record states the target; recordedAt is when it was read or appended.
 	recorded   bool
 	recordedAt time.Duration
-	// dueAt is the time by which the servers of the target should have registered. It is 0 if servers are missing
-	// that are not expected. surplusSince is since when more are registered than the target, 0 if they are not.
+	// dueAt is the time by which the servers of the target should have registered, 0 if no registration is
+	// awaited. surplusSince is since when more are registered than the target, 0 if they are not.
 	dueAt, surplusSince time.Duration
 	// failures is the number of failures in a row, blockedUntil the time up to which the group is not ordered.
 	failures     int
@@ -70,25 +70,25 @@
 func (g *group) startTerm(now time.Duration) {
 	recent := g.recorded && now-g.recordedAt < repeatTime
 	*g = group{
-		target: g.target, before: g.target, recorded: g.recorded, recordedAt: g.recordedAt, uncertain: recent, servers: g.servers,
+		target: g.target, fallback: g.target, recorded: g.recorded, recordedAt: g.recordedAt, uncertain: recent, servers: g.servers,
 	}
 }
 
 // record processes a record of the group's target.
 func (g *group) record(servers int, now time.Duration) {
 	if !g.inFlight || g.target != servers {
-		g.before, g.target, g.inFlight, g.uncertain = g.target, servers, false, false
+		g.fallback, g.target, g.inFlight, g.uncertain = g.target, servers, false, false
 	}
 	g.recorded, g.recordedAt = true, now
 }
 
-// order has a target ordered, unless an order is in flight.
+// order marks a target as in flight. It returns false if an order is in flight already.
 func (g *group) order(servers int, now time.Duration) bool {
 	if g.inFlight {
 		return false
 	}
 	if !g.uncertain {
-		g.before = g.target
+		g.fallback = g.target
 	}
 	if servers > g.target {
 		g.ideals.add(now, servers)
@@ -105,13 +105,13 @@
 	g.inFlight = false
 	switch r {
 	case Accepted:
-		g.uncertain, g.before, g.surplusSince = false, g.target, 0
+		g.uncertain, g.fallback, g.surplusSince = false, g.target, 0
 		g.blockedUntil, g.refused = 0, 0
 		if g.servers.Ready < g.target {
 			g.dueAt = now + startup + startupSlack
 		}
 	case Refused:
-		g.uncertain, g.target, g.refused = false, g.before, servers
+		g.uncertain, g.target, g.refused = false, g.fallback, servers
 		g.block(now)
 	case Unanswered:
 		g.uncertain = true
@@ -131,7 +131,7 @@
 	before := g.servers
 	g.servers = s
 	if !g.recorded && !g.inFlight && !g.uncertain && s.Ready > g.target {
-		g.target, g.before = s.Ready, s.Ready
+		g.target, g.fallback = s.Ready, s.Ready
 	}
 	lost := s.Ready < before.Ready
 	switch {
@@ -172,7 +172,7 @@
 }
 
 // held returns the number of servers that the group may have.
-func (g *group) held() int { return max(g.target, g.before) }
+func (g *group) held() int { return max(g.target, g.fallback) }
 
 // missing returns the number of servers that were ordered and are not registered.
 func (g *group) missing() int { return max(g.target-g.servers.Ready, 0) }
--- a/pier/enginepace/enginepace.go
+++ b/pier/enginepace/enginepace.go
@@ -1,9 +1,9 @@
 // Package enginepace estimates how fast an engine generates, from the times between events that a host
 // measures.
 //
-// It is designed for this load: engines of one service differ in speed for good, and each runs on a machine
-// that others share, which slows it down by some times for a fraction of a second now and then. Such a pause
-// says nothing of how long a generation takes there, but an engine that stays slow has to be left within
+// It is designed for this load: engines of one service differ permanently in speed, and each runs on a machine
+// that others share and that slows it down by a factor of several for a fraction of a second at times. Such a
+// pause does not predict how long a generation takes there, but an engine that stays slow has to be left within
 // about a second.
 package enginepace
 
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// settling is the time constant of the average: a change of pace that lasts as long counts for 63%.
-const settling = 3 * time.Second
+// timeConstant is the time constant of the average: a change of pace that lasts as long counts for 63%.
+const timeConstant = 3 * time.Second
 
 // Estimate is the average time between two events of a generation at one engine. It is not safe for
 // concurrent use.
@@ -29,7 +29,7 @@
 		e.mean, e.at = d, now
 		return
 	}
-	w := 1 - math.Exp(-float64(max(now.Sub(e.at), 0))/float64(settling))
+	w := 1 - math.Exp(-float64(max(now.Sub(e.at), 0))/float64(timeConstant))
 	e.mean += time.Duration(w * float64(d-e.mean))
 	e.at = now
 }
--- a/pier/gateway/access.go
+++ b/pier/gateway/access.go
@@ -71,14 +71,15 @@
 	current bool
 }
 
-// Access returns what decides on a request that has just come.
+// Access returns the access rules in force.
 func (g *Gateway) Access() Access {
-	// In this order, as a configuration that was read in between makes an older one current otherwise.
+	// Whether the table is current is read before the table: the other way round, a configuration that is read in
+	// between would make the older table count as current.
 	current := g.tables.upToDate(boottime.Now())
 	return Access{g: g, Table: g.Table(), current: current}
 }
 
-// AccessRequest is what is to be known of a request to decide whether it may be served.
+// AccessRequest holds the properties of a request that its authentication needs.
 type AccessRequest struct {
 	// ID names the request, or the step that it is about, in log lines.
 	ID string
@@ -114,12 +115,12 @@
 	return a.Table.Version
 }
 
-// Grant is the permission of a request.
+// Grant is a successful authentication. Check repeats it with the configuration in force.
 type Grant struct {
 	Principal
 
 	g *Gateway
-	// table is the configuration that gave the permission.
+	// table is the configuration by which the request was authenticated.
 	table  *routetable.Table
 	public bool
 	key    string
--- a/pier/gateway/answerbuffer.go
+++ b/pier/gateway/answerbuffer.go
@@ -54,9 +54,9 @@
 	off int
 	// err is the error that ended the answer, io.EOF if it is complete. The caller gets it after the data.
 	err error
-	// left is set once the caller reads no more.
+	// left is set once the caller has closed the answer.
 	left bool
-	// slow is what is known of the caller's speed.
+	// slow is the result that ended reports, "" while the caller keeps up.
 	slow string
 }
 
--- a/pier/gateway/duties.go
+++ b/pier/gateway/duties.go
@@ -184,15 +184,15 @@
 	return true
 }
 
-// ask is a question for a token of the provider's bucket.
+// ask returns the request for a token of the provider's bucket.
 func (d *duties) ask() serverlimit.Ask {
 	return serverlimit.Ask{
 		Server: providerBucket, Limit: serverlimit.Limit{PerSecond: d.o.g.s.Provider.CallsPerSecond},
 	}
 }
 
-// announce has a record in the topic that precedes the call: one with its decision if there is none
-// yet, and a renewal of the lease if the newest record is too old.
+// announce ensures that a record in the topic precedes the call: it appends the decision if it is not recorded
+// yet, or renews the lease if too little time is left to send the call.
 func (d *duties) announce(c dutyCall) bool {
 	if !c.recorded {
 		return d.o.append(&decision{Usage: c.Usage, Target: c.Target})
@@ -200,7 +200,7 @@
 	return boottime.Now()+minSendTime < d.o.term().until || d.o.append(nil)
 }
 
-// hasDuty reports whether the deployment has a call.
+// hasDuty reports whether the deployment has the duty to which a call belongs.
 func (g *Gateway) hasDuty(c dutyCall) bool {
 	if c.Usage != nil {
 		return g.c.Provider.ReportUsage != nil
@@ -208,7 +208,7 @@
 	return g.c.Provider.SetTarget != nil
 }
 
-// callProvider makes a call under the right of a term.
+// callProvider makes a call while the term t of the lease permits it.
 func (g *Gateway) callProvider(c dutyCall, t term) error {
 	check := func() error {
 		if boottime.Now() > t.until {
--- a/pier/gateway/prompts_test.go
+++ b/pier/gateway/prompts_test.go
@@ -67,7 +67,7 @@
 	}
 	require.EqualValues(t, 1, count(promptload.Held))
 	require.EqualValues(t, 2, count(promptload.Placed))
-	require.EqualValues(t, 1, count(promptload.Behind))
+	require.EqualValues(t, 1, count(promptload.BehindLong))
 }
 
 // Guards against a long prompt that starves as an engine never sends its first event.
--- a/pier/gateway/steps.go
+++ b/pier/gateway/steps.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// stored handles a step whose records were appended at an offset: it has the step driven, unless another organisation submitted
-// it before. If that cannot be told in time, the outcome is unknown, and whoever drives the step finds out.
+// stored starts a step whose records were appended at an offset, unless another organisation submitted it first. If
+// that cannot be determined before ctx ends, the outcome is unknown, and the driver checks again.
 func (p *steps) stored(ctx context.Context, s *stepjournal.Step, offset int64, driver stepjournal.Driver, drive func()) error {
 	end, n := p.start(s.ID), p.charge(s)
 	err := p.confirmSubmitter(ctx, s)
--- a/pier/gateway/stepsearch.go
+++ b/pier/gateway/stepsearch.go
@@ -126,8 +126,8 @@
 	}()
 }
 
-// askStep asks a host about a step. With organisations, the answer of a host that knows none counts for nothing,
-// as it would show any step to anyone. A failure that does not come from that host's own answer is
+// askStep asks a host about a step. If the configuration has organisations, answers that are not marked as checked are
+// ignored: a host of an older version does not check who asks. A failure that does not come from that host's own answer is
 // logged.
 func (g *Gateway) askStep(ctx context.Context, a netip.AddrPort, q *stepQuery) (*stepAnswer, error) {
 	var r stepAnswer
--- a/pier/promptload/promptload.go
+++ b/pier/promptload/promptload.go
@@ -68,10 +68,10 @@
 const (
 	// Unchanged prompts may go to any engine.
 	Unchanged Reason = "unchanged"
-	// Around is a short prompt that does not go to engines which read a long one, Behind one that has no
-	// other engine.
-	Around Reason = "around-long"
-	Behind Reason = "behind-long"
+	// AvoidsLong is a short prompt that does not go to engines which read a long one, BehindLong one for which only
+	// such engines have room.
+	AvoidsLong Reason = "around-long"
+	BehindLong Reason = "behind-long"
 	// Placed is a long prompt that may go where it puts the fewest streams at risk, Urgent one that was held
 	// for UrgentAfter, and Held one that is held back.
 	Placed Reason = "long"
@@ -220,13 +220,13 @@
 	case reading == 0:
 		return Unchanged
 	case free == 0:
-		return Behind
+		return BehindLong
 	}
 	for i := range l {
 		e := &l[i]
 		e.Allowed = b.longAt(e.ID) == 0 || e.TokenTime*similarSpeed < best
 	}
-	return Around
+	return AvoidsLong
 }
 
 // allowLong allows the engines where a long prompt puts the fewest streams at risk. It is held if all
--- a/pier/promptload/promptload_test.go
+++ b/pier/promptload/promptload_test.go
@@ -117,9 +117,9 @@
 		"long, no room":                         {long, []Engine{full}, nil, 0, false, nil, Full},
 		"long, no room but where one is read":   {long, []Engine{full, free("a", 1)}, []string{"a"}, 0, false, nil, Held},
 		"short, nothing long":                   {500, []Engine{free("a", 3), full}, nil, 0, false, []string{"a", "full"}, Unchanged},
-		"short, around":                         {500, []Engine{free("a", 0), free("b", 9), full}, []string{"a"}, 0, false, []string{"b", "full"}, Around},
-		"short, no other":                       {500, []Engine{free("a", 0), full}, []string{"a"}, 0, false, []string{"a", "full"}, Behind},
-		"short, the other engine is far slower": {500, []Engine{fast, slow}, []string{"a"}, 0, false, []string{"a", "b"}, Around},
+		"short, around":                         {500, []Engine{free("a", 0), free("b", 9), full}, []string{"a"}, 0, false, []string{"b", "full"}, AvoidsLong},
+		"short, no other":                       {500, []Engine{free("a", 0), full}, []string{"a"}, 0, false, []string{"a", "full"}, BehindLong},
+		"short, the other engine is far slower": {500, []Engine{fast, slow}, []string{"a"}, 0, false, []string{"a", "b"}, AvoidsLong},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pier/stepjournal/checkpoint.go
+++ b/pier/stepjournal/checkpoint.go
@@ -19,9 +19,9 @@
 	// checkpointFormat is the version of the encoding of checkpoints. Others are not restored. It
 	// must change with each new kind of record, whose effect an older program would leave out.
 	checkpointFormat = 1
-	// ownedFormat is the version of checkpoints that hold steps of organisations. A program that restored one and
+	// organisationFormat is the version of checkpoints that hold steps of organisations. A program that restored one and
 	// did not know organisations would show these steps to all of them.
-	ownedFormat = 3
+	organisationFormat = 3
 	// maxItems bounds the items of all steps in a checkpoint, far above what trainers submit
 	// within the retention of the log.
 	maxItems = 1 << 20
@@ -74,7 +74,7 @@
 		c.Steps = append(c.Steps, e.checkpoint(now))
 		items += e.Total
 		if e.Organisation != "" {
-			c.Format = ownedFormat
+			c.Format = organisationFormat
 		}
 	}
 	if items > maxItems {
@@ -111,7 +111,7 @@
 	if err := boundedmsgpack.Unmarshal(b, &c); err != nil {
 		return outcome.RefuseWithCause(outcome.ReasonBadRequest, "checkpoint", err)
 	}
-	if c.Format != checkpointFormat && c.Format != ownedFormat || c.Partition != partition {
+	if c.Format != checkpointFormat && c.Format != organisationFormat || c.Partition != partition {
 		return outcome.Refuse(outcome.ReasonBadRequest, "checkpoint of another format or partition")
 	}
 	if c.Next <= f.Next {
--- a/pier/stepjournal/organisation_test.go
+++ b/pier/stepjournal/organisation_test.go
@@ -54,7 +54,7 @@
 // Guards against a checkpoint that a program without organisations restores although it would drop them, and against
 // one that no such program restores although there are none.
 func TestCheckpointFormatChangesWithOrganisations(t *testing.T) {
-	for name, want := range map[string]int{"": checkpointFormat, "o": ownedFormat} {
+	for name, want := range map[string]int{"": checkpointFormat, "o": organisationFormat} {
 		b, ok := foldOf(acceptedStep(t, name, 4096)).Checkpoint(0)
 		require.True(t, ok)
 		var c checkpoint
--- a/pier/usage/counter.go
+++ b/pier/usage/counter.go
@@ -113,7 +113,7 @@
 }
 
 // Due returns at most n of the totals that the holder of the lease has not acknowledged, in the order of the
-// windows. Each term of a holder has a name of its own, with the first call of which all totals are due again.
+// windows. A call with another holder than the last one makes all totals due again.
 func (c *Counter) Due(holder string, n int) []Total {
 	if holder != c.holder {
 		c.holder = holder
