--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -102,9 +104,11 @@
 func (e *engine) register() {
 	e.mu.Lock()
 	e.beats++
-	models, _ := json.Marshal(e.list())
-	b := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left_ms":0,`+
-		`"stage":"hybrid","models":%s,"born":%d,"seq":%d}`, e.service, e.address, e.zone, models, e.born, e.beats)
+	m := maps.Clone(platformNames.Registration)
+	m["service"], m["address"], m["zone"], m["models"], m["born"] = e.service, e.address, e.zone, e.list(), e.born
+	fields, _ := json.Marshal(m)
+	// The counter is the last field.
+	b := fmt.Sprintf(`%s,"seq":%d}`, bytes.TrimSuffix(fields, []byte("}")), e.beats)
 	e.mu.Unlock()
 	e.store.put(wire.Sources.Servers, e.id, []byte(b))
 }
--- a/review/standins-2/hosts.go
+++ b/review/standins-2/hosts.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -11,6 +13,26 @@
 	"time"
 )
 
+//go:embed names.json
+var namesJSON []byte
+
+// platformNames are names of the platform that stand in no program outside of platform/.
+var platformNames = readNames()
+
+type names struct {
+	// Boot is the variable that holds the path of a host's settings.
+	Boot string `json:"boot"`
+	// Registration holds the fields of a server's registration, but for its counter.
+	Registration map[string]any `json:"registration"`
+}
+
+func readNames() (n names) {
+	if err := json.Unmarshal(namesJSON, &n); err != nil {
+		panic(err)
+	}
+	return n
+}
+
 // record is the file in which a case writes what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
@@ -90,7 +112,7 @@
 	}
 	h.cmd = exec.Command("target/mulberrypier", "run", "--memory-mb=324", "--provider=", "--provider-duties=",
 		"--provider-calls-per-second=", "--usage-window-seconds=", "--usage-due-seconds=")
-	h.cmd.Env = []string{"MULBERRYPIER_BOOT=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	h.cmd.Env = []string{platformNames.Boot + "=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	h.cmd.Stdout, h.cmd.Stderr = f, f
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.cmd.Start(); err != nil {
