--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -47,6 +47,7 @@
 	id, service, zone string
 	address           string
 	store             *store
+	server            *http.Server
 	born              int64
 	onOrder           func(o *order)
 	// run, if not nil, runs requests that are no calls to the server's own interface.
@@ -59,6 +60,7 @@
 	models   []string
 	seq      int64
 	busy     bool
+	crashed  bool
 }
 
 // engineState is the state that a server had from a time on.
@@ -82,16 +84,25 @@
 	e.mu.Lock()
 	e.note()
 	e.mu.Unlock()
-	go func() { _ = http.Serve(l, e) }()
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(l) }()
 	go func() {
-		for {
-			e.register()
+		for e.register() {
 			time.Sleep(heartbeat)
 		}
 	}()
 	return e, nil
 }
 
+// crash ends the server with all its connections. Its registration is removed after three heartbeats.
+func (e *engine) crash() {
+	e.mu.Lock()
+	e.crashed = true
+	e.mu.Unlock()
+	_ = e.server.Close()
+	time.AfterFunc(3*heartbeat, func() { e.store.put(wire.Sources.Servers, e.id, nil) })
+}
+
 // list returns the versions as they stand in registrations and reports. The caller holds mu.
 func (e *engine) list() []map[string]any {
 	var r []map[string]any
@@ -101,8 +112,13 @@
 	return r
 }
 
-func (e *engine) register() {
+// register writes the server's registration, and reports whether it has not crashed.
+func (e *engine) register() bool {
 	e.mu.Lock()
+	if e.crashed {
+		e.mu.Unlock()
+		return false
+	}
 	e.beats++
 	m := maps.Clone(platformNames.Registration)
 	m["service"], m["address"], m["zone"], m["models"], m["born"] = e.service, e.address, e.zone, e.list(), e.born
@@ -111,6 +127,7 @@
 	b := fmt.Sprintf(`%s,"seq":%d}`, bytes.TrimSuffix(fields, []byte("}")), e.beats)
 	e.mu.Unlock()
 	e.store.put(wire.Sources.Servers, e.id, []byte(b))
+	return true
 }
 
 // note keeps the present state for later reports. The caller holds mu.
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(dir, folder string, trouble bool) (bool, error){"lease": runLease, "stop": runStop}
+	cases := map[string]func(dir, folder string, trouble bool) (bool, error){"lease": runLease, "stop": runStop, "crowd": runCrowd}
 	run := cases[os.Args[1]]
 	dir, err := os.MkdirTemp("", "review-2-")
 	if run == nil || err != nil {
