Refuse malformed answers of backend servers

What callers saw: with a server that answers with a broken head, the caller got status 200 and the faulty server's body (a blank in the name of a field; status 000 and an empty line before an answer), or waited until its deadline (status 000 alone; "Content-Length : 22").

Cause: heads are read by net/http, which takes any three digits for a status, keeps names of fields with blanks as they are, and drops a Content-Length beside chunks and a Transfer-Encoding of HTTP/1.0. This program took whatever it returned for an answer; and everything below 200, also 000 and 101, for an informational answer to be skipped.

Change: package answerhead checks the bytes of heads as they arrive, informational ones too, against RFC 9110 and 9112: status line, names, values, folding, length, encoding and what they say together. Pool.Do fails with the new reason malformed-answer, outcome unknown, and closes the connection. So nothing of the answer is used: no body, no load, limit, start or leave. The names in a trailer are checked at the end of the body. The request goes on elsewhere if it is idempotent, otherwise its caller gets 502. The server has failed as with any other failure; `servers: malformed answer`, `servers: avoided`, `sample: run failed` and the counter of retries name it, and mulberryctl explain prints these lines. A malformed answer is checked like a lost connection for the end of its server, as before.

TestOddAnswerIsPassedOn (empty and odd reasons, empty values, blanks round values, folded lines, LF, equal lengths, 1xx) held before and holds now. FuzzScanner, 20 s, 3.3 million heads: net/http reads each accepted head and ends it at the same byte.

Cost: 353 ns and no allocation for a head of 9 fields, beside 1,580 ns and 20 allocations of its reading (BenchmarkHead); a whole request on a kept loopback connection is 10.3 to 11.4 us (BenchmarkRequest). A line that comes in several parts is copied.

Tried first: an error that is returned once. Package bufio then returns what it has of the line without an error and reads on, and the request waited for more (found by TestMalformedAnswerStatesNothing, answers in parts); so the scanner keeps its fault.

TestBrokenAnswersAreErrors expected connection-lost for bytes that are no HTTP; they have the more exact reason now.

--- a/pier/backend/conn.go
+++ b/pier/backend/conn.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"mulberrypier.example/pier/answerhead"
 )
 
 const (
@@ -32,8 +34,8 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
-	// limit bounds what r may take in while a header is read.
-	limit *limitedReader
+	// in is what r reads from: it checks the header of an answer and bounds it.
+	in *headReader
 	// server is the id of the incarnation that the connection was opened to.
 	server string
 	// openedAt is a time at which the connection was open, openedFor the start of the incarnation
@@ -54,30 +56,46 @@
 }
 
 func newConn(n net.Conn, server string) *conn {
-	l := &limitedReader{r: n, left: unlimited}
-	return &conn{Conn: n, r: bufio.NewReaderSize(l, readBufferBytes), limit: l, server: server, idleTimeout: defaultIdleTimeout, openedAt: time.Now()}
+	h := &headReader{r: n, left: unlimited}
+	return &conn{Conn: n, r: bufio.NewReaderSize(h, readBufferBytes), in: h, server: server, idleTimeout: defaultIdleTimeout, openedAt: time.Now()}
 }
 
-// unlimited is the value of limitedReader.left without a limit.
+// unlimited is the value of headReader.left without a limit.
 const unlimited = -1
 
-// limitedReader reads from r until left bytes were read, and fails with errTooLarge then.
-type limitedReader struct {
+// headReader reads from r. While the header of an answer is read, from begin to end, it fails with errTooLarge once
+// its bound is reached, and with an *answerhead.Error if the header is malformed.
+type headReader struct {
 	r io.Reader
 	// left is the number of bytes that may still be read, or unlimited.
-	left int
+	left  int
+	heads answerhead.Scanner
+}
+
+// begin expects an answer, with headers of up to limit bytes together.
+func (h *headReader) begin(limit int) {
+	h.left, h.heads = limit, answerhead.Scanner{}
 }
 
+// end lets all that follows the header pass.
+func (h *headReader) end() { h.left = unlimited }
+
 // Read implements io.Reader.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.left == unlimited {
-		return l.r.Read(b)
+func (h *headReader) Read(b []byte) (int, error) {
+	if h.left == unlimited {
+		return h.r.Read(b)
 	}
-	if l.left == 0 {
+	if h.left == 0 {
 		return 0, errTooLarge
 	}
-	n, err := l.r.Read(b[:min(len(b), l.left)])
-	l.left -= n
+	if err := h.heads.Err(); err != nil {
+		return 0, err
+	}
+	n, err := h.r.Read(b[:min(len(b), h.left)])
+	h.left -= n
+	if malformed := h.heads.Scan(b[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/boottime"
 	"mulberrypier.example/pier/outcome"
 )
@@ -61,10 +62,14 @@
 	fail := func(r outcome.Reason, err error) (*Response, error) {
 		stop()
 		_ = c.Close()
-		if ctx.Err() != nil {
+		at := q.Server
+		switch {
+		case r == outcome.ReasonMalformedAnswer:
+			at += ": " + err.Error()
+		case ctx.Err() != nil:
 			r = outcome.ReasonOf(ctx)
 		}
-		return nil, outcome.Ambiguous(r, q.Server, err)
+		return nil, outcome.Ambiguous(r, at, err)
 	}
 	sent, err := c.writeRequest(p.c.Dialect, q)
 	if err != nil {
@@ -90,7 +95,7 @@
 	closing := a.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0
 	return &Response{
 		Status: a.StatusCode, Header: a.Header, BodyLength: a.ContentLength,
-		pool: p, conn: c, body: a.Body, sent: sent, stop: stop, closing: closing,
+		pool: p, conn: c, body: a.Body, trailer: &a.Trailer, sent: sent, stop: stop, closing: closing,
 	}, nil
 }
 
@@ -108,12 +113,16 @@
 var errTooLarge = errors.New("header of the answer is too large")
 
 // readHeader reads the header of the final answer and skips informational (1xx) ones. It
-// fails with errTooLarge if they pass a bound together.
+// fails with errTooLarge if they pass a bound together, and with an *answerhead.Error if one of
+// them is malformed.
 func readHeader(c *conn, method string) (*http.Response, error) {
-	c.limit.left = maxHeaderBytes
-	defer func() { c.limit.left = unlimited }()
+	c.in.begin(maxHeaderBytes)
+	defer c.in.end()
 	for range 1 + maxInterimAnswers {
 		a, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if malformed := c.in.heads.Err(); malformed != nil {
+			err = malformed
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -136,8 +145,8 @@
 }
 
 // failureReason returns the reason of a failed read: ReasonSilent for a timeout,
-// ReasonAnswerTooLarge for a header that passes a bound, and ReasonConnectionLost for any
-// other error.
+// ReasonAnswerTooLarge for a header that passes a bound, ReasonMalformedAnswer for one that is
+// malformed, and ReasonConnectionLost for any other error.
 func failureReason(err error) outcome.Reason {
 	var t interface{ Timeout() bool }
 	switch {
@@ -146,5 +155,5 @@
 	case errors.Is(err, errTooLarge):
 		return outcome.ReasonAnswerTooLarge
 	}
-	return outcome.ReasonConnectionLost
+	return answerhead.Reason(err, outcome.ReasonConnectionLost)
 }
--- a/pier/backend/pool_test.go
+++ b/pier/backend/pool_test.go
@@ -136,7 +136,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}, outcome.ReasonCrossedAnswer},
 		"no answer":   {func(c net.Conn, _, _ string) { _ = c.Close() }, outcome.ReasonConnectionLost},
-		"no protocol": {func(c net.Conn, _, _ string) { _, _ = io.WriteString(c, "what?\r\n\r\n"); _ = c.Close() }, outcome.ReasonConnectionLost},
+		"no protocol": {func(c net.Conn, _, _ string) { _, _ = io.WriteString(c, "what?\r\n\r\n"); _ = c.Close() }, outcome.ReasonMalformedAnswer},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"mulberrypier.example/pier/answerhead"
 )
 
 // Response is the answer to a request. The caller must call Close.
@@ -20,6 +22,8 @@
 	pool *Pool
 	conn *conn
 	body io.ReadCloser
+	// trailer holds the trailer once the body was read to its end.
+	trailer *http.Header
 	// sent is closed once the complete request was written.
 	sent <-chan struct{}
 	// stop ends the watch over the request's context. It returns false if the context has
@@ -35,9 +39,9 @@
 	aborted atomic.Bool
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body. After an error, each
-// further call returns the same: package net/http reports the end of a body that broke off once only,
-// and the body as complete from then on.
+// Read reads the body. It returns io.EOF only at the end of a complete body, and an *answerhead.Error if the
+// trailer after it is malformed. After an error, each further call returns the same: package net/http reports
+// the end of a body that broke off once only, and the body as complete from then on.
 func (r *Response) Read(b []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err
@@ -45,7 +49,13 @@
 	n, err := r.body.Read(b)
 	r.err = err
 	r.complete = err == io.EOF
-	return n, err
+	if !r.complete {
+		return n, err
+	}
+	if malformed := answerhead.CheckTrailer(*r.trailer); malformed != nil {
+		r.err, r.complete = malformed, false
+	}
+	return n, r.err
 }
 
 // errEndless is the error of a body that does not end where it should.
--- a/pier/gateway/answerbody.go
+++ b/pier/gateway/answerbody.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/routetable"
@@ -88,6 +89,11 @@
 	return outcome.Ambiguous(outcome.ReasonAnswerTooLarge, b.u.s.ID, nil)
 }
 
+// bodyError returns the error of an answer whose body was not read to a proper end, which err says more about.
+func bodyError(at string, err error) *outcome.Error {
+	return outcome.Ambiguous(answerhead.Reason(err, outcome.ReasonShortAnswer), at, err)
+}
+
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	if b.err != nil {
@@ -153,6 +159,6 @@
 	case b.ctx.Err() != nil:
 		b.u.failed(string(outcome.ReasonDeadline))
 	default:
-		b.u.failed(string(outcome.ReasonShortAnswer))
+		b.u.failed(string(bodyError(b.u.s.ID, err).Reason))
 	}
 }
--- a/pier/gateway/continuation.go
+++ b/pier/gateway/continuation.go
@@ -68,9 +68,9 @@
 		case errors.Is(err, io.EOF) && len(raw) == 0:
 			return nil, io.EOF
 		case errors.Is(err, io.EOF):
-			return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, "stream", io.ErrUnexpectedEOF)
+			return nil, bodyError("stream", io.ErrUnexpectedEOF)
 		case err != nil:
-			return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, "stream", err)
+			return nil, bodyError("stream", err)
 		}
 		line := bytes.TrimSuffix(bytes.TrimSuffix(raw[begin:], []byte("\n")), []byte("\r"))
 		begin = len(raw)
--- a/pier/gateway/events.go
+++ b/pier/gateway/events.go
@@ -72,7 +72,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, "stream", err)
+			return nil, bodyError("stream", err)
 		}
 		if l == "" {
 			if !begun {
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -221,7 +221,7 @@
 		if outcome.HasReason(err, outcome.ReasonAnswerTooLarge) {
 			return nil, err
 		}
-		return nil, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err)
+		return nil, bodyError(u.s.ID, err)
 	}
 	a.close = func() {
 		a.closeBuffer()
@@ -239,7 +239,7 @@
 func (g *Gateway) discard(ctx context.Context, u *reservation, r *backend.Response) error {
 	err := r.Discard(maxBufferedBytes, discardTimeout)
 	if err != nil {
-		g.recordFailure(ctx, u, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, err))
+		g.recordFailure(ctx, u, bodyError(u.s.ID, err))
 	}
 	return err
 }
@@ -262,7 +262,11 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		u.absent()
 	}
-	u.failed(string(outcome.AsError(err).Reason))
+	e := outcome.AsError(err)
+	if e.Reason == outcome.ReasonMalformedAnswer {
+		g.log.Info("servers: malformed answer", zap.String("server", u.s.ID), zap.String("at", e.Detail))
+	}
+	u.failed(string(e.Reason))
 }
 
 func (g *Gateway) request(c *plainCall, u *reservation) backend.Request {
--- a/pier/gateway/sample.go
+++ b/pier/gateway/sample.go
@@ -153,7 +153,7 @@
 		return
 	}
 	s.d.g.log.Info("sample: run failed", zap.String("id", s.item.ID), zap.String("server", u.s.ID),
-		zap.String("reason", string(e.Reason)), zap.Int64("events", s.lastID),
+		zap.String("reason", string(e.Reason)), zap.String("at", e.Detail), zap.Int64("events", s.lastID),
 		zap.Int("failures", s.failures.count()))
 	switch e.Reason {
 	case outcome.ReasonQueueFull, outcome.ReasonBadRequest:
@@ -378,11 +378,11 @@
 	case r.NotRun():
 		u.refused(r, refusedBackoff)
 		if brokenOff != nil {
-			s.d.g.recordFailure(ctx, u, outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, brokenOff))
+			s.d.g.recordFailure(ctx, u, bodyError(u.s.ID, brokenOff))
 		}
 		return outcome.RefuseWithCause(outcome.ReasonQueueFull, u.s.ID, brokenOff)
 	case r.Status == http.StatusUnprocessableEntity && brokenOff != nil:
-		return outcome.Ambiguous(outcome.ReasonShortAnswer, u.s.ID, brokenOff)
+		return bodyError(u.s.ID, brokenOff)
 	case r.Status == http.StatusUnprocessableEntity:
 		return outcome.Ambiguous(outcome.ReasonBadRequest, u.s.ID, nil)
 	}
--- a/pier/gateway/serverend.go
+++ b/pier/gateway/serverend.go
@@ -183,5 +183,12 @@
 // mayShowEnd reports whether the reason of a failed attempt can mean that the server ended.
 func mayShowEnd(err error) bool {
 	e := outcome.AsError(err)
-	return err != nil && e.Outcome == outcome.Unknown && (e.Reason == outcome.ReasonConnectionLost || e.Reason == outcome.ReasonShortAnswer)
+	if e == nil || e.Outcome != outcome.Unknown {
+		return false
+	}
+	switch e.Reason {
+	case outcome.ReasonConnectionLost, outcome.ReasonShortAnswer, outcome.ReasonMalformedAnswer:
+		return true
+	}
+	return false
 }
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -275,10 +275,10 @@
 			w.tell(quarantine.KindUndecided)
 		}
 	case trial:
-		lost := outcome.Ambiguous(outcome.ReasonShortAnswer, w.u.s.ID, err)
+		lost := bodyError(w.u.s.ID, err)
 		w.tell(w.g.trialResult(w.c, w.u, lost, w.ends))
 	default:
-		w.g.observeEnd(w.c, w.u, outcome.Ambiguous(outcome.ReasonShortAnswer, w.u.s.ID, err))
+		w.g.observeEnd(w.c, w.u, bodyError(w.u.s.ID, err))
 	}
 }
 
--- a/pier/outcome/outcome.go
+++ b/pier/outcome/outcome.go
@@ -61,6 +61,7 @@
 	ReasonNotInForce      Reason = "not-in-force-everywhere"
 	ReasonClaimsFull      Reason = "claims-full"
 	ReasonAnswerTooLarge  Reason = "answer-too-large"
+	ReasonMalformedAnswer Reason = "malformed-answer"
 	ReasonTooManyRequests Reason = "too-many-requests"
 	ReasonStaleVersion    Reason = "stale-version"
 	ReasonServerLimit     Reason = "server-limit"
@@ -199,7 +200,7 @@
 		return http.StatusTooManyRequests
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case ReasonServerError, ReasonShortAnswer, ReasonCrossedAnswer, ReasonAnswerTooLarge:
+	case ReasonServerError, ReasonShortAnswer, ReasonCrossedAnswer, ReasonAnswerTooLarge, ReasonMalformedAnswer:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
