Refuse malformed answers in all clients over net/http

What was seen: mulberryd's client of services returned any status that three digits make, also 000, as an answer; its caller got that. The same clients took an answer with a blank in the name of a field for what it said: 200 for an append to the log, an order, a score or a scale-up that was done, 412 or 503 for a promise that nothing was done.

Change: answerhead.Transport has the connections of an http.Transport checked by the same scanner, with TLS too, and bounds the head as package answerlimit did, which it replaces. A malformed answer fails the request before net/http sees the end of its head, so that the connection is closed and never used again; the outcome is unknown.

Now TestClientsRefuseMalformedAnswers, TestTrainerRetriesAfterMalformedAnswers and TestMalformedAnswersLeaveTheOutcomeUnknown pass; TestTransport shows the reuse of sound connections and the check of each answer on them, plain and with TLS.

Tried first: one httptrace.ClientTrace for all requests. Package httptrace adds the hooks of a request's context to it, so that one call of the provider was refused by the check of another (found by TestCallIsCheckedBeforeItIsSent).

Trailers are not checked here: nothing reads them, and a name with a blank does not move the end of a trailer.

--- /dev/null
+++ b/pier/answerhead/transport.go
@@ -0,0 +1,102 @@
+package answerhead
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// maxHeadBytes is the size of the largest head of an answer. The default of net/http, 10 MB, is too much for a
+// small host that has many requests in progress.
+const maxHeadBytes = 64 << 10
+
+// Transport is an http.Transport whose requests fail with an *Error if the head of the answer is malformed, or too
+// large. The connection is closed then.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport that sends requests as base does. It changes base, which must not be used before
+// or by itself.
+func NewTransport(base *http.Transport) *Transport {
+	base.MaxResponseHeaderBytes = maxHeadBytes
+	if base.DialContext == nil {
+		base.DialContext = new(net.Dialer).DialContext
+	}
+	secure := tls.Dialer{Config: base.TLSClientConfig}
+	base.DialContext, base.DialTLSContext = checked(base.DialContext), checked(secure.DialContext)
+	return &Transport{base: base}
+}
+
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checked returns a function that opens connections with dial, as values of type *Conn.
+func checked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: c}, nil
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var c *Conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		c, _ = i.Conn.(*Conn)
+		c.expectAnswer()
+	}})
+	a, err := t.base.RoundTrip(r.WithContext(ctx))
+	if err == nil || c == nil {
+		return a, err
+	}
+	// Package net/http may report a line that was cut short by the fault instead.
+	if malformed := c.scan(nil); malformed != nil {
+		return nil, malformed
+	}
+	return nil, err
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// Conn is a connection of a Transport. A read fails if it brings a part of a malformed head.
+type Conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// heads is at the beginning of the answer to the request that was sent last.
+	heads Scanner
+}
+
+// expectAnswer has the next byte taken for the first one of an answer.
+func (c *Conn) expectAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heads = Scanner{}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	if malformed := c.scan(nil); malformed != nil {
+		return 0, malformed
+	}
+	n, err := c.Conn.Read(b)
+	if malformed := c.scan(b[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
+// scan checks the next bytes of the answer. It returns an *Error if they, or those before them, are malformed.
+func (c *Conn) scan(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heads.Scan(b)
+}
--- a/pier/engine/engine.go
+++ b/pier/engine/engine.go
@@ -21,7 +21,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
-	"mulberrypier.example/pier/answerlimit"
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -129,14 +129,12 @@
 
 // New returns a Client that is shared by the calls to all engines.
 func New(c Config) *Client {
-	t := &http.Transport{
+	t := answerhead.NewTransport(&http.Transport{
 		DialContext:         c.Dial,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     10 * time.Second,
 		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: answerlimit.HeaderBytes,
-	}
+	})
 	return &Client{c: c, http: &http.Client{Transport: t}}
 }
 
@@ -262,7 +260,7 @@
 }
 
 // send sends one request. If that fails, the outcome of the error is not-run if no
-// connection could be opened, and unknown with the reason connection-lost otherwise.
+// connection could be opened, and unknown with the reason malformed-answer or connection-lost otherwise.
 func (c *Client) send(ctx context.Context, method string, a netip.AddrPort, path string, b []byte) (*http.Response, error) {
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+a.String()+path, bytes.NewReader(b))
 	if err != nil {
@@ -277,7 +275,7 @@
 	if errors.As(err, &o) && o.Op == "dial" {
 		return nil, outcome.Refuse(outcome.ReasonUnreachable, a.String())
 	}
-	return nil, outcome.Ambiguous(outcome.ReasonConnectionLost, a.String(), err)
+	return nil, outcome.Ambiguous(answerhead.Reason(err, outcome.ReasonConnectionLost), a.String(), err)
 }
 
 // statusError converts an HTTP status other than 200 into an *outcome.Error.
--- a/pier/hostlist/hostlist.go
+++ b/pier/hostlist/hostlist.go
@@ -10,7 +10,7 @@
 	"net/netip"
 	"time"
 
-	"mulberrypier.example/pier/answerlimit"
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -45,9 +45,7 @@
 
 // New returns a client that opens a new connection for each read.
 func New(c Config) *Client {
-	return &Client{c: c, http: &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
-	}}}
+	return &Client{c: c, http: &http.Client{Transport: answerhead.NewTransport(&http.Transport{DisableKeepAlives: true})}}
 }
 
 // Read returns the entries of the list. It takes at most readTimeout. An error is an
--- a/pier/logservice/logservice.go
+++ b/pier/logservice/logservice.go
@@ -18,7 +18,7 @@
 	"strconv"
 	"time"
 
-	"mulberrypier.example/pier/answerlimit"
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -63,8 +63,6 @@
 type Config struct {
 	// Address is the address of the log service.
 	Address netip.AddrPort
-	// Transport sends the requests. If nil, the client creates its own.
-	Transport *http.Transport
 }
 
 // Client reads streams and appends to them. It is safe for concurrent use.
@@ -75,12 +73,8 @@
 
 // New returns a client of the log service.
 func New(c Config) *Client {
-	if c.Transport == nil {
-		c.Transport = &http.Transport{
-			MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
-		}
-	}
-	return &Client{c: c, http: &http.Client{Transport: c.Transport}}
+	t := answerhead.NewTransport(&http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second})
+	return &Client{c: c, http: &http.Client{Transport: t}}
 }
 
 // Append appends records to a stream and returns the offset of the first. It takes at
@@ -140,13 +134,13 @@
 	q.Header.Set("Content-Type", "application/json")
 	a, err := c.http.Do(q)
 	if err != nil {
-		c.c.Transport.CloseIdleConnections()
+		c.http.CloseIdleConnections()
 		return outcome.Ambiguous(outcome.ReasonLogDown, err.Error(), err)
 	}
 	defer func() { _ = a.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(a.Body, 4*MaxRecordBytes))
 	if err != nil {
-		c.c.Transport.CloseIdleConnections()
+		c.http.CloseIdleConnections()
 		return outcome.Ambiguous(outcome.ReasonLogDown, err.Error(), err)
 	}
 	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
--- a/pier/operator/operator.go
+++ b/pier/operator/operator.go
@@ -12,7 +12,7 @@
 	"net/netip"
 	"time"
 
-	"mulberrypier.example/pier/answerlimit"
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/config"
 	"mulberrypier.example/pier/entryhost"
 	"mulberrypier.example/pier/outcome"
@@ -80,7 +80,7 @@
 // New returns a client whose requests time out after 30 seconds.
 func New(c ClientConfig) *Client {
 	return &Client{c: c, http: &http.Client{
-		Transport: &http.Transport{TLSClientConfig: c.TLS, MaxResponseHeaderBytes: answerlimit.HeaderBytes},
+		Transport: answerhead.NewTransport(&http.Transport{TLSClientConfig: c.TLS}),
 		Timeout:   30 * time.Second,
 	}}
 }
--- a/pier/scorer/scorer.go
+++ b/pier/scorer/scorer.go
@@ -11,7 +11,7 @@
 	"net/netip"
 	"time"
 
-	"mulberrypier.example/pier/answerlimit"
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/outcome"
 )
 
@@ -43,9 +43,7 @@
 func New() *Client {
 	// Each call gets a new connection. An idle one may be dead without notice, and a
 	// call that is not idempotent could not be retried after failing on it.
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
-	}}}
+	return &Client{http: &http.Client{Transport: answerhead.NewTransport(&http.Transport{DisableKeepAlives: true})}}
 }
 
 // Score returns the score of one sample. An error is an *outcome.Error. Its outcome is
@@ -64,7 +62,7 @@
 	q.Header.Set("Content-Type", "application/json")
 	s, err := c.http.Do(q)
 	if err != nil {
-		return 0, outcome.Ambiguous(outcome.ReasonConnectionLost, "scorer", err)
+		return 0, outcome.Ambiguous(answerhead.Reason(err, outcome.ReasonConnectionLost), "scorer", err)
 	}
 	defer func() { _ = s.Body.Close() }()
 	if s.StatusCode != http.StatusOK {
--- a/pier/service/service.go
+++ b/pier/service/service.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"mulberrypier.example/pier/answerlimit"
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/release"
 )
@@ -62,13 +62,11 @@
 func New() *Client {
 	return &Client{
 		pooled: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
-			},
+			Transport:     answerhead.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}),
 			CheckRedirect: noRedirect,
 		},
 		unpooled: &http.Client{
-			Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: answerlimit.HeaderBytes},
+			Transport:     answerhead.NewTransport(&http.Transport{DisableKeepAlives: true}),
 			CheckRedirect: noRedirect,
 		},
 	}
@@ -114,7 +112,7 @@
 	if ctx.Err() != nil {
 		return outcome.Ambiguous(outcome.ReasonDeadline, a.String(), err)
 	}
-	return outcome.Ambiguous(outcome.ReasonConnectionLost, a.String(), err)
+	return outcome.Ambiguous(answerhead.Reason(err, outcome.ReasonConnectionLost), a.String(), err)
 }
 
 // readAnswer reads an answer to its end. It fails if the answer carries the ID of
--- a/pier/trainer/trainer.go
+++ b/pier/trainer/trainer.go
@@ -16,7 +16,7 @@
 	"net/netip"
 	"time"
 
-	"mulberrypier.example/pier/answerlimit"
+	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/backoff"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/rollout"
@@ -81,9 +81,7 @@
 // New returns a client that sends its requests to the first host until one fails.
 func New(c Config) *Client {
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: answerlimit.HeaderBytes,
-		}}
+		c.HTTP = &http.Client{Transport: answerhead.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4})}
 	}
 	return &Client{c: c}
 }
@@ -274,7 +272,7 @@
 	a, err := c.c.HTTP.Do(h)
 	if err != nil {
 		c.c.HTTP.CloseIdleConnections()
-		return outcome.Ambiguous(outcome.ReasonConnectionLost, "entry host", err)
+		return outcome.Ambiguous(answerhead.Reason(err, outcome.ReasonConnectionLost), "entry host", err)
 	}
 	defer func() { _ = a.Body.Close() }()
 	if a.StatusCode == http.StatusNoContent {
