--- a/pier/answerhead/scanner.go
+++ b/pier/answerhead/scanner.go
@@ -151,8 +151,8 @@
 	return ""
 }
 
-// continuation checks a line that continues the value of the field before it. Clients must not send such lines, but
-// may read them.
+// continuation checks a line that continues the value of the field before it. Servers must not send such lines, but
+// clients may read them.
 func (s *Scanner) continuation(l []byte) Fault {
 	if !s.foldable {
 		return FaultFolding
--- a/pier/answerhead/transport.go
+++ b/pier/answerhead/transport.go
@@ -19,8 +19,8 @@
 	base *http.Transport
 }
 
-// NewTransport returns a transport that sends requests as base does. It changes base, which must not be used before
-// or by itself.
+// NewTransport returns a transport that sends requests as base does. It changes base, which must not be used
+// otherwise.
 func NewTransport(base *http.Transport) *Transport {
 	base.MaxResponseHeaderBytes = maxHeadBytes
 	if base.DialContext == nil {
@@ -49,8 +49,10 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var c *Conn
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		c, _ = i.Conn.(*Conn)
-		c.expectAnswer()
+		if x, ok := i.Conn.(*Conn); ok {
+			c = x
+			c.expectAnswer()
+		}
 	}})
 	a, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err == nil || c == nil {
