Planned stops in tests: compare with the last time a request could begin

Cause: the test polls each millisecond whether requests may still begin and took the time at which it saw the end for the end. A request sent in the millisecond before had met a host that had closed already, and counted as sent before it. The host does what it should: it closes once nothing is in progress.

Change: the time of the last poll that saw the host take requests counts.

--- a/pier/gateway/plannedstop_test.go
+++ b/pier/gateway/plannedstop_test.go
@@ -135,8 +135,7 @@
 	stopped, idle := make(chan struct{}), make(chan time.Duration, 1)
 	time.AfterFunc(before, func() { g.Drain(); g.Close(); close(stopped) })
 	go func() {
-		g.drain.requests.awaitClosed()
-		idle <- time.Since(start)
+		idle <- g.drain.requests.awaitClosed().Sub(start)
 	}()
 	var w sync.WaitGroup
 	for i, c := range conns {
@@ -159,12 +158,19 @@
 	return v
 }
 
-// awaitClosed returns once no request may begin any more.
-func (p *inProgress) awaitClosed() {
-	for closed := false; !closed; time.Sleep(time.Millisecond) {
+// awaitClosed returns, once no request may begin any more, the last time at which one was seen to be able to.
+func (p *inProgress) awaitClosed() time.Time {
+	var open time.Time
+	for {
+		now := time.Now()
 		p.mu.Lock()
-		closed = p.closed
+		closed := p.closed
 		p.mu.Unlock()
+		if closed {
+			return open
+		}
+		open = now
+		time.Sleep(time.Millisecond)
 	}
 }
 
