--- a/pier/answerhead/scanner_test.go
+++ b/pier/answerhead/scanner_test.go
@@ -168,7 +168,7 @@
 
 // usualHead is the head of an answer like those of backend servers.
 const usualHead = "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nX-Request-Id: 5fb033c892107c2e\r\n" +
-	"X-Server-Stamp: 5fb033c892107c2e-17\r\nX-Server-Load: 3,0,16\r\nX-Weights: 12\r\nKeep-Alive: timeout=5\r\n" +
+	"Stamp: 5fb033c892107c2e-17\r\nLoad: 3,0,16\r\nWeights: 12\r\nKeep-Alive: timeout=5\r\n" +
 	"Date: Mon, 07 Dec 2026 03:12:46 GMT\r\nContent-Length: 12\r\n\r\n"
 
 func TestScanOfAWholeHeadDoesNotAllocate(t *testing.T) {
