Planned stop: take late requests by their deadlines, not by others' times

Callers saw streams that a host took 4 s after its SIGTERM, passed on for 3.6 s and then cut: 4 of 4, 35 of 50 events each, 7.6 s after the SIGTERM.

Cause: after it has announced that it stops, a host took a request with a deadline beyond its end if the longest of the last 64 of the route would have ended in time. That says nothing about the next one: here 1 s before, 5 s then. It held for all kinds of requests, and for answers that are passed on in parts. Ruled out: the balancer (connections from before the stop), the server (at work until its connection was closed), the release of steps (7.1 s, other requests).

Change: grace.Window.Decide. Once requests have come on all connections from before the announcement (3 s after the SIGTERM), a request begins only if its deadline passes before the end. Before, nothing has changed: orders of the first seconds are taken as they were. An idempotent plain request is still taken by the times of others, as nothing is lost by a wrong guess: none of its answer is passed on before all of it is there, so at the end its caller gets an error and may send it again. Routes whose last answers were passed on in parts are not taken so. What is refused has not run and is answered 503 at once, with its connection closed; its caller is served by another host.

Why a refusal is better than a guess: it costs its caller one more connection, and each kept connection only once, as each answer of a stopping host closes it; a wrong guess costs a stream its rest and leaves the outcome of an order unknown.

Now such a request has to be refused before it runs; that all with deadlines in time, all idempotent ones and all of the first 3 s are answered is checked as before.

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -339,11 +339,7 @@
 			go t.finish(s.g.log)
 		}
 	}
-	done := winner.answer.close
-	winner.answer.close = func() {
-		done()
-		winner.cancel()
-	}
+	winner.answer.afterClose(winner.cancel)
 	n := s.pending
 	if n == 0 {
 		return
--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -16,12 +16,16 @@
 	"mulberrypier.example/pier/chart"
 	"mulberrypier.example/pier/grace"
 	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/routetable"
 )
 
 const (
 	// unhealthyDetectionTime is how long the balancer may take to notice a failing health
 	// check: it checks once a second and needs two failures.
 	unhealthyDetectionTime = 2300 * time.Millisecond
+	// connectionSetupTime is how long the first request may take to arrive on a connection that the balancer
+	// has given to this host.
+	connectionSetupTime = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks for unfinished work.
 	drainPollInterval = 50 * time.Millisecond
 	// releaseReserve is the part of the grace period that is kept for releasing steps.
@@ -101,22 +105,49 @@
 	return h
 }
 
-// admit lets a caller's request begin, unless the host shuts down and the answer would not be
-// complete before its process ends. The request's deadline is not later than that then. The end of
-// what it returns must be recorded.
-func (r *drainer) admit(c *Call) (*grace.Request, error) {
+// admittedRequest is a caller's request that may begin. Its End must be called.
+type admittedRequest struct {
+	*grace.Request
+	// whole is set if none of its answer may be passed on before all of it is there.
+	whole bool
+}
+
+// admit lets a caller's request begin, unless the host shuts down and the answer might not be
+// complete before its process ends. The request's deadline is not later than that then.
+func (r *drainer) admit(c *Call) (*admittedRequest, error) {
 	now, h := time.Now(), r.history(c.Route.Name)
+	a := &admittedRequest{}
 	if w := r.window.Load(); w != nil && !now.Before(w.Announced) {
-		usual := h.Longest(now)
-		if !w.Takes(now, c.Deadline, usual) {
-			return nil, outcome.Refuse(outcome.ReasonDraining, fmt.Sprintf("%v left, such requests take up to %v",
-				w.End.Sub(now).Round(time.Millisecond), usual.Round(time.Millisecond)))
+		usual := h.Usual(now)
+		d := w.Decide(now, grace.Candidate{
+			Deadline: c.Deadline, Usual: usual, Idempotent: c.Route.Kind == routetable.KindIdempotent,
+		})
+		if d == grace.Refuse {
+			return nil, outcome.Refuse(outcome.ReasonDraining, fmt.Sprintf("%v left, the request may take %v, others took up to %v",
+				inMilliseconds(w.End.Sub(now)), inMilliseconds(c.Deadline.Sub(now)), inMilliseconds(usual.Longest)))
 		}
+		a.whole = d == grace.TakeWhole
 		if c.Deadline.After(w.End) {
 			c.Deadline = w.End
 		}
 	}
-	return h.Begin(now), nil
+	a.Request = h.Begin(now)
+	return a, nil
+}
+
+func inMilliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// checkAnswer returns an error if an answer may not be passed on, as it is not whole and the host may have to
+// end before it is.
+func (a *admittedRequest) checkAnswer(x *Answer) error {
+	if x.Rest == nil {
+		return nil
+	}
+	a.AnswerInParts()
+	if a.whole {
+		return outcome.Ambiguous(outcome.ReasonDraining, x.Server.ID, nil)
+	}
+	return nil
 }
 
 // waitToSend waits before a request is sent. It returns an error as soon as it shows that the request
@@ -145,7 +176,10 @@
 func (g *Gateway) Drain() {
 	r := g.drain
 	start, period := time.Now(), g.s.Timing.Grace.D()
-	r.window.Store(&grace.Window{Announced: start.Add(unhealthyDetectionTime), End: start.Add(period - answerReserve)})
+	announced := start.Add(unhealthyDetectionTime)
+	r.window.Store(&grace.Window{
+		Announced: announced, Settled: announced.Add(connectionSetupTime), End: start.Add(period - answerReserve),
+	})
 	ctx, cancel := context.WithDeadline(g.ctx, start.Add(period-releaseReserve))
 	defer cancel()
 	r.fire("stop")
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// afterClose has Close call f as well, after what it does already.
+func (a *Answer) afterClose(f func()) {
+	closed := a.close
+	a.close = func() {
+		if closed != nil {
+			closed()
+		}
+		f()
+	}
+}
+
 // closeBuffer ends the reading of the answer on behalf of a slow caller, if there is one.
 func (a *Answer) closeBuffer() {
 	if a.buffer != nil {
@@ -159,29 +170,35 @@
 // admitted sends a request that may begin, which lasts until its answer is closed. A call to a
 // scorer always may: no caller waits for its answer.
 func (g *Gateway) admitted(ctx context.Context, c Call) (*Answer, error) {
-	ended := func() {}
-	if !c.deferrable() {
-		r, err := g.drain.admit(&c)
-		if err != nil {
-			return nil, err
-		}
-		ended = func() { r.End(time.Now()) }
+	if c.deferrable() {
+		return g.untilDeadline(ctx, c)
+	}
+	r, err := g.drain.admit(&c)
+	if err != nil {
+		return nil, err
 	}
+	a, err := g.untilDeadline(ctx, c)
+	if err != nil {
+		r.End(time.Now())
+		return nil, err
+	}
+	a.afterClose(func() { r.End(time.Now()) })
+	if err := r.checkAnswer(a); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// untilDeadline sends a request, which ends with its answer or at its deadline.
+func (g *Gateway) untilDeadline(ctx context.Context, c Call) (*Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	a, err := g.attempts(ctx, c)
 	if err != nil {
 		cancel()
-		ended()
 		return nil, err
 	}
-	done := a.close
-	a.close = func() {
-		if done != nil {
-			done()
-		}
-		cancel()
-		ended()
-	}
+	a.afterClose(cancel)
 	return a, nil
 }
 
--- a/pier/gateway/plannedstop_test.go
+++ b/pier/gateway/plannedstop_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -78,10 +79,62 @@
 	// lasts is how long a server works on a request, gap the time between two requests, and
 	// deadline that of each.
 	lasts, gap, deadline time.Duration
+	// late is how long it works on requests that were sent later than lateFrom, 0 for as long as on others.
+	late time.Duration
+	// bytes is the length of what it sends before it works, lateBytes that for requests that were sent later
+	// than lateFrom.
+	bytes, lateBytes int
 	// limit is the limit that the server states, empty for none.
 	limit string
 }
 
+// lateFrom is when, after the beginning of the stop, requests may begin to take longer.
+const lateFrom = unhealthyDetectionTime + connectionSetupTime + 200*time.Millisecond
+
+// target returns the target of a request that is sent at a time after the beginning of the stop. It
+// tells the server what to do.
+func (p stopLoad) target(sent time.Duration) string {
+	d, n := p.lasts, p.bytes
+	if p.late > 0 && sent > lateFrom {
+		d, n = p.late, p.lateBytes
+	}
+	return fmt.Sprintf("/plain/%v/%d", d, n)
+}
+
+// work answers a request as its target asks for.
+func (p stopLoad) work(_ *server, w http.ResponseWriter, r *http.Request) {
+	if p.limit != "" {
+		w.Header().Set(testDialect.Limit, p.limit)
+	}
+	parts := strings.Split(r.URL.Path, "/")
+	d, err := time.ParseDuration(parts[2])
+	if err != nil {
+		panic(err)
+	}
+	n, err := strconv.Atoi(parts[3])
+	if err != nil {
+		panic(err)
+	}
+	c := http.NewResponseController(w)
+	if n > 0 {
+		_, _ = w.Write(make([]byte, n))
+		_ = c.Flush()
+	}
+	for end := time.Now().Add(d); time.Now().Before(end) && r.Context().Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if p.kind == routetable.KindStream {
+			_, _ = io.WriteString(w, ".")
+			_ = c.Flush()
+		}
+	}
+	_, _ = io.WriteString(w, "end")
+}
+
+// mayOutlast reports whether the host has to take a request, sent at a time after the beginning of the stop, though
+// its deadline may lie behind the end of the stop.
+func (p stopLoad) mayOutlast(sent time.Duration) bool {
+	return sent < unhealthyDetectionTime+connectionSetupTime || p.kind == routetable.KindIdempotent && p.bytes == 0
+}
+
 // stopResult is how one request of a stopLoad ended.
 type stopResult struct {
 	// sent is when it was on the wire, ended when it was answered, after the beginning of the stop.
@@ -112,19 +165,7 @@
 	g.table(func(_, plain *routetable.Route) {
 		plain.Kind, plain.Timeout, plain.LatencyObjective = p.kind, 0, p.lasts
 	})
-	x := startServer(t, "desk", "desk", func(_ *server, w http.ResponseWriter, r *http.Request) {
-		if p.limit != "" {
-			w.Header().Set(testDialect.Limit, p.limit)
-		}
-		c := http.NewResponseController(w)
-		for end := time.Now().Add(p.lasts); time.Now().Before(end) && r.Context().Err() == nil; time.Sleep(10 * time.Millisecond) {
-			if p.kind == routetable.KindStream {
-				_, _ = io.WriteString(w, ".")
-				_ = c.Flush()
-			}
-		}
-		_, _ = io.WriteString(w, "end")
-	})
+	x := startServer(t, "desk", "desk", p.work)
 	g.register(directory.Server{ID: x.ID, Service: "desk", Address: x.Address, Domain: "d1", Slots: 1000, Software: "1"})
 	a := g.serveCalls(t)
 	const before = time.Second
@@ -264,7 +305,7 @@
 			s.sent = s.ended
 		}
 	}()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.String()+"/plain/x", strings.NewReader("b"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.String()+p.target(time.Since(start)), strings.NewReader("b"))
 	if err != nil {
 		panic(err)
 	}
@@ -294,14 +335,22 @@
 	return d
 }
 
-// Guards against requests that a host takes late in a planned stop and cuts when its process ends.
+// Guards against requests that a host takes late in a planned stop and cuts when its process ends: also those
+// that take longer than others before them did.
 func TestPlannedStopAnswersAllThatItTakes(t *testing.T) {
-	const period = 8 * time.Second
+	const period, long = 8 * time.Second, 5 * time.Second
+	const longAnswer = maxBufferedBytes + 1
 	tests := map[string]stopLoad{
 		"once, half a second":       {kind: routetable.KindOnce, lasts: 500 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 3 * time.Second},
 		"once, longer":              {kind: routetable.KindOnce, lasts: 1200 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 3 * time.Second},
+		"once, long ones late":      {kind: routetable.KindOnce, lasts: 200 * time.Millisecond, late: long, gap: 100 * time.Millisecond, deadline: 10 * time.Second},
 		"idempotent":                {kind: routetable.KindIdempotent, lasts: 1200 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 10 * time.Second},
+		"idempotent, long ones":     {kind: routetable.KindIdempotent, lasts: 200 * time.Millisecond, late: long, gap: 100 * time.Millisecond, deadline: 10 * time.Second},
+		"idempotent, long answers":  {kind: routetable.KindIdempotent, lasts: 200 * time.Millisecond, late: long, gap: 100 * time.Millisecond, deadline: 10 * time.Second, bytes: longAnswer, lateBytes: longAnswer},
+		"idempotent, longer late":   {kind: routetable.KindIdempotent, lasts: 200 * time.Millisecond, late: long, gap: 100 * time.Millisecond, deadline: 10 * time.Second, lateBytes: longAnswer},
 		"streams":                   {kind: routetable.KindStream, lasts: 1200 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 10 * time.Second},
+		"streams, deadline in time": {kind: routetable.KindStream, lasts: 1200 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 3 * time.Second},
+		"streams, long ones late":   {kind: routetable.KindStream, lasts: 200 * time.Millisecond, late: long, gap: 100 * time.Millisecond, deadline: 10 * time.Second},
 		"wait for a server's limit": {kind: routetable.KindOnce, lasts: 50 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 10 * time.Second, limit: "8"},
 		"short":                     {kind: routetable.KindOnce, lasts: 40 * time.Millisecond, gap: 10 * time.Millisecond, deadline: 3 * time.Second},
 	}
@@ -320,6 +369,9 @@
 func (v *stopPlay) check(t *testing.T, p stopLoad, period time.Duration) {
 	t.Helper()
 	answered := 0
+	end := period - answerReserve
+	// By as much the host's beginning of the stop may differ from that of the play.
+	tolerance := v.lag + 20*time.Millisecond
 	for _, s := range v.results {
 		if s.ran {
 			require.NotZero(t, s.status, "cut, sent after %v", s.sent)
@@ -328,6 +380,9 @@
 		if s.status == http.StatusOK && s.sent > unhealthyDetectionTime {
 			answered++
 		}
+		if s.sent+p.deadline > end+tolerance && !p.mayOutlast(s.sent-tolerance) {
+			require.False(t, s.ran, "taken though it may last beyond the end, sent after %v", s.sent)
+		}
 		// A machine that is late by more than a host's shortest time-outs makes it refuse requests for
 		// other reasons than the stop.
 		refused := s.status == http.StatusServiceUnavailable
@@ -337,8 +392,13 @@
 		}
 		beforeEnd := s.sent+v.lag < v.idle
 		require.False(t, s.status == 0 && beforeEnd, "not answered, sent after %v, ended after %v: %s", s.sent, s.ended, s.reason)
-		inTime := s.sent+v.longest+v.longest/2+v.lag < period-answerReserve
-		if p.limit == "" && s.sent > 0 && inTime && beforeEnd && !refusedAsLate {
+		longest := v.longest
+		if s.sent+tolerance > lateFrom {
+			longest = max(longest, p.late)
+		}
+		inTime := s.sent+longest+longest/2+v.lag < end
+		mayBegin := s.sent+p.deadline+v.lag < end || p.mayOutlast(s.sent+v.lag)
+		if p.limit == "" && s.sent > 0 && inTime && mayBegin && beforeEnd && !refusedAsLate {
 			require.Equal(t, http.StatusOK, s.status, "would have ended in time, sent after %v: %s", s.sent, s.reason)
 		}
 	}
