--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -105,13 +105,6 @@
 	return h
 }
 
-// admittedRequest is a caller's request that may begin. Its End must be called.
-type admittedRequest struct {
-	*grace.Request
-	// whole is set if none of its answer may be passed on before all of it is there.
-	whole bool
-}
-
 // admit lets a caller's request begin, unless the host shuts down and the answer might not be
 // complete before its process ends. The request's deadline is not later than that then.
 func (r *drainer) admit(c *Call) (*admittedRequest, error) {
@@ -137,19 +130,6 @@
 
 func inMilliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 
-// checkAnswer returns an error if an answer may not be passed on, as it is not whole and the host may have to
-// end before it is.
-func (a *admittedRequest) checkAnswer(x *Answer) error {
-	if x.Rest == nil {
-		return nil
-	}
-	a.AnswerInParts()
-	if a.whole {
-		return outcome.Ambiguous(outcome.ReasonDraining, x.Server.ID, nil)
-	}
-	return nil
-}
-
 // waitToSend waits before a request is sent. It returns an error as soon as it shows that the request
 // must not be sent: its context has ended, it would come too late in a shutdown, or its own check fails.
 func (r *drainer) waitToSend(ctx context.Context, d time.Duration, q *backend.Request) error {
