--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -25,7 +25,7 @@
 	unhealthyDetectionTime = 2300 * time.Millisecond
 	// connectionSetupTime is how long the first request may take to arrive on a connection that the balancer
 	// has given to this host.
-	connectionSetupTime = 700 * time.Millisecond
+	connectionSetupTime = 500 * time.Millisecond
 	// drainPollInterval is the time between two checks for unfinished work.
 	drainPollInterval = 50 * time.Millisecond
 	// releaseReserve is the part of the grace period that is kept for releasing steps.
