Planned stop: decide again on requests that waited before they are sent

Callers whose streams waited for a server's limit when their host was stopped saw them begin late and cut 7.6 s after the SIGTERM, though they could still have been refused, not run, and served by another host.

Cause: whether there is time left was decided when a request arrived; what waited for a permit was looked at again only against the end of the window, what waited for a trial or was refused by one server and sent to the next not at all.

Change: the decision is made again right before each send (plainCall.checkTime, in the check of each attempt, before a next server is picked and before a trial is claimed), with the deadline that the request had.

Evidence: TestPlannedStopAnswersAllThatItTakes, load "streams that wait" (1 s of work, a limit of 4 a second): "cut, sent after -99 ms" before, passes now, as do the other twelve and all tests of pier/gateway that name a planned stop, a trial, the quarantine or suspects (1 run).

--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -200,6 +200,10 @@
 	if ctx.Err() != nil || s.sent >= s.c.Route.Attempts {
 		return
 	}
+	if err := s.c.checkTime(); err != nil {
+		s.setLast(outcome.AsError(err))
+		return
+	}
 	u, ok := s.g.fleet.pickServer(s.c.choice(s.tried))
 	if !ok {
 		s.noServer()
--- a/pier/gateway/drain.go
+++ b/pier/gateway/drain.go
@@ -106,26 +106,47 @@
 }
 
 // admit lets a caller's request begin, unless the host shuts down and the answer might not be
-// complete before its process ends. The request's deadline is not later than that then.
+// complete before its process ends. The request's deadline is not later than that then. A request that
+// has to wait before it is sent is decided on again right before.
 func (r *drainer) admit(c *Call) (*admittedRequest, error) {
-	now, h := time.Now(), r.history(c.Route.Name)
-	a := &admittedRequest{}
-	if w := r.window.Load(); w != nil && !now.Before(w.Announced) {
-		usual := h.Usual(now)
-		d := w.Decide(now, grace.Candidate{
-			Deadline: c.Deadline, Usual: usual, Idempotent: c.Route.Kind == routetable.KindIdempotent,
-		})
-		if d == grace.Refuse {
-			return nil, outcome.Refuse(outcome.ReasonDraining, fmt.Sprintf("%v left, the request may take %v, others took up to %v",
-				inMilliseconds(w.End.Sub(now)), inMilliseconds(c.Deadline.Sub(now)), inMilliseconds(usual.Longest)))
-		}
-		a.whole = d == grace.TakeWhole
-		if c.Deadline.After(w.End) {
-			c.Deadline = w.End
-		}
+	h, deadline, idempotent := r.history(c.Route.Name), c.Deadline, c.Route.Kind == routetable.KindIdempotent
+	d, err := r.decide(h, deadline, idempotent)
+	if err != nil {
+		return nil, err
+	}
+	c.inTime = func() error {
+		_, err := r.decide(h, deadline, idempotent)
+		return err
+	}
+	if w := r.announced(); w != nil && c.Deadline.After(w.End) {
+		c.Deadline = w.End
+	}
+	return &admittedRequest{Request: h.Begin(time.Now()), whole: d == grace.TakeWhole}, nil
+}
+
+// announced returns the window once the host has told everybody that it leaves, nil before.
+func (r *drainer) announced() *grace.Window {
+	w := r.window.Load()
+	if w == nil || time.Now().Before(w.Announced) {
+		return nil
+	}
+	return w
+}
+
+// decide decides whether a request, of a kind that h knows, may be sent now. Its error is a refusal.
+func (r *drainer) decide(h *grace.History, deadline time.Time, idempotent bool) (grace.Decision, error) {
+	w := r.announced()
+	if w == nil {
+		return grace.Take, nil
+	}
+	now := time.Now()
+	usual := h.Usual(now)
+	d := w.Decide(now, grace.Candidate{Deadline: deadline, Usual: usual, Idempotent: idempotent})
+	if d != grace.Refuse {
+		return d, nil
 	}
-	a.Request = h.Begin(now)
-	return a, nil
+	return d, outcome.Refuse(outcome.ReasonDraining, fmt.Sprintf("%v left, the request may take %v, others took up to %v",
+		inMilliseconds(w.End.Sub(now)), inMilliseconds(deadline.Sub(now)), inMilliseconds(usual.Longest)))
 }
 
 func inMilliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -54,6 +54,9 @@
 	// Allowed, if not nil, returns a refusal once the caller's key is not valid any more. It is called right before
 	// the request is sent to a server.
 	Allowed func() error
+	// inTime, if not nil, returns a refusal once this host shuts down and the answer might not be complete in time. It
+	// is called right before the request is sent to a server.
+	inTime func() error
 	// Deadline is the earlier of the caller's deadline and the route's timeout.
 	Deadline time.Time
 	// Purpose is PurposeCall or PurposeScore.
--- a/pier/gateway/plannedstop_test.go
+++ b/pier/gateway/plannedstop_test.go
@@ -38,6 +38,7 @@
 		"streams, deadline in time": {kind: routetable.KindStream, lasts: 1200 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 3 * time.Second},
 		"streams, long ones late":   {kind: routetable.KindStream, lasts: 200 * time.Millisecond, late: long, gap: 100 * time.Millisecond, deadline: 10 * time.Second},
 		"wait for a server's limit": {kind: routetable.KindOnce, lasts: 50 * time.Millisecond, gap: 100 * time.Millisecond, deadline: 10 * time.Second, limit: "8"},
+		"streams that wait":         {kind: routetable.KindStream, lasts: time.Second, gap: 100 * time.Millisecond, deadline: 10 * time.Second, limit: "4"},
 		"short":                     {kind: routetable.KindOnce, lasts: 40 * time.Millisecond, gap: 10 * time.Millisecond, deadline: 3 * time.Second},
 	}
 	for name, p := range tests {
--- a/pier/gateway/trial.go
+++ b/pier/gateway/trial.go
@@ -57,17 +57,28 @@
 	return access.KindPlain
 }
 
-// check returns a refusal if the call must not be sent to a server any more: the caller's key was removed, or the
-// server has left.
+// check returns a refusal if the call must not be sent to a server any more: the caller's key was removed, this
+// host shuts down too soon, or the server has left.
 func (c *plainCall) check(u *reservation) error {
 	if c.Allowed != nil {
 		if err := c.Allowed(); err != nil {
 			return err
 		}
 	}
+	if err := c.checkTime(); err != nil {
+		return err
+	}
 	return u.check()
 }
 
+// checkTime returns a refusal if this host shuts down too soon for the call to be sent to any server.
+func (c *plainCall) checkTime() error {
+	if c.inTime == nil {
+		return nil
+	}
+	return c.inTime()
+}
+
 // services returns the services that the call may go to, in the order in which it uses them.
 func (c *plainCall) services() []string {
 	if c.writer.Known() {
@@ -101,6 +112,9 @@
 	}
 	tried := make(map[string]bool)
 	for {
+		if err := c.checkTime(); err != nil {
+			return nil, err
+		}
 		d, changed := g.suspects.decide(c)
 		switch d.Action {
 		case quarantine.Refuse:
