Bodies without a length: whole only if the connection was not reset

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole 200, on both kinds of routes; an idempotent request was not tried elsewhere.

Cause: an upload of over 16 KiB is written by a goroutine while the answer is read. The kernel tells of a reset once: the first call that asks for the socket's error clears it. If that is the write, the read returns 0 like at an end in order, and net/http takes that for the end of the body. A reset after an end in order is told to no read at all. Clients over net/http have the same fault.

Change: tcpstate.ConfirmEnd, used by backend.Response and answerhead.Conn, looks after the end of such a body at what the kernel keeps and no call clears. The body is whole once the request was written and acknowledged (SIOCOUTQ) and the connection is not closed in both directions (TCP_INFO). That suffices, as a process that ends or closes with unread bytes resets the connection, and one that has read what had come resets it when more comes. Response.Close returns once the request is written no more. An answer that breaks off is logged with the id of its request, for explain.

--- /dev/null
+++ b/pier/answerhead/parts_test.go
@@ -0,0 +1,138 @@
+package answerhead_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberrypier.example/pier/answerhead"
+	"mulberrypier.example/pier/logservice"
+	"mulberrypier.example/pier/operator"
+	"mulberrypier.example/pier/outcome"
+	"mulberrypier.example/pier/rawanswertest"
+	"mulberrypier.example/pier/service"
+)
+
+// unframed is an answer whose content ends with its connection.
+const unframed = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}"
+
+// startEarly starts a server that sends unframed before it has read a request.
+func startEarly(t *testing.T, end rawanswertest.End) *rawanswertest.EarlyServer {
+	t.Helper()
+	return rawanswertest.StartEarly(t, rawanswertest.EarlyConfig{
+		Answer: func(*http.Request) (string, bool) { return unframed, false }, End: end,
+	})
+}
+
+// upload sends a request of a size and returns the content of the answer.
+func upload(c *http.Client, a netip.AddrPort, size int) ([]byte, error) {
+	r, err := c.Post("http://"+a.String(), "text/plain", bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	return io.ReadAll(r.Body)
+}
+
+// Guards against a part of an answer that is taken for the whole, as its connection was reset while the request was
+// still being written.
+func TestPartOfAnAnswerIsNotTheWhole(t *testing.T) {
+	const tries = 10
+	for name, end := range rawanswertest.PartEnds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startEarly(t, end)
+			c := &http.Client{Transport: answerhead.NewTransport(&http.Transport{})}
+			for range tries {
+				b, err := upload(c, s.Address(), rawanswertest.UploadBytes)
+				require.Error(t, err, "%q", b)
+			}
+		})
+	}
+}
+
+// Guards against whole answers that are refused.
+func TestHonestAnswerWithoutALengthIsWhole(t *testing.T) {
+	for name, end := range rawanswertest.WholeEnds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startEarly(t, end)
+			c := &http.Client{Transport: answerhead.NewTransport(&http.Transport{})}
+			for _, size := range []int{0, 1000, 200_000, rawanswertest.UploadBytes} {
+				b, err := upload(c, s.Address(), size)
+				require.NoError(t, err)
+				require.Equal(t, "{}", string(b))
+			}
+		})
+	}
+}
+
+// Guards against clients that take a part of an answer for success.
+func TestClientsRefusePartsOfAnswers(t *testing.T) {
+	body := make([]byte, rawanswertest.UploadBytes)
+	tests := map[string]struct {
+		call   func(ctx context.Context, a netip.AddrPort) error
+		reason outcome.Reason
+	}{
+		"service": {call: func(ctx context.Context, a netip.AddrPort) error {
+			_, err := service.New().Call(ctx, a, &service.Request{ID: "1", Method: http.MethodPost, Path: "/", Body: body})
+			return err
+		}, reason: outcome.ReasonShortAnswer},
+		"append": {call: func(ctx context.Context, a netip.AddrPort) error {
+			_, err := logservice.New(logservice.Config{Address: a}).Append(ctx, "s", body)
+			return err
+		}, reason: outcome.ReasonLogDown},
+		"operator": {call: func(ctx context.Context, a netip.AddrPort) error {
+			_, err := operator.New(operator.ClientConfig{Address: a}).Publish(ctx, body, false)
+			return err
+		}, reason: outcome.ReasonShortAnswer},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for kind, end := range rawanswertest.PartEnds {
+				s := startEarly(t, end)
+				ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+				err := c.call(ctx, s.Address())
+				cancel()
+				require.Error(t, err, kind)
+				require.Equal(t, outcome.Unknown, outcome.AsError(err).Outcome, kind)
+				// The head may not arrive before a reset.
+				if !outcome.HasReason(err, outcome.ReasonConnectionLost) && !outcome.HasReason(err, outcome.ReasonUnreachable) {
+					require.True(t, outcome.HasReason(err, c.reason), "%s: %v", kind, err)
+				}
+			}
+		})
+	}
+}
+
+// A request whose context ends while it is not known whether the answer is whole fails then, and is written no more.
+func TestWaitForTheEndOfAnAnswerEndsWithTheContext(t *testing.T) {
+	s := startEarly(t, rawanswertest.Stalled)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := service.New().Call(ctx, s.Address(), &service.Request{
+		ID: "1", Method: http.MethodPost, Path: "/", Body: make([]byte, rawanswertest.UploadBytes), NewConnection: true,
+	})
+	require.Error(t, err)
+	require.Less(t, time.Since(began), time.Second)
+	require.Eventually(t, func() bool {
+		l := stacks()
+		return !strings.Contains(l, "tcpstate.ConfirmEnd") && !strings.Contains(l, "net.(*conn).Write")
+	}, time.Second, 10*time.Millisecond)
+}
+
+// stacks returns the stacks of all goroutines.
+func stacks() string {
+	b := make([]byte, 1<<20)
+	return string(b[:runtime.Stack(b, true)])
+}
--- a/pier/answerhead/scanner.go
+++ b/pier/answerhead/scanner.go
@@ -75,6 +75,13 @@
 	return &Error{Fault: s.fault}
 }
 
+// InContentUntilClose reports whether the head has ended, and the content after it ends with the connection: the head
+// states neither a length nor chunks. An answer to HEAD, whose content is not sent, counts too.
+func (s *Scanner) InContentUntilClose() bool {
+	without := s.status == http.StatusNoContent || s.status == http.StatusNotModified
+	return s.next == partContent && s.length == unstated && !s.encoded && !without
+}
+
 // scan checks the next bytes of the answer, and returns the fault that it finds.
 func (s *Scanner) scan(b []byte) Fault {
 	for len(b) > 0 && s.next != partContent {
--- a/pier/answerhead/transport.go
+++ b/pier/answerhead/transport.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
 )
 
 // maxHeadBytes is the size of the largest head of an answer. The default of net/http, 10 MB, is too much for a
@@ -14,7 +13,8 @@
 const maxHeadBytes = 64 << 10
 
 // Transport is an http.Transport whose requests fail with an *Error if the head of the answer is malformed, or too
-// large. The connection is closed then.
+// large. The connection is closed then. The reading of content that ends with the connection fails with an error of
+// package tcpstate unless the server ended the connection in order and has received the request.
 type Transport struct {
 	base *http.Transport
 }
@@ -48,12 +48,20 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var c *Conn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		if x, ok := i.Conn.(*Conn); ok {
-			c = x
-			c.expectAnswer()
-		}
-	}})
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			if x, ok := i.Conn.(*Conn); ok {
+				c = x
+				c.expectAnswer()
+			}
+		},
+		// Package net/http calls it before it tries another connection, if any.
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if c != nil && i.Err == nil {
+				c.written.Store(true)
+			}
+		},
+	})
 	a, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err == nil || c == nil {
 		return a, err
@@ -67,38 +75,3 @@
 
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
-
-// Conn is a connection of a Transport. A read fails if it brings a part of a malformed head.
-type Conn struct {
-	net.Conn
-
-	mu sync.Mutex
-	// heads is at the beginning of the answer to the request that was sent last.
-	heads Scanner
-}
-
-// expectAnswer has the next byte taken for the first one of an answer.
-func (c *Conn) expectAnswer() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.heads = Scanner{}
-}
-
-// Read implements net.Conn.
-func (c *Conn) Read(b []byte) (int, error) {
-	if malformed := c.scan(nil); malformed != nil {
-		return 0, malformed
-	}
-	n, err := c.Conn.Read(b)
-	if malformed := c.scan(b[:n]); malformed != nil {
-		return 0, malformed
-	}
-	return n, err
-}
-
-// scan checks the next bytes of the answer. It returns an *Error if they, or those before them, are malformed.
-func (c *Conn) scan(b []byte) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.heads.Scan(b)
-}
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -59,9 +59,13 @@
 // outcome of the request is unknown.
 func (p *Pool) exchange(ctx context.Context, c *conn, q Request, m Admission) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	var sent *upload
 	fail := func(r outcome.Reason, err error) (*Response, error) {
 		stop()
 		_ = c.Close()
+		if sent != nil {
+			sent.wait()
+		}
 		at := q.Server
 		switch {
 		case r == outcome.ReasonMalformedAnswer:
@@ -92,10 +96,11 @@
 	if k := a.Header.Get("Keep-Alive"); k != "" {
 		c.idleTimeout = parseKeepAlive(k)
 	}
-	closing := a.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0
+	unframed := a.ContentLength < 0 && len(a.TransferEncoding) == 0
 	return &Response{
 		Status: a.StatusCode, Header: a.Header, BodyLength: a.ContentLength,
-		pool: p, conn: c, body: a.Body, trailer: &a.Trailer, sent: sent, stop: stop, closing: closing,
+		pool: p, conn: c, body: a.Body, trailer: &a.Trailer, sent: sent, stop: stop,
+		untilClose: unframed && a.Body != http.NoBody, closing: a.Close || unframed,
 	}, nil
 }
 
--- a/pier/backend/request.go
+++ b/pier/backend/request.go
@@ -117,15 +117,51 @@
 
 func isControl(r rune) bool { return r < ' ' || r == 0x7f }
 
-// alreadyWritten is a closed channel, for requests that were written before
-// writeRequest returned.
-var alreadyWritten = func() <-chan struct{} { c := make(chan struct{}); close(c); return c }()
-
-// writeRequest writes the request and returns a channel that is closed once all of it was
-// written; if writing the body fails, the channel stays open. A body longer than
-// inlineBodyBytes is written concurrently with the reading of the answer, as a server may
-// answer before it has read the body.
-func (c *conn) writeRequest(d Dialect, q Request) (<-chan struct{}, error) {
+// upload is the writing of a request.
+type upload struct {
+	// done is closed once the request is written no more. After it, err is the error of the last write.
+	done chan struct{}
+	err  error
+}
+
+// written reports whether all of the request was written.
+func (u *upload) written() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+// wait returns once the request is written no more, which is soon after its connection was closed.
+func (u *upload) wait() { <-u.done }
+
+// writeRequest writes the request. A body longer than inlineBodyBytes is written concurrently with the reading of the
+// answer, as a server may answer before it has read the body.
+func (c *conn) writeRequest(d Dialect, q Request) (*upload, error) {
+	u := &upload{done: make(chan struct{})}
+	b := requestHeader(d, q)
+	inline := len(q.Body) <= inlineBodyBytes
+	if inline {
+		b = append(b, q.Body...)
+	}
+	if _, err := c.Write(b); err != nil {
+		return nil, err
+	}
+	if inline {
+		close(u.done)
+		return u, nil
+	}
+	go func() {
+		defer close(u.done)
+		_, u.err = c.Write(q.Body)
+	}()
+	return u, nil
+}
+
+// requestHeader returns the header of the request as it is sent.
+func requestHeader(d Dialect, q Request) []byte {
 	var b bytes.Buffer
 	b.Grow(512 + min(len(q.Body), inlineBodyBytes))
 	b.WriteString(q.Method + " " + q.Target + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
@@ -144,19 +180,5 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	if len(q.Body) <= inlineBodyBytes {
-		b.Write(q.Body)
-		_, err := c.Write(b.Bytes())
-		return alreadyWritten, err
-	}
-	if _, err := c.Write(b.Bytes()); err != nil {
-		return nil, err
-	}
-	done := make(chan struct{})
-	go func() {
-		if _, err := c.Write(q.Body); err == nil {
-			close(done)
-		}
-	}()
-	return done, nil
+	return b.Bytes()
 }
--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulberrypier.example/pier/answerhead"
+	"mulberrypier.example/pier/tcpstate"
 )
 
 // Response is the answer to a request. The caller must call Close.
@@ -24,8 +25,8 @@
 	body io.ReadCloser
 	// trailer holds the trailer once the body was read to its end.
 	trailer *http.Header
-	// sent is closed once the complete request was written.
-	sent <-chan struct{}
+	// sent is the writing of the request.
+	sent *upload
 	// stop ends the watch over the request's context. It returns false if the context has
 	// ended and the connection is no longer usable.
 	stop func() bool
@@ -33,6 +34,8 @@
 	complete bool
 	// err is the error that ended the body, io.EOF if it is complete, nil before that.
 	err error
+	// untilClose is set if the body ends with the connection.
+	untilClose bool
 	// closing is set if the server closes the connection after this answer.
 	closing bool
 	// aborted is set once the connection was closed by Abort.
@@ -40,22 +43,34 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body, and an *answerhead.Error if the
-// trailer after it is malformed. After an error, each further call returns the same: package net/http reports
-// the end of a body that broke off once only, and the body as complete from then on.
+// trailer after it is malformed. A body that ends with the connection is complete if tcpstate.ConfirmEnd says so, for
+// which it may wait until the server has received the request. After an error, each further call returns the same:
+// package net/http reports the end of a body that broke off once only, and the body as complete from then on.
 func (r *Response) Read(b []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err
 	}
 	n, err := r.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = r.checkEnd()
+	}
 	r.err = err
-	r.complete = err == io.EOF
-	if !r.complete {
-		return n, err
+	r.complete = errors.Is(err, io.EOF)
+	return n, err
+}
+
+// checkEnd returns io.EOF if the body, of which nothing more comes, is complete.
+func (r *Response) checkEnd() error {
+	if err := answerhead.CheckTrailer(*r.trailer); err != nil {
+		return err
 	}
-	if malformed := answerhead.CheckTrailer(*r.trailer); malformed != nil {
-		r.err, r.complete = malformed, false
+	if !r.untilClose {
+		return io.EOF
 	}
-	return n, r.err
+	if err := tcpstate.ConfirmEnd(r.conn.Conn, r.sent.written); err != nil {
+		return err
+	}
+	return io.EOF
 }
 
 // errEndless is the error of a body that does not end where it should.
@@ -77,13 +92,15 @@
 
 // Close releases the connection. The connection is reused only if the request was written
 // and the answer read completely, nothing followed the answer, the context has not ended and
-// the server keeps the connection open. Otherwise it is closed.
+// the server keeps the connection open. Otherwise it is closed. The body of the request is not used any more
+// once Close has returned.
 func (r *Response) Close() {
 	if r.release() {
 		r.pool.putIdle(r.conn)
 		return
 	}
 	_ = r.conn.Close()
+	r.sent.wait()
 }
 
 // Abort closes the connection at once, also while the body is being read. Close must follow.
@@ -95,13 +112,7 @@
 // release ends the use of the connection and reports whether it can be used again.
 func (r *Response) release() bool {
 	notCancelled := r.stop()
-	sent := false
-	select {
-	case <-r.sent:
-		sent = true
-	default:
-	}
-	return notCancelled && r.complete && sent && !r.closing && !r.aborted.Load() && r.conn.r.Buffered() == 0
+	return notCancelled && r.complete && r.sent.written() && !r.closing && !r.aborted.Load() && r.conn.r.Buffered() == 0
 }
 
 // UnconfirmedSince returns a time at which the connection was open, if it is not known which
--- a/pier/gateway/answerbody.go
+++ b/pier/gateway/answerbody.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"mulberrypier.example/pier/answerhead"
 	"mulberrypier.example/pier/backend"
 	"mulberrypier.example/pier/outcome"
@@ -55,6 +57,8 @@
 type answerBody struct {
 	r *backend.Response
 	u *reservation
+	// id is the id of the request.
+	id string
 	// ctx is the context of the attempt, which bounds the reading.
 	ctx    context.Context
 	stream bool
@@ -76,7 +80,8 @@
 func (g *Gateway) newAnswerBody(ctx context.Context, c *Call, u *reservation, r *backend.Response) (*answerBody, error) {
 	now := time.Now()
 	b := &answerBody{
-		r: r, u: u, ctx: ctx, stream: c.Route.Kind == routetable.KindStream, bound: g.answerBound(c, r.BodyLength, now), beganAt: now,
+		r: r, u: u, id: c.ID, ctx: ctx, stream: c.Route.Kind == routetable.KindStream,
+		bound: g.answerBound(c, r.BodyLength, now), beganAt: now,
 	}
 	if c.Method != http.MethodHead && r.BodyLength > b.bound {
 		b.end(b.tooLarge(), now)
@@ -159,6 +164,14 @@
 	case b.ctx.Err() != nil:
 		b.u.failed(string(outcome.ReasonDeadline))
 	default:
-		b.u.failed(string(bodyError(b.u.s.ID, err).Reason))
+		b.brokeOff(err)
 	}
 }
+
+// brokeOff records that the server broke the body off.
+func (b *answerBody) brokeOff(err error) {
+	reason := string(bodyError(b.u.s.ID, err).Reason)
+	b.u.f.g.log.Info("request: answer broke off", zap.String("id", b.id), zap.String("server", b.u.s.ID),
+		zap.String("reason", reason), zap.Int64("bytes", b.read), zap.Error(err))
+	b.u.failed(reason)
+}
