HTTP/1.0: reset the connection of an answer that breaks off

Callers saw: a server's answer of 1,000,000 bytes in chunks broke off before its last chunk. A caller of HTTP/1.0 got 200, no length, all bytes so far and an ordinary end of the connection, which ends the answer there. The same if the host ended meanwhile.

Cause: the host broke the answer off by closing the connection, which tells callers of HTTP/1.1 only.

Change: while such an answer is passed on, the connection is one that is reset when it is closed (SO_LINGER of 0), by the host or by the kernel if the process is killed; it ends in order once all of it was written. An answer that could not be written to its caller, as one that reads nothing, is aborted in the same way.

--- a/pier/gateway/gateway.go
+++ b/pier/gateway/gateway.go
@@ -286,7 +286,7 @@
 func (g *Gateway) serveOn(n net.Listener, h http.Handler) {
 	s := &http.Server{
 		Handler: g.drain.track(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(g.log), BaseContext: func(net.Listener) context.Context { return g.drain.ctx },
+		ErrorLog: zap.NewStdLog(g.log), BaseContext: func(net.Listener) context.Context { return g.drain.ctx }, ConnContext: withCallerConn,
 	}
 	l := acceptretry.New(acceptretry.Config{Listener: n, OnError: func(err error) {
 		g.log.Warn("host: listener failed; it goes on", zap.Stringer("address", n.Addr()), zap.Error(err))
