Memory of an upload: taken until it is written to no server any more

An idempotent upload that one server had begun to answer and another one answered goes on at the first in the background, to show whether that answer ends. Its memory was given back with the answer to its caller, so that as many more uploads were let in while it was still written: more bytes than the host has memory for.

Body.Hold keeps the memory taken for each attempt, until its answer was closed, and with that its request is written no more.

--- a/pier/gateway/bodies.go
+++ b/pier/gateway/bodies.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,14 +41,25 @@
 	taken int64
 	// copies is how often the bytes will be in memory.
 	copies int64
+	// users is the number of those that use the body: the request itself, and who else holds it.
+	users atomic.Int32
 }
 
-// Release returns the memory that the body takes.
+// Release returns the memory that the body takes, once nobody else holds it any more.
 func (b *Body) Release() {
+	if b.users.Add(-1) > 0 {
+		return
+	}
 	b.g.memory.Give(b.taken)
 	b.taken = 0
 }
 
+// Hold keeps the memory of the body taken until the function that it returns is called, also after Release.
+func (b *Body) Hold() (release func()) {
+	b.users.Add(1)
+	return sync.OnceFunc(b.Release)
+}
+
 // ReadBody reads the body of a request of at most limit bytes. If the host has no memory for it, the
 // request is refused, before any of a body of known length is read. A body that is still on its way when
 // the request's context ends, as at the end of a planned stop, is waited for no longer. Errors are of
@@ -63,6 +76,7 @@
 
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit, copies int64) (*Body, error) {
 	b := &Body{g: g, copies: copies}
+	b.users.Store(1)
 	if r.ContentLength > limit {
 		return nil, outcome.Refuse(outcome.ReasonTooLarge, "body")
 	}
--- a/pier/gateway/dispatch.go
+++ b/pier/gateway/dispatch.go
@@ -222,8 +222,14 @@
 	t, attemptCtx := newAttempt(ctx, u)
 	s.attempts = append(s.attempts, t)
 	more := s.sent < s.c.Route.Attempts
+	release := s.c.holdBody()
 	go func() {
 		t.answer, t.err = s.g.attempt(attemptCtx, s.c.Call, q, u, more)
+		if t.err == nil {
+			t.answer.afterClose(release)
+		} else {
+			release()
+		}
 		if errors.Is(attemptCtx.Err(), context.DeadlineExceeded) {
 			// Both deadlines are the same: the request is over before its attempts.
 			<-ctx.Done()
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -45,6 +45,9 @@
 	ID     string
 	Header http.Header
 	Body   []byte
+	// HoldBody, if not nil, is called before Body is sent to a server. Body is used until the function that it returns
+	// is called, which may be after the answer was closed.
+	HoldBody func() (release func())
 	// Organisation is the name of the organisation on behalf of which the request is made, empty if there is none.
 	Organisation string
 	// counted is shared by all attempts; it is nil if the request is in no usage report.
@@ -70,6 +73,14 @@
 // no caller does.
 func (c *Call) deferrable() bool { return c.Purpose == backend.PurposeScore }
 
+// holdBody calls HoldBody.
+func (c *Call) holdBody() (release func()) {
+	if c.HoldBody == nil {
+		return func() {}
+	}
+	return c.HoldBody()
+}
+
 // observeStatus tells the caller of an answer, unless it states that the server did not run the
 // request.
 func (c *Call) observeStatus(r *backend.Response) {
--- a/pier/gateway/memoryparts_test.go
+++ b/pier/gateway/memoryparts_test.go
@@ -138,3 +138,29 @@
 	require.Equal(t, items, done())
 	require.LessOrEqual(t, runs.Load(), int64(2*items))
 }
+
+// Guards against memory of an upload that is given back while the upload is still written to a server: one that
+// another server has answered meanwhile goes on at the first for some time.
+func TestMemoryOfAnUploadIsTakenWhileItIsWritten(t *testing.T) {
+	const size, deadline = 6 << 20, 1500 * time.Millisecond
+	g := newHost(t, "a", newLog().Functions())
+	g.table(nil)
+	bad, _ := startPair(t, g, drip)
+	total := g.memory.Left()
+	r := httptest.NewRequest(http.MethodPost, "/plain/x", strings.NewReader(strings.Repeat("x", size)))
+	b, err := g.ReadBody(httptest.NewRecorder(), r, size)
+	require.NoError(t, err)
+	c := callWithin(g, deadline)
+	c.Body, c.HoldBody = b.Bytes, b.Hold
+	began := time.Now()
+	a, err := g.Do(context.Background(), c)
+	require.NoError(t, err)
+	require.NoError(t, a.readRest())
+	a.Close()
+	b.Release()
+	require.Less(t, time.Since(began), deadline)
+	require.Equal(t, 1, g.runningAt(bad))
+	require.LessOrEqual(t, g.memory.Left(), total-size)
+	require.Eventually(t, func() bool { return g.memory.Left() == total }, 2*deadline, time.Millisecond)
+	require.Zero(t, g.runningAt(bad))
+}
