TLS: content without a length ends with the peer's notice only

Over TLS, an answer without a length was whole once the connection below had ended, which anybody on the way can cause: crypto/tls returns the same end with and without the notice (close_notify) of the peer. RFC 9112, 9.8, calls the answer incomplete without it. Only the operators' client uses TLS, and mulberryd states lengths, so that no wrong answer is known.

A connection below TLS notes whether it ended before the notice.

--- a/pier/answerhead/conn.go
+++ b/pier/answerhead/conn.go
@@ -1,6 +1,7 @@
 package answerhead
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -49,12 +50,25 @@
 
 // checkEnd returns io.EOF if content that ends with the connection, of which nothing more comes, is whole.
 func (c *Conn) checkEnd() error {
+	if c.endedWithoutNotice() {
+		return io.ErrUnexpectedEOF
+	}
 	if err := tcpstate.ConfirmEnd(c.Conn, c.written.Load); err != nil {
 		return err
 	}
 	return io.EOF
 }
 
+// endedWithoutNotice reports whether the end of a connection with TLS may come from somebody else than the peer.
+func (c *Conn) endedWithoutNotice() bool {
+	t, ok := c.Conn.(*tls.Conn)
+	if !ok {
+		return false
+	}
+	n, ok := t.NetConn().(*noticeConn)
+	return ok && n.ended.Load()
+}
+
 // inContentUntilClose reports whether what arrives next belongs to content that ends with the connection.
 func (c *Conn) inContentUntilClose() bool {
 	c.mu.Lock()
@@ -68,3 +82,24 @@
 	defer c.mu.Unlock()
 	return c.heads.Scan(b)
 }
+
+// noticeConn is a connection below TLS. Package crypto/tls reads no more of it after the notice with which a peer ends
+// what it sends, but takes the end of the connection for such a notice.
+type noticeConn struct {
+	net.Conn
+
+	// ended is set once the connection has ended without a notice.
+	ended atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *noticeConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+	}
+	return n, err
+}
+
+// NetConn returns the connection below, as that of package crypto/tls does.
+func (c *noticeConn) NetConn() net.Conn { return c.Conn }
--- a/pier/answerhead/parts_test.go
+++ b/pier/answerhead/parts_test.go
@@ -1,10 +1,15 @@
 package answerhead_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"runtime"
 	"strings"
@@ -131,6 +136,51 @@
 	}, time.Second, 10*time.Millisecond)
 }
 
+// With TLS, content without a length ends with a notice of the peer: the connection below may be cut by others.
+func TestEndWithoutNoticeIsNotTheWhole(t *testing.T) {
+	tests := map[string]struct {
+		end   func(c *tls.Conn) error
+		whole bool
+	}{
+		"notice":           {end: (*tls.Conn).Close, whole: true},
+		"notice, kept":     {end: (*tls.Conn).CloseWrite, whole: true},
+		"connection ended": {end: func(c *tls.Conn) error { return c.NetConn().Close() }},
+	}
+	x := httptest.NewTLSServer(nil)
+	t.Cleanup(x.Close)
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: x.TLS.Certificates})
+			require.NoError(t, err)
+			defer func() { _ = l.Close() }()
+			ended := make(chan error, 1)
+			go func() {
+				n, err := l.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(n)); err != nil {
+					ended <- err
+					return
+				}
+				_, err = io.WriteString(n, unframed)
+				ended <- errors.Join(err, c.end(n.(*tls.Conn)))
+			}()
+			roots := x509.NewCertPool()
+			roots.AddCert(x.Certificate())
+			h := &http.Client{Transport: answerhead.NewTransport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}), Timeout: testTimeout}
+			r, err := h.Get("https://" + l.Addr().String())
+			require.NoError(t, err)
+			b, err := io.ReadAll(r.Body)
+			require.NoError(t, r.Body.Close())
+			require.NoError(t, <-ended)
+			require.Equal(t, "{}", string(b))
+			require.Equal(t, c.whole, err == nil, "%v", err)
+		})
+	}
+}
+
 // stacks returns the stacks of all goroutines.
 func stacks() string {
 	b := make([]byte, 1<<20)
--- a/pier/answerhead/transport.go
+++ b/pier/answerhead/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -26,8 +27,7 @@
 	if base.DialContext == nil {
 		base.DialContext = new(net.Dialer).DialContext
 	}
-	secure := tls.Dialer{Config: base.TLSClientConfig}
-	base.DialContext, base.DialTLSContext = checked(base.DialContext), checked(secure.DialContext)
+	base.DialContext, base.DialTLSContext = checked(base.DialContext), checked(secure(base.TLSClientConfig))
 	return &Transport{base: base}
 }
 
@@ -45,6 +45,33 @@
 	}
 }
 
+// secure returns a function that opens connections with TLS. The server's name is that of the address unless c states
+// one.
+func secure(c *tls.Config) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		own := c.Clone()
+		if own == nil {
+			own = &tls.Config{}
+		}
+		if own.ServerName == "" {
+			own.ServerName = host
+		}
+		n, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		t := tls.Client(&noticeConn{Conn: n}, own)
+		if err := t.HandshakeContext(ctx); err != nil {
+			return nil, errors.Join(err, n.Close())
+		}
+		return t, nil
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var c *Conn
