--- a/pier/backend/request.go
+++ b/pier/backend/request.go
@@ -124,6 +124,13 @@
 	err  error
 }
 
+// writtenInline is the writing of the requests that were written before writeRequest returned.
+var writtenInline = func() *upload {
+	u := &upload{done: make(chan struct{})}
+	close(u.done)
+	return u
+}()
+
 // written reports whether all of the request was written.
 func (u *upload) written() bool {
 	select {
@@ -140,7 +147,6 @@
 // writeRequest writes the request. A body longer than inlineBodyBytes is written concurrently with the reading of the
 // answer, as a server may answer before it has read the body.
 func (c *conn) writeRequest(d Dialect, q Request) (*upload, error) {
-	u := &upload{done: make(chan struct{})}
 	b := requestHeader(d, q)
 	inline := len(q.Body) <= inlineBodyBytes
 	if inline {
@@ -150,9 +156,9 @@
 		return nil, err
 	}
 	if inline {
-		close(u.done)
-		return u, nil
+		return writtenInline, nil
 	}
+	u := &upload{done: make(chan struct{})}
 	go func() {
 		defer close(u.done)
 		_, u.err = c.Write(q.Body)
--- a/pier/gateway/forward.go
+++ b/pier/gateway/forward.go
@@ -45,8 +45,8 @@
 	ID     string
 	Header http.Header
 	Body   []byte
-	// HoldBody, if not nil, is called before Body is sent to a server. Body is used until the function that it returns
-	// is called, which may be after the answer was closed.
+	// HoldBody, if not nil, is called before each attempt at a server. The attempt uses Body until it calls the function
+	// that HoldBody returned, which may be after the call's answer was closed: another server may have answered.
 	HoldBody func() (release func())
 	// Organisation is the name of the organisation on behalf of which the request is made, empty if there is none.
 	Organisation string
