--- a/pier/answerhead/parts_test.go
+++ b/pier/answerhead/parts_test.go
@@ -33,7 +33,7 @@
 func startEarly(t *testing.T, end rawanswertest.End) *rawanswertest.EarlyServer {
 	t.Helper()
 	return rawanswertest.StartEarly(t, rawanswertest.EarlyConfig{
-		Answer: func(*http.Request) (string, bool) { return unframed, false }, End: end,
+		Answer: func(*http.Request) (string, rawanswertest.End) { return unframed, end },
 	})
 }
 
--- a/pier/backend/parts_test.go
+++ b/pier/backend/parts_test.go
@@ -18,8 +18,8 @@
 // sendEarly uploads a long request to a server that answers with two bytes and no length before it has read it.
 func sendEarly(t *testing.T, p *Pool, end rawanswertest.End) *Response {
 	t.Helper()
-	s := rawanswertest.StartEarly(t, rawanswertest.EarlyConfig{End: end, Answer: func(q *http.Request) (string, bool) {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n{}", dialect.RequestID, q.Header.Get(dialect.RequestID)), false
+	s := rawanswertest.StartEarly(t, rawanswertest.EarlyConfig{Answer: func(q *http.Request) (string, rawanswertest.End) {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n{}", dialect.RequestID, q.Header.Get(dialect.RequestID)), end
 	}})
 	r, err := p.Do(context.Background(), Request{
 		Server: "s", Address: s.Address(), Method: http.MethodPost, Target: "/", Host: "h", ID: "1",
--- a/pier/rawanswertest/early.go
+++ b/pier/rawanswertest/early.go
@@ -84,10 +84,9 @@
 
 // EarlyConfig configures an EarlyServer.
 type EarlyConfig struct {
-	// Answer returns the bytes of the answer to a request, whose body it must not read. If keep is set, the body is
-	// empty and the connection is kept for the next request.
-	Answer func(q *http.Request) (text string, keep bool)
-	End    End
+	// Answer returns the bytes of the answer to a request, whose body it must not read, and how the connection ends
+	// then. If end is nil, the body is empty and the connection is kept for the next request.
+	Answer func(q *http.Request) (text string, end End)
 }
 
 // StartEarly returns a server that accepts connections until the test ends.
@@ -125,12 +124,12 @@
 		if err != nil {
 			return
 		}
-		text, keep := s.c.Answer(q)
+		text, end := s.c.Answer(q)
 		if _, err := io.WriteString(c, text); err != nil {
 			return
 		}
-		if !keep {
-			s.c.End(c, q.Body, q.ContentLength)
+		if end != nil {
+			end(c, q.Body, q.ContentLength)
 			return
 		}
 	}
