--- a/pier/answerhead/clients_test.go
+++ b/pier/answerhead/clients_test.go
@@ -31,58 +31,65 @@
 // testTimeout bounds a call, which must fail much earlier.
 const testTimeout = 5 * time.Second
 
+// clientCall is a call of a client over net/http.
+type clientCall struct {
+	call   func(ctx context.Context, a netip.AddrPort) error
+	reason outcome.Reason
+	// read is set for calls that change nothing, whose outcome does not matter.
+	read bool
+	// noContent is set for calls of which only the status is read.
+	noContent bool
+}
+
+// clientCalls holds the calls by name.
+var clientCalls = map[string]clientCall{
+	"completion": {call: func(ctx context.Context, a netip.AddrPort) error {
+		return engine.New(engine.Config{}).Complete(ctx, a, &engine.Completion{Stream: "s"}, func(*engine.Chunk) error { return nil })
+	}, reason: outcome.ReasonMalformedAnswer},
+	"order": {call: func(ctx context.Context, a netip.AddrPort) error {
+		return engine.New(engine.Config{}).Order(ctx, a, &engine.Order{})
+	}, reason: outcome.ReasonMalformedAnswer, noContent: true},
+	"take": {call: func(ctx context.Context, a netip.AddrPort) error {
+		return engine.New(engine.Config{}).Take(ctx, a, "s")
+	}, reason: outcome.ReasonMalformedAnswer, noContent: true},
+	"load": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := engine.New(engine.Config{}).Load(ctx, a)
+		return err
+	}, reason: outcome.ReasonMalformedAnswer},
+	"service, new connection": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := service.New().Call(ctx, a, &service.Request{ID: "1", Method: http.MethodPost, Path: "/", NewConnection: true})
+		return err
+	}, reason: outcome.ReasonMalformedAnswer},
+	"service": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := service.New().Call(ctx, a, &service.Request{ID: "1", Method: http.MethodGet, Path: "/"})
+		return err
+	}, reason: outcome.ReasonMalformedAnswer},
+	"score": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := scorer.New().Score(ctx, a, &scorer.Request{})
+		return err
+	}, reason: outcome.ReasonMalformedAnswer},
+	"list of hosts": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := hostlist.New(hostlist.Config{Address: a}).Read(ctx)
+		return err
+	}, reason: outcome.ReasonUnreachable, read: true},
+	"append": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := logservice.New(logservice.Config{Address: a}).Append(ctx, "s", []byte("r"))
+		return err
+	}, reason: outcome.ReasonLogDown},
+	"read of the log": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := logservice.New(logservice.Config{Address: a}).Read(ctx, "s", 0, 1, 0)
+		return err
+	}, reason: outcome.ReasonLogDown},
+	"operator": {call: func(ctx context.Context, a netip.AddrPort) error {
+		_, err := operator.New(operator.ClientConfig{Address: a}).Drain(ctx)
+		return err
+	}, reason: outcome.ReasonUnreachable},
+}
+
 // Guards against a malformed answer that a client takes for an answer, for a refusal of a request that has run, or
 // waits for.
 func TestClientsRefuseMalformedAnswers(t *testing.T) {
-	tests := map[string]struct {
-		call   func(ctx context.Context, a netip.AddrPort) error
-		reason outcome.Reason
-		// read is set for calls that change nothing, whose outcome does not matter.
-		read bool
-	}{
-		"completion": {call: func(ctx context.Context, a netip.AddrPort) error {
-			return engine.New(engine.Config{}).Complete(ctx, a, &engine.Completion{Stream: "s"}, func(*engine.Chunk) error { return nil })
-		}, reason: outcome.ReasonMalformedAnswer},
-		"order": {call: func(ctx context.Context, a netip.AddrPort) error {
-			return engine.New(engine.Config{}).Order(ctx, a, &engine.Order{})
-		}, reason: outcome.ReasonMalformedAnswer},
-		"take": {call: func(ctx context.Context, a netip.AddrPort) error {
-			return engine.New(engine.Config{}).Take(ctx, a, "s")
-		}, reason: outcome.ReasonMalformedAnswer},
-		"load": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := engine.New(engine.Config{}).Load(ctx, a)
-			return err
-		}, reason: outcome.ReasonMalformedAnswer},
-		"service, new connection": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := service.New().Call(ctx, a, &service.Request{ID: "1", Method: http.MethodPost, Path: "/", NewConnection: true})
-			return err
-		}, reason: outcome.ReasonMalformedAnswer},
-		"service": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := service.New().Call(ctx, a, &service.Request{ID: "1", Method: http.MethodGet, Path: "/"})
-			return err
-		}, reason: outcome.ReasonMalformedAnswer},
-		"score": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := scorer.New().Score(ctx, a, &scorer.Request{})
-			return err
-		}, reason: outcome.ReasonMalformedAnswer},
-		"list of hosts": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := hostlist.New(hostlist.Config{Address: a}).Read(ctx)
-			return err
-		}, reason: outcome.ReasonUnreachable, read: true},
-		"append": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := logservice.New(logservice.Config{Address: a}).Append(ctx, "s", []byte("r"))
-			return err
-		}, reason: outcome.ReasonLogDown},
-		"read of the log": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := logservice.New(logservice.Config{Address: a}).Read(ctx, "s", 0, 1, 0)
-			return err
-		}, reason: outcome.ReasonLogDown},
-		"operator": {call: func(ctx context.Context, a netip.AddrPort) error {
-			_, err := operator.New(operator.ClientConfig{Address: a}).Drain(ctx)
-			return err
-		}, reason: outcome.ReasonUnreachable},
-	}
-	for name, c := range tests {
+	for name, c := range clientCalls {
 		for fault, answer := range rawanswertest.Malformed {
 			t.Run(name+", "+fault, func(t *testing.T) {
 				t.Parallel()
--- a/pier/answerhead/conn.go
+++ b/pier/answerhead/conn.go
@@ -11,8 +11,8 @@
 	"mulberrypier.example/pier/tcpstate"
 )
 
-// Conn is a connection of a Transport. A read fails if it brings a part of a malformed head, or the end of content that
-// may not be whole.
+// Conn is a connection of a Transport. A read fails if it brings a part of a malformed head, or the end of close-delimited
+// content that may be truncated.
 type Conn struct {
 	net.Conn
 
@@ -42,15 +42,15 @@
 	if malformed := c.scan(b[:n]); malformed != nil {
 		return 0, malformed
 	}
-	if errors.Is(err, io.EOF) && c.inContentUntilClose() {
+	if errors.Is(err, io.EOF) && c.inCloseDelimitedContent() {
 		err = c.checkEnd()
 	}
 	return n, err
 }
 
-// checkEnd returns io.EOF if content that ends with the connection, of which nothing more comes, is whole.
+// checkEnd returns io.EOF if close-delimited content, of which nothing more comes, is complete.
 func (c *Conn) checkEnd() error {
-	if c.endedWithoutNotice() {
+	if c.missesCloseNotify() {
 		return io.ErrUnexpectedEOF
 	}
 	if err := tcpstate.ConfirmEnd(c.Conn, c.written.Load); err != nil {
@@ -59,21 +59,22 @@
 	return io.EOF
 }
 
-// endedWithoutNotice reports whether the end of a connection with TLS may come from somebody else than the peer.
-func (c *Conn) endedWithoutNotice() bool {
+// missesCloseNotify reports whether a connection with TLS has ended without the close_notify alert of the peer, so that
+// anybody may have ended it.
+func (c *Conn) missesCloseNotify() bool {
 	t, ok := c.Conn.(*tls.Conn)
 	if !ok {
 		return false
 	}
-	n, ok := t.NetConn().(*noticeConn)
+	n, ok := t.NetConn().(*closeNotifyConn)
 	return ok && n.ended.Load()
 }
 
-// inContentUntilClose reports whether what arrives next belongs to content that ends with the connection.
-func (c *Conn) inContentUntilClose() bool {
+// inCloseDelimitedContent reports whether what arrives next belongs to close-delimited content.
+func (c *Conn) inCloseDelimitedContent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.heads.InContentUntilClose()
+	return c.heads.InCloseDelimitedContent()
 }
 
 // scan checks the next bytes of the answer. It returns an *Error if they, or those before them, are malformed.
@@ -83,17 +84,17 @@
 	return c.heads.Scan(b)
 }
 
-// noticeConn is a connection below TLS. Package crypto/tls reads no more of it after the notice with which a peer ends
-// what it sends, but takes the end of the connection for such a notice.
-type noticeConn struct {
+// closeNotifyConn is a connection below TLS. Package crypto/tls reads no more of it after a close_notify alert, but takes
+// the end of the connection for one.
+type closeNotifyConn struct {
 	net.Conn
 
-	// ended is set once the connection has ended without a notice.
+	// ended is set once the connection has ended, which is read only if no close_notify came before.
 	ended atomic.Bool
 }
 
 // Read implements net.Conn.
-func (c *noticeConn) Read(b []byte) (int, error) {
+func (c *closeNotifyConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		c.ended.Store(true)
@@ -102,4 +103,4 @@
 }
 
 // NetConn returns the connection below, as that of package crypto/tls does.
-func (c *noticeConn) NetConn() net.Conn { return c.Conn }
+func (c *closeNotifyConn) NetConn() net.Conn { return c.Conn }
--- a/pier/answerhead/scanner.go
+++ b/pier/answerhead/scanner.go
@@ -75,9 +75,9 @@
 	return &Error{Fault: s.fault}
 }
 
-// InContentUntilClose reports whether the head has ended, and the content after it ends with the connection: the head
-// states neither a length nor chunks. An answer to HEAD, whose content is not sent, counts too.
-func (s *Scanner) InContentUntilClose() bool {
+// InCloseDelimitedContent reports whether the head has ended, and the content after it ends with the connection: the
+// head states neither a length nor chunks. An answer to HEAD, whose content is not sent, counts too.
+func (s *Scanner) InCloseDelimitedContent() bool {
 	without := s.status == http.StatusNoContent || s.status == http.StatusNotModified
 	return s.next == partContent && s.length == unstated && !s.encoded && !without
 }
--- a/pier/answerhead/transport.go
+++ b/pier/answerhead/transport.go
@@ -14,8 +14,8 @@
 const maxHeadBytes = 64 << 10
 
 // Transport is an http.Transport whose requests fail with an *Error if the head of the answer is malformed, or too
-// large. The connection is closed then. The reading of content that ends with the connection fails with an error of
-// package tcpstate unless the server ended the connection in order and has received the request.
+// large. The connection is closed then. The reading of close-delimited content fails with an error of package
+// tcpstate unless the server ended the connection in order and has received the request.
 type Transport struct {
 	base *http.Transport
 }
@@ -64,7 +64,7 @@
 		if err != nil {
 			return nil, err
 		}
-		t := tls.Client(&noticeConn{Conn: n}, own)
+		t := tls.Client(&closeNotifyConn{Conn: n}, own)
 		if err := t.HandshakeContext(ctx); err != nil {
 			return nil, errors.Join(err, n.Close())
 		}
--- a/pier/answerhead/parts_test.go
+++ b/pier/answerhead/truncated_test.go
@@ -23,17 +23,19 @@
 	"mulberrypier.example/pier/operator"
 	"mulberrypier.example/pier/outcome"
 	"mulberrypier.example/pier/rawanswertest"
+	"mulberrypier.example/pier/rollout"
 	"mulberrypier.example/pier/service"
+	"mulberrypier.example/pier/trainer"
 )
 
-// unframed is an answer whose content ends with its connection.
-const unframed = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}"
+// closeDelimited is an answer whose content ends with its connection.
+const closeDelimited = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}"
 
-// startEarly starts a server that sends unframed before it has read a request.
+// startEarly starts a server that sends closeDelimited before it has read a request.
 func startEarly(t *testing.T, end rawanswertest.End) *rawanswertest.EarlyServer {
 	t.Helper()
 	return rawanswertest.StartEarly(t, rawanswertest.EarlyConfig{
-		Answer: func(*http.Request) (string, rawanswertest.End) { return unframed, end },
+		Answer: func(*http.Request) (string, rawanswertest.End) { return closeDelimited, end },
 	})
 }
 
@@ -47,11 +49,11 @@
 	return io.ReadAll(r.Body)
 }
 
-// Guards against a part of an answer that is taken for the whole, as its connection was reset while the request was
+// Guards against a truncated answer that is taken for a complete one, as its connection was reset while the request was
 // still being written.
-func TestPartOfAnAnswerIsNotTheWhole(t *testing.T) {
+func TestTruncatedAnswerIsAnError(t *testing.T) {
 	const tries = 10
-	for name, end := range rawanswertest.PartEnds {
+	for name, end := range rawanswertest.TruncatingEnds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := startEarly(t, end)
@@ -65,8 +67,8 @@
 }
 
 // Guards against whole answers that are refused.
-func TestHonestAnswerWithoutALengthIsWhole(t *testing.T) {
-	for name, end := range rawanswertest.WholeEnds {
+func TestCompleteAnswerWithoutLengthIsNoError(t *testing.T) {
+	for name, end := range rawanswertest.CompleteEnds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := startEarly(t, end)
@@ -80,8 +82,8 @@
 	}
 }
 
-// Guards against clients that take a part of an answer for success.
-func TestClientsRefusePartsOfAnswers(t *testing.T) {
+// Guards against clients that take a truncated answer for success.
+func TestClientsRefuseTruncatedAnswers(t *testing.T) {
 	body := make([]byte, rawanswertest.UploadBytes)
 	tests := map[string]struct {
 		call   func(ctx context.Context, a netip.AddrPort) error
@@ -103,7 +105,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for kind, end := range rawanswertest.PartEnds {
+			for kind, end := range rawanswertest.TruncatingEnds {
 				s := startEarly(t, end)
 				ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 				err := c.call(ctx, s.Address())
@@ -119,6 +121,46 @@
 	}
 }
 
+// Guards against content that a client takes for complete though its connection was reset. The requests are short, so
+// that the read learns of the reset, or of the cut JSON.
+func TestClientsRefuseContentThatEndsWithAReset(t *testing.T) {
+	for name, c := range clientCalls {
+		if c.noContent {
+			continue
+		}
+		for end, f := range rawanswertest.ResetEnds {
+			t.Run(name+", "+end, func(t *testing.T) {
+				t.Parallel()
+				s := rawanswertest.StartEarly(t, rawanswertest.EarlyConfig{Answer: func(q *http.Request) (string, rawanswertest.End) {
+					return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + `{"id":"s","score":1`, f
+				}})
+				ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+				defer cancel()
+				began := time.Now()
+				err := c.call(ctx, s.Address())
+				require.Error(t, err)
+				require.True(t, c.read || outcome.AsError(err).Outcome == outcome.Unknown, "%v", err)
+				require.Less(t, time.Since(began), testTimeout/2)
+			})
+		}
+	}
+}
+
+// A trainer must not take such an answer for the end of a request.
+func TestTrainerRetriesAfterAReset(t *testing.T) {
+	for end, f := range rawanswertest.ResetEnds {
+		t.Run(end, func(t *testing.T) {
+			t.Parallel()
+			s := startEarly(t, f)
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			c := trainer.New(trainer.Config{Trainer: "t", Hosts: []netip.AddrPort{s.Address()}})
+			require.Error(t, c.Publish(ctx, rollout.Version(1)))
+			require.NotZero(t, c.Retries())
+		})
+	}
+}
+
 // A request whose context ends while it is not known whether the answer is whole fails then, and is written no more.
 func TestWaitForTheEndOfAnAnswerEndsWithTheContext(t *testing.T) {
 	s := startEarly(t, rawanswertest.Stalled)
@@ -136,15 +178,15 @@
 	}, time.Second, 10*time.Millisecond)
 }
 
-// With TLS, content without a length ends with a notice of the peer: the connection below may be cut by others.
-func TestEndWithoutNoticeIsNotTheWhole(t *testing.T) {
+// With TLS, close-delimited content ends with the close_notify alert of the peer: anybody may close the connection below.
+func TestEndWithoutCloseNotifyIsAnError(t *testing.T) {
 	tests := map[string]struct {
 		end   func(c *tls.Conn) error
 		whole bool
 	}{
-		"notice":           {end: (*tls.Conn).Close, whole: true},
-		"notice, kept":     {end: (*tls.Conn).CloseWrite, whole: true},
-		"connection ended": {end: func(c *tls.Conn) error { return c.NetConn().Close() }},
+		"close_notify":                  {end: (*tls.Conn).Close, whole: true},
+		"close_notify, connection kept": {end: (*tls.Conn).CloseWrite, whole: true},
+		"no close_notify":               {end: func(c *tls.Conn) error { return c.NetConn().Close() }},
 	}
 	x := httptest.NewTLSServer(nil)
 	t.Cleanup(x.Close)
@@ -164,7 +206,7 @@
 					ended <- err
 					return
 				}
-				_, err = io.WriteString(n, unframed)
+				_, err = io.WriteString(n, closeDelimited)
 				ended <- errors.Join(err, c.end(n.(*tls.Conn)))
 			}()
 			roots := x509.NewCertPool()
--- a/pier/backend/exchange.go
+++ b/pier/backend/exchange.go
@@ -96,11 +96,11 @@
 	if k := a.Header.Get("Keep-Alive"); k != "" {
 		c.idleTimeout = parseKeepAlive(k)
 	}
-	unframed := a.ContentLength < 0 && len(a.TransferEncoding) == 0
+	unstated := a.ContentLength < 0 && len(a.TransferEncoding) == 0
 	return &Response{
 		Status: a.StatusCode, Header: a.Header, BodyLength: a.ContentLength,
 		pool: p, conn: c, body: a.Body, trailer: &a.Trailer, sent: sent, stop: stop,
-		untilClose: unframed && a.Body != http.NoBody, closing: a.Close || unframed,
+		closeDelimited: unstated && a.Body != http.NoBody, closing: a.Close || unstated,
 	}, nil
 }
 
--- a/pier/backend/response.go
+++ b/pier/backend/response.go
@@ -34,8 +34,8 @@
 	complete bool
 	// err is the error that ended the body, io.EOF if it is complete, nil before that.
 	err error
-	// untilClose is set if the body ends with the connection.
-	untilClose bool
+	// closeDelimited is set if the body ends with the connection.
+	closeDelimited bool
 	// closing is set if the server closes the connection after this answer.
 	closing bool
 	// aborted is set once the connection was closed by Abort.
@@ -64,7 +64,7 @@
 	if err := answerhead.CheckTrailer(*r.trailer); err != nil {
 		return err
 	}
-	if !r.untilClose {
+	if !r.closeDelimited {
 		return io.EOF
 	}
 	if err := tcpstate.ConfirmEnd(r.conn.Conn, r.sent.written); err != nil {
--- a/pier/backend/parts_test.go
+++ b/pier/backend/truncated_test.go
@@ -39,10 +39,10 @@
 	}
 }
 
-// Guards against a part of a body without a length that passes for the whole, and against an upload that is still
+// Guards against a truncated body that is taken for a complete one, and against an upload that is still
 // written once its response was closed.
-func TestPartOfABodyIsNotTheWhole(t *testing.T) {
-	for name, end := range rawanswertest.PartEnds {
+func TestTruncatedBodyIsAnError(t *testing.T) {
+	for name, end := range rawanswertest.TruncatingEnds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var opened atomic.Int64
@@ -62,8 +62,8 @@
 	}
 }
 
-func TestHonestBodyWithoutALengthIsWhole(t *testing.T) {
-	for name, end := range rawanswertest.WholeEnds {
+func TestCompleteBodyWithoutLengthIsNoError(t *testing.T) {
+	for name, end := range rawanswertest.CompleteEnds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := NewPool(Config{Dialect: dialect})
--- a/pier/rawanswertest/early.go
+++ b/pier/rawanswertest/early.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,9 +26,9 @@
 // length. The connection is closed after it.
 type End func(c *net.TCPConn, upload io.Reader, length int64)
 
-// PartEnds holds ways to end a connection, with a part of the request unread, after which content without a length may
-// not be whole.
-var PartEnds = map[string]End{
+// ResetEnds holds ways to reset a connection after which close-delimited content may be truncated, also if all of the
+// request was received.
+var ResetEnds = map[string]End{
 	"reset": func(c *net.TCPConn, _ io.Reader, _ int64) { _ = c.SetLinger(0) },
 	"reset later": func(c *net.TCPConn, _ io.Reader, _ int64) {
 		time.Sleep(beforeEnd)
@@ -40,17 +41,27 @@
 		}
 		_ = c.SetLinger(0)
 	},
+}
+
+// TruncatingEnds holds ResetEnds and further ways to end a connection, before all of the request was read, after which
+// close-delimited content may be truncated.
+var TruncatingEnds = withResetEnds(map[string]End{
 	"closed": func(*net.TCPConn, io.Reader, int64) {},
-	"sending side closed, then reset": func(c *net.TCPConn, _ io.Reader, _ int64) {
+	"half-closed, then reset": func(c *net.TCPConn, _ io.Reader, _ int64) {
 		_ = c.CloseWrite()
 		time.Sleep(beforeEnd)
 		_ = c.SetLinger(0)
 	},
-	"sending side closed, half read, then closed": func(c *net.TCPConn, upload io.Reader, length int64) {
+	"half-closed, half read, then closed": func(c *net.TCPConn, upload io.Reader, length int64) {
 		_ = c.CloseWrite()
 		_, _ = io.CopyN(io.Discard, upload, length/2)
 	},
 	"half read, then closed": func(_ *net.TCPConn, upload io.Reader, length int64) { _, _ = io.CopyN(io.Discard, upload, length/2) },
+})
+
+func withResetEnds(m map[string]End) map[string]End {
+	maps.Copy(m, ResetEnds)
+	return m
 }
 
 // Stalled ends the sending side of a connection and reads nothing of the request for some seconds.
@@ -59,14 +70,14 @@
 	time.Sleep(stallTime)
 }
 
-// WholeEnds holds ways to end a connection after which the content is whole.
-var WholeEnds = map[string]End{
+// CompleteEnds holds ways to end a connection after which close-delimited content is complete.
+var CompleteEnds = map[string]End{
 	"all read, closed": func(_ *net.TCPConn, upload io.Reader, length int64) { _, _ = io.CopyN(io.Discard, upload, length) },
-	"sending side closed, all read": func(c *net.TCPConn, upload io.Reader, length int64) {
+	"half-closed, all read": func(c *net.TCPConn, upload io.Reader, length int64) {
 		_ = c.CloseWrite()
 		_, _ = io.CopyN(io.Discard, upload, length)
 	},
-	"sending side closed, all read slowly": func(c *net.TCPConn, upload io.Reader, length int64) {
+	"half-closed, all read slowly": func(c *net.TCPConn, upload io.Reader, length int64) {
 		_ = c.CloseWrite()
 		for range 4 {
 			time.Sleep(beforeEnd)
--- a/pier/tcpstate/tcpstate_test.go
+++ b/pier/tcpstate/tcpstate_test.go
@@ -95,27 +95,27 @@
 			_, _ = io.CopyN(io.Discard, p, uploadBytes)
 			_ = p.Close()
 		}},
-		"sending side closed, all read later": {bytes: uploadBytes, end: func(p *net.TCPConn) {
+		"half-closed, all read later": {bytes: uploadBytes, end: func(p *net.TCPConn) {
 			_ = p.CloseWrite()
 			time.Sleep(settle)
 			_, _ = io.CopyN(io.Discard, p, uploadBytes)
 		}},
-		"sending side closed, read slowly": {bytes: uploadBytes, end: func(p *net.TCPConn) {
+		"half-closed, read slowly": {bytes: uploadBytes, end: func(p *net.TCPConn) {
 			_ = p.CloseWrite()
 			for range 4 {
 				time.Sleep(settle)
 				_, _ = io.CopyN(io.Discard, p, uploadBytes/4)
 			}
 		}},
-		"sending side closed, nothing read": {bytes: uploadBytes, end: func(p *net.TCPConn) { _ = p.CloseWrite() }, want: ErrUndelivered},
-		"reset":                             {bytes: uploadBytes, end: reset, want: ErrReset},
-		"closed with unread bytes":          {bytes: uploadBytes, end: func(p *net.TCPConn) { _ = p.Close() }, want: ErrReset},
-		"sending side closed, then reset": {bytes: uploadBytes, end: func(p *net.TCPConn) {
+		"half-closed, nothing read": {bytes: uploadBytes, end: func(p *net.TCPConn) { _ = p.CloseWrite() }, want: ErrUndelivered},
+		"reset":                     {bytes: uploadBytes, end: reset, want: ErrReset},
+		"closed with unread bytes":  {bytes: uploadBytes, end: func(p *net.TCPConn) { _ = p.Close() }, want: ErrReset},
+		"half-closed, then reset": {bytes: uploadBytes, end: func(p *net.TCPConn) {
 			_ = p.CloseWrite()
 			time.Sleep(settle)
 			reset(p)
 		}, want: ErrReset},
-		"sending side closed, half read, then reset": {bytes: uploadBytes, end: func(p *net.TCPConn) {
+		"half-closed, half read, then reset": {bytes: uploadBytes, end: func(p *net.TCPConn) {
 			_ = p.CloseWrite()
 			_, _ = io.CopyN(io.Discard, p, uploadBytes/2)
 			reset(p)
