--- a/pier/answerhead/transport.go
+++ b/pier/answerhead/transport.go
@@ -15,7 +15,7 @@
 
 // Transport is an http.Transport whose requests fail with an *Error if the head of the answer is malformed, or too
 // large. The connection is closed then. The reading of close-delimited content fails with an error of package
-// tcpstate unless the server ended the connection in order and has received the request.
+// tcpstate unless the server closed the connection gracefully and has received the request.
 type Transport struct {
 	base *http.Transport
 }
--- a/pier/gateway/callerconn.go
+++ b/pier/gateway/callerconn.go
@@ -18,7 +18,7 @@
 var errNoCallerConn = errors.New("request came on no TCP connection")
 
 // ResetOnClose sets how a caller's connection ends once it is closed, by this host or by the end of its process: with a
-// reset or in order. ctx is the context of a request on the connection. A caller for which the end of the connection is
+// reset or gracefully. ctx is the context of a request on the connection. A caller for which the end of the connection is
 // that of the answer cannot tell an answer that broke off from a whole one otherwise.
 func ResetOnClose(ctx context.Context, reset bool) error {
 	c, _ := ctx.Value(callerConnKey{}).(net.Conn)
--- a/pier/tcpstate/tcpstate.go
+++ b/pier/tcpstate/tcpstate.go
@@ -1,8 +1,8 @@
-// Package tcpstate tells whether the peer of a TCP connection ended it in order, from what the kernel keeps of the
-// connection.
+// Package tcpstate tells whether the peer of a TCP connection closed it gracefully, from what the kernel keeps of
+// the connection.
 //
 // The error of a reset is returned by one system call only, which may be a write. A read that follows returns the end
-// of the stream, as after a connection that was closed in order.
+// of the stream, as after a connection that was closed gracefully.
 package tcpstate
 
 import (
@@ -25,11 +25,11 @@
 	maxPollInterval = 16 * time.Millisecond
 )
 
-// The errors of a connection that did not end in order. Each wraps io.ErrUnexpectedEOF.
+// The errors of a connection that was not closed gracefully. Each wraps io.ErrUnexpectedEOF.
 var (
 	// ErrReset means that the connection was reset, or given up by the kernel as the peer did not respond.
 	ErrReset = fmt.Errorf("%w: connection was reset", io.ErrUnexpectedEOF)
-	// ErrUndelivered means that the peer ended its sending side and does not receive what is sent to it.
+	// ErrUndelivered means that the peer half-closed the connection and does not receive what is sent to it.
 	ErrUndelivered = fmt.Errorf("%w: peer does not receive the request", io.ErrUnexpectedEOF)
 )
 
@@ -46,7 +46,7 @@
 	acknowledged uint64
 }
 
-// ConfirmEnd finds out whether the peer ended a connection in order. It must be called after a read of c has returned
+// ConfirmEnd finds out whether the peer closed a connection gracefully. It must be called after a read of c has returned
 // io.EOF, and not at the same time as a read. written reports whether all that is sent to the peer was written to c.
 //
 // It returns nil once the peer has received everything and has not reset the connection: a process that ends, or closes
