--- a/review/standins-3/deletedhistories.go
+++ b/review/standins-3/deletedhistories.go
@@ -8,19 +8,24 @@
 	"mulberrypier.example/platform/wire"
 )
 
+const (
+	// drainTime is drain_ms of the sheet, exitAfter how long a server that leaves goes on serving.
+	drainTime = 2 * time.Second
+	exitAfter = 3500 * time.Millisecond
+)
+
 // deletedHistories has servers leave without a word while the store deletes the old records of the servers' topic four times a second.
 func deletedHistories(d *deployment, trouble bool) (int, error) {
-	const drain, stays, length, hostCount = 2 * time.Second, 12 * time.Second, 24 * time.Second, 4
 	desk, engines, err := d.startSheet()
 	if err != nil {
 		return 0, err
 	}
-	hosts, err := d.startHosts(hostCount, 324)
+	hosts, err := d.startHosts(12, 324)
 	if err != nil {
 		return 0, err
 	}
 	time.Sleep(2 * time.Second)
-	stop := time.Now().Add(length)
+	stop := time.Now().Add(20 * time.Second)
 	if trouble {
 		d.record.line("the store deletes the records of the servers' topic four times a second from now on; the newest of each key stays")
 		go func() {
@@ -29,46 +34,53 @@
 			}
 		}()
 	}
-	var wg sync.WaitGroup
-	var answers counter
-	wg.Go(func() { d.ask(hosts, stop, &wg, &answers) })
-	wg.Go(func() { d.train(hosts, stop, &wg, &answers) })
+	w := d.startWork(hosts, stop, 0)
 	time.Sleep(5600 * time.Millisecond)
-	var mu sync.Mutex
-	late := 0
+	l := &leavers{d: d}
 	for _, s := range []*server{desk[0], engines[0]} {
 		s.leaveUnannounced()
-		gone := time.Now()
-		d.record.line("the store has removed the entry of %s, which goes on serving for %v and says that it leaves", s.id, stays)
-		s.setArrived(func(id string) {
-			after := time.Since(gone)
-			if after > stays {
-				return
-			}
-			d.record.line("%s reaches %s %d ms after its entry was removed", id, s.id, after.Milliseconds())
-			mu.Lock()
-			defer mu.Unlock()
-			if after > drain {
-				late++
-			}
-		})
+		l.add(s, "the store has removed its entry")
 	}
-	wg.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	d.record.line("answers: %v", answers.n)
-	d.record.line("requests that reached a server later than %v after its entry was removed: %d", drain, late)
-	if late > 0 {
-		return broken, nil
-	}
-	return held, nil
+	return w.verdict(l)
+}
+
+// leavers are servers that leave.
+type leavers struct {
+	d    *deployment
+	mu   sync.Mutex
+	late int
+	// ranLate holds the ids of the requests that reached a server too late.
+	ranLate map[string]bool
+}
+
+// add records the requests that reach a server of which the store has acknowledged just now that it leaves, and ends it.
+func (l *leavers) add(s *server, what string) {
+	at := time.Now()
+	l.d.record.line("%s leaves: %s; it ends %v later", s.id, what, exitAfter)
+	s.setArrived(func(id string) {
+		after := time.Since(at)
+		l.d.record.line("%s reaches %s %d ms after the acknowledgement", id, s.id, after.Milliseconds())
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if after > drainTime {
+			l.late++
+			if l.ranLate == nil {
+				l.ranLate = make(map[string]bool)
+			}
+			l.ranLate[id] = true
+		}
+	})
+	time.AfterFunc(exitAfter, func() {
+		l.d.record.line("%s ends", s.id)
+		s.exit()
+	})
 }
 
 // startSheet writes the configuration and starts the servers of the sheet of the first deployment.
 func (d *deployment) startSheet() (desk, engines []*server, err error) {
 	d.putConfig(1)
 	for i := range 6 {
-		s, err := d.startServer(fmt.Sprintf("i-d%d", i), "desk", 6, nil, plain(800, 25*time.Millisecond))
+		s, err := d.startServer(fmt.Sprintf("i-d%d", i), "desk", 6, nil, byPath(plain(800, 1200*time.Millisecond), plain(800, 25*time.Millisecond)))
 		if err != nil {
 			return nil, nil, err
 		}
@@ -84,34 +96,79 @@
 	return desk, engines, nil
 }
 
-// ask sends plain requests, 6 a second in total.
-func (d *deployment) ask(hosts []*host, stop time.Time, wg *sync.WaitGroup, answers *counter) {
-	for i := 0; time.Now().Before(stop.Add(-2 * time.Second)); i++ {
-		id := fmt.Sprintf("ca%010x", i)
-		wg.Go(func() {
-			s, _, _ := d.call(hosts[i%len(hosts)].callers, "POST", "/ask/"+id, map[string]string{wire.Dialect.RequestID: id, wire.Dialect.Deadline: "2000"}, []byte("ask"), 2*time.Second)
-			answers.add(fmt.Sprint("plain request ", s))
-		})
-		time.Sleep(time.Second / 6)
+// work is what clients and trainers send.
+type work struct {
+	d       *deployment
+	wg      sync.WaitGroup
+	answers counter
+	mu      sync.Mutex
+	// failed holds the ids of the requests that may run once and got no success.
+	failed map[string]int
+}
+
+// startWork sends plain requests, 4 a second, that may run once only, and from a time on a batch job of 11 groups
+// of 4 items each 4 s for each of three models.
+func (d *deployment) startWork(hosts []*host, stop time.Time, jobsAfter time.Duration) *work {
+	w := &work{d: d, failed: make(map[string]int)}
+	w.wg.Go(func() {
+		for i := 0; time.Now().Before(stop.Add(-4 * time.Second)); i++ {
+			w.wg.Go(func() { w.ask(hosts[i%len(hosts)], fmt.Sprintf("0e%010x", i), 4*time.Second) })
+			time.Sleep(time.Second / 4)
+		}
+	})
+	w.wg.Go(func() {
+		time.Sleep(jobsAfter)
+		for step := 0; time.Now().Before(stop.Add(-7 * time.Second)); step++ {
+			for m := range 3 {
+				w.wg.Go(func() {
+					w.train(hosts[(step+m)%len(hosts)], fmt.Sprintf("b%d%010x", m, step), step, fmt.Sprint("m", m))
+				})
+			}
+			time.Sleep(4 * time.Second)
+		}
+	})
+	return w
+}
+
+// ask makes a plain request that may run once only.
+func (w *work) ask(h *host, id string, deadline time.Duration) {
+	header := map[string]string{wire.Dialect.RequestID: id, wire.Dialect.Deadline: fmt.Sprint(deadline.Milliseconds())}
+	s, _, _ := w.d.call(h.callers, "POST", oncePrefix+id, header, []byte("ask"), deadline)
+	w.answers.add(fmt.Sprint("plain request ", s))
+	if s == 200 {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failed[id] = s
 }
 
-// train submits a batch job of 11 groups of 4 items each 4 s for each of three models, reads its results and ends it.
-func (d *deployment) train(hosts []*host, stop time.Time, wg *sync.WaitGroup, answers *counter) {
-	for step := 0; time.Now().Before(stop.Add(-8 * time.Second)); step++ {
-		for m := range 3 {
-			id := fmt.Sprintf("b%d%010x", m, step)
-			h := hosts[(step+m)%len(hosts)]
-			wg.Go(func() {
-				s, _, _ := d.call(h.callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, job(id, step, 11, 4, fmt.Sprint("m", m)), 5*time.Second)
-				answers.add(fmt.Sprint("batch job ", s))
-				if s == 202 && d.awaitAll(h.callers, id, 7*time.Second) == nil {
-					answers.add("batch job complete")
-				}
-				s, _, _ = d.call(h.callers, "DELETE", d.names.Jobs+id, nil, nil, 5*time.Second)
-				answers.add(fmt.Sprint("end of a batch job ", s))
-			})
+// train submits a batch job, reads its results and ends it.
+func (w *work) train(h *host, id string, step int, model string) {
+	d := w.d
+	s, _, _ := d.call(h.callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, job(id, step, 11, 4, model), 5*time.Second)
+	w.answers.add(fmt.Sprint("batch job ", s))
+	if s == 202 && d.awaitAll(h.callers, id, 6*time.Second) == nil {
+		w.answers.add("batch job complete")
+	}
+	s, _, _ = d.call(h.callers, "DELETE", d.names.Jobs+id, nil, nil, 5*time.Second)
+	w.answers.add(fmt.Sprint("end of a batch job ", s))
+}
+
+// verdict waits for the end of the work and returns the exit code of a case with servers that leave.
+func (w *work) verdict(l *leavers) (int, error) {
+	w.wg.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.d.record.line("answers: %v", w.answers.n)
+	for id, s := range w.failed {
+		if l.ranLate[id] {
+			w.d.record.line("lost: %s, which may run once only, was sent to a server that had left, and got %d as that one ended", id, s)
 		}
-		time.Sleep(4 * time.Second)
 	}
+	w.d.record.line("requests that reached a server later than %v after the acknowledgement that it leaves: %d", drainTime, l.late)
+	if l.late > 0 {
+		return broken, nil
+	}
+	return held, nil
 }
--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -98,12 +99,18 @@
 	lastPort  = 31000
 )
 
+// tried is the number of ports that were tried, from a random one on: none is given out twice.
+var (
+	tried  atomic.Int32
+	origin = rand.Int32N(lastPort - firstPort)
+)
+
 // listen listens at a free loopback address.
 func listen() (net.Listener, error) {
 	var err error
 	for range 1000 {
 		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))); err == nil {
+		if l, err = net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+(origin+tried.Add(1))%(lastPort-firstPort))); err == nil {
 			return l, nil
 		}
 	}
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -15,6 +15,9 @@
 	"mulberrypier.example/platform/wire"
 )
 
+// oncePrefix begins the paths of requests that may run once only.
+const oncePrefix = "/once/"
+
 // beatInterval is how often a server writes its entry.
 const beatInterval = 1200 * time.Millisecond
 
@@ -28,14 +31,15 @@
 	models  []string
 	born    int64
 	running atomic.Int64
+	http    *http.Server
 	// silent is set once the server writes its entry no more, leaving once it says in its answers that it leaves.
 	silent, leaving atomic.Bool
 	// answer serves a request that is run.
 	answer func(s *server, w http.ResponseWriter, r *http.Request, body []byte)
 	// head, if not nil, sets further header fields of an answer.
 	head func(h http.Header)
-	// lateBeat, if not nil, is what becomes of the next write of the entry.
-	lateBeat atomic.Pointer[lateBeat]
+	// written has the server wait for beatInterval from now on until it writes its entry again.
+	written chan struct{}
 	// arrived, if not nil, is called with the id of each request that is run.
 	arrived atomic.Pointer[func(id string)]
 
@@ -54,12 +58,13 @@
 	}
 	s := &server{
 		d: d, id: id, service: service, address: l.Addr().String(), slots: slots, models: models, answer: answer,
-		born: time.Now().UnixMilli(), versions: make(map[string]int64), state: "ready",
+		born: time.Now().UnixMilli(), versions: make(map[string]int64), state: "ready", written: make(chan struct{}),
 	}
 	for _, m := range models {
 		s.versions[m] = 1
 	}
-	go func() { _ = http.Serve(l, s) }()
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(l) }()
 	go func() {
 		s.write()
 		time.Sleep(rand.N(beatInterval))
@@ -77,23 +82,18 @@
 }
 
 func (s *server) beat() {
-	for ; !s.silent.Load(); time.Sleep(beatInterval) {
-		if l := s.lateBeat.Swap(nil); l != nil {
-			s.writeLate(l.by)
-			close(l.sent)
-			continue
-		}
+	for !s.silent.Load() {
 		s.write()
+		for waiting := true; waiting; {
+			select {
+			case <-s.written:
+			case <-time.After(beatInterval):
+				waiting = false
+			}
+		}
 	}
 }
 
-// lateBeat is a write of an entry that the store carries out late.
-type lateBeat struct {
-	by time.Duration
-	// sent is closed when it is sent.
-	sent chan struct{}
-}
-
 // leaveUnannounced has the server's entry removed. The server goes on serving, and says in its answers that it leaves.
 func (s *server) leaveUnannounced() {
 	s.mu.Lock()
@@ -122,6 +122,12 @@
 	s.write()
 }
 
+// exit ends the server: it closes its listener and all connections.
+func (s *server) exit() {
+	s.silent.Store(true)
+	_ = s.http.Close()
+}
+
 // entry returns the server's next entry. The caller holds mu.
 func (s *server) entry() map[string]any {
 	s.seq++
@@ -135,11 +141,16 @@
 	return e
 }
 
-// writeLate has the server write its entry of now, which the store carries out after d without an answer.
+// writeLate has the server write its entry now, which the store carries out after d without an answer.
 func (s *server) writeLate(d time.Duration) {
+	s.written <- struct{}{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entry()
+	if d == 0 {
+		s.d.store.put(wire.Sources.Servers, s.id, e)
+		return
+	}
 	time.AfterFunc(d, func() { s.d.store.put(wire.Sources.Servers, s.id, e) })
 }
 
@@ -288,3 +299,14 @@
 		_, _ = w.Write([]byte(strings.Repeat("b", bytes)))
 	}
 }
+
+// byPath returns an answer function that uses once for requests that may run once only, and other for all others.
+func byPath(once, other func(s *server, w http.ResponseWriter, r *http.Request, body []byte)) func(s *server, w http.ResponseWriter, r *http.Request, body []byte) {
+	return func(s *server, w http.ResponseWriter, r *http.Request, body []byte) {
+		if strings.HasPrefix(r.URL.Path, oncePrefix) {
+			once(s, w, r, body)
+			return
+		}
+		other(s, w, r, body)
+	}
+}
--- a/review/standins-3/slowreaders.go
+++ b/review/standins-3/slowreaders.go
@@ -22,7 +22,7 @@
 			map[string]any{"name": "r1", "host": routeHost, "path_prefix": "/gen/", "kind": "rollout", "timeout_ms": 10000, "slo_ms": 500, "attempts": 3, "priority": 0, "service": "engines", "result_due_ms": 7500, "retention_s": 60},
 			map[string]any{"name": "r2", "host": routeHost, "path_prefix": "/score/", "kind": "safe", "timeout_ms": 3000, "slo_ms": 800, "attempts": 4, "priority": 2, "service": "desk"},
 			map[string]any{"name": "r3", "host": routeHost, "path_prefix": "/ask/", "kind": "safe", "timeout_ms": 2000, "slo_ms": 150, "attempts": 2, "priority": 2, "service": "desk"},
-			map[string]any{"name": "r4", "host": routeHost, "path_prefix": "/once/", "kind": "unsafe", "timeout_ms": 4000, "slo_ms": 400, "attempts": 2, "priority": 2, "service": "desk"},
+			map[string]any{"name": "r4", "host": routeHost, "path_prefix": oncePrefix, "kind": "unsafe", "timeout_ms": 4000, "slo_ms": 400, "attempts": 2, "priority": 2, "service": "desk"},
 			map[string]any{"name": "r5", "host": routeHost, "path_prefix": "/told/", "kind": "stream", "resumable": true, "timeout_ms": 20000, "slo_ms": 400, "attempts": 2, "priority": 2, "service": "engines"},
 		},
 		"services": []any{
