--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -34,6 +34,15 @@
 	Order            string `json:"order"`
 	Ready            string `json:"ready"`
 	SettingsVariable string `json:"settings_variable"`
+	// WaitHeader is the header that says how long a read of results may wait.
+	WaitHeader string `json:"wait_header"`
+	// OldestVersion and GroupsWanted are fields of a batch job, Cold is one of a server's entry, Running one of its report.
+	OldestVersion string `json:"oldest_version"`
+	GroupsWanted  string `json:"groups_wanted"`
+	Cold          string `json:"cold"`
+	Running       string `json:"running"`
+	// Settings holds the values of the settings' template that are the same for all hosts.
+	Settings map[string]string `json:"settings"`
 }
 
 // counter counts by name.
@@ -72,12 +81,13 @@
 
 // deployment is a small deployment on loopback addresses.
 type deployment struct {
-	names  names
-	dir    string
-	store  *store
-	record *record
-	runs   counter
-	hosts  []*host
+	namesFile string
+	names     names
+	dir       string
+	store     *store
+	record    *record
+	runs      counter
+	hosts     []*host
 }
 
 // host is a process of the project's program.
@@ -132,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{}
+	d := &deployment{namesFile: namesFile}
 	if err := json.Unmarshal(b, &d.names); err != nil {
 		return nil, err
 	}
@@ -148,6 +158,16 @@
 	return d, err
 }
 
+// putConfig writes the configuration.
+func (d *deployment) putConfig() error {
+	b, err := os.ReadFile(filepath.Join(filepath.Dir(d.namesFile), "config.json"))
+	if err != nil {
+		return err
+	}
+	d.store.put(wire.Sources.Operators, "config", json.RawMessage(b))
+	return nil
+}
+
 // fillIn replaces the placeholders of a text by the values of a host.
 func fillIn(t string, values map[string]string) string {
 	for k, v := range values {
@@ -174,11 +194,9 @@
 	}
 	_, peers, _ := net.SplitHostPort(l[2])
 	_, metrics, _ := net.SplitHostPort(l[3])
-	s := fillIn(string(t), map[string]string{
-		"node": name, "zone": "z1", "limits.cpu_share": "0.8", "listen.front": h.callers, "listen.ready": h.ready, "ip": "127.0.0.1",
-		"port_range.0": peers, "port_range.1": metrics, "platform.address": d.store.address, "platform.parts": "24",
-		"platform.record_bytes": "262144", "platform.call_bytes": "2097152", "platform.retention_s": "300", "platform.ttl_min_ms": "1000",
-		"bounds.grace_s": "8", "bounds.lease_ttl_ms": "3000",
+	s := fillIn(fillIn(string(t), d.names.Settings), map[string]string{
+		"node": name, "zone": "z1", "listen.front": h.callers, "listen.ready": h.ready, "ip": "127.0.0.1",
+		"port_range.0": peers, "port_range.1": metrics, "platform.address": d.store.address,
 	})
 	if err := os.WriteFile(h.settings, []byte(s), 0o600); err != nil {
 		return nil, err
--- a/review/standins-3/leaving.go
+++ b/review/standins-3/leaving.go
@@ -48,7 +48,9 @@
 
 // startSheet writes the configuration and starts the servers of the sheet of the first deployment.
 func (d *deployment) startSheet() (desk, engines []*server, err error) {
-	d.putConfig(1)
+	if err := d.putConfig(); err != nil {
+		return nil, nil, err
+	}
 	for i := range 6 {
 		s, err := d.startServer(fmt.Sprintf("i-d%d", i), "desk", 6, nil, byPath(plain(800, 1200*time.Millisecond), plain(800, 25*time.Millisecond)))
 		if err != nil {
@@ -116,7 +118,7 @@
 // train submits a batch job, reads its results and ends it.
 func (w *work) train(h *host, id string, step int, model string) {
 	d := w.d
-	s, _, _ := d.call(h.callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, job(id, step, 11, 4, model), 5*time.Second)
+	s, _, _ := d.call(h.callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, d.names.job(id, step, 11, 4, model), 5*time.Second)
 	w.answers.add(fmt.Sprint("batch job ", s))
 	if s == 202 && d.awaitAll(h.callers, id, 6*time.Second) == nil {
 		w.answers.add("batch job complete")
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -126,7 +126,7 @@
 	s.seq++
 	e := map[string]any{
 		"service": s.service, "address": s.address, "zone": "z1", "version": "v1", "slots": s.slots, "state": s.state,
-		"cold_left_ms": 0, "seq": s.seq, "born": s.born,
+		s.d.names.Cold: 0, "seq": s.seq, "born": s.born,
 	}
 	if len(s.models) > 0 {
 		e["stage"], e["models"] = "hybrid", s.modelList()
@@ -208,7 +208,7 @@
 	defer s.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{
 		"stage": "hybrid", "models": s.modelList(), "busy": s.busy, "seq": s.orders, "born": s.born,
-		"num_waiting": 0, "num_running": s.running.Load(), "kv_used": 0, "kv_total": 100000, "handles": 0,
+		"num_waiting": 0, s.d.names.Running: s.running.Load(), "kv_used": 0, "kv_total": 100000, "handles": 0,
 	})
 }
 
--- a/review/standins-3/slowreaders.go
+++ b/review/standins-3/slowreaders.go
@@ -13,38 +13,18 @@
 	"mulberrypier.example/platform/wire"
 )
 
-// putConfig writes a configuration with a route for steps, one for scorers and one for plain requests.
-func (d *deployment) putConfig(version int) {
-	engine := map[string]any{"slots": 8, "kv_capacity": 102120, "kv_token_bytes": 35136, "models": []any{map[string]any{"name": "m0"}, map[string]any{"name": "m1"}, map[string]any{"name": "m2"}}}
-	d.store.put(wire.Sources.Operators, "config", map[string]any{
-		"version": version,
-		"routes": []any{
-			map[string]any{"name": "r1", "host": routeHost, "path_prefix": "/gen/", "kind": "rollout", "timeout_ms": 10000, "slo_ms": 500, "attempts": 3, "priority": 0, "service": "engines", "result_due_ms": 7500, "retention_s": 60},
-			map[string]any{"name": "r2", "host": routeHost, "path_prefix": "/score/", "kind": "safe", "timeout_ms": 3000, "slo_ms": 800, "attempts": 4, "priority": 2, "service": "desk"},
-			map[string]any{"name": "r3", "host": routeHost, "path_prefix": "/ask/", "kind": "safe", "timeout_ms": 2000, "slo_ms": 150, "attempts": 2, "priority": 2, "service": "desk"},
-			map[string]any{"name": "r4", "host": routeHost, "path_prefix": oncePrefix, "kind": "unsafe", "timeout_ms": 4000, "slo_ms": 400, "attempts": 2, "priority": 2, "service": "desk"},
-			map[string]any{"name": "r5", "host": routeHost, "path_prefix": "/told/", "kind": "stream", "resumable": true, "timeout_ms": 20000, "slo_ms": 400, "attempts": 2, "priority": 2, "service": "engines"},
-		},
-		"services": []any{
-			map[string]any{"name": "engines", "health_path": "/healthz", "max_conns": 150, "protocol": "h1", "tls": false, "engine": engine},
-			map[string]any{"name": "desk", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
-}
-
 // job returns the body of a batch job.
-func job(id string, step, groups, perGroup int, model string) []byte {
+func (n *names) job(id string, step, groups, perGroup int, model string) []byte {
 	var items []any
 	for i := range groups * perGroup {
-		n := fmt.Sprintf("%s%04x", id, i)
+		item := fmt.Sprintf("%s%04x", id, i)
 		items = append(items, map[string]any{
-			"id": n, "path": "/gen/" + n, "headers": map[string]string{"X-Model": model, wire.Dialect.TokenCounts: "276,400"},
+			"id": item, "path": "/gen/" + item, "headers": map[string]string{"X-Model": model, wire.Dialect.TokenCounts: "276,400"},
 			"body": base64.StdEncoding.EncodeToString(make([]byte, 600)), "tokens": 676, "group": fmt.Sprintf("%sg%d", id, i/perGroup),
-			"scorer": map[string]any{"id": "5c" + n, "host": routeHost, "path": "/score/" + n, "body": base64.StdEncoding.EncodeToString([]byte("score"))},
+			"scorer": map[string]any{"id": "5c" + item, "host": routeHost, "path": "/score/" + item, "body": base64.StdEncoding.EncodeToString([]byte("score"))},
 		})
 	}
-	b, err := json.Marshal(map[string]any{"step": step, "model": model, "min" + "_version": 1, "target" + "_groups": groups * 9 / 10, "items": items})
+	b, err := json.Marshal(map[string]any{"step": step, "model": model, n.OldestVersion: 1, n.GroupsWanted: groups * 9 / 10, "items": items})
 	if err != nil {
 		panic(err)
 	}
@@ -83,7 +63,9 @@
 // memory and starts it again.
 func slowReaders(d *deployment, trouble bool) (int, error) {
 	const memoryMB, readers, groups, perGroup, events = 144, 200, 7, 16, 21
-	d.putConfig(1)
+	if err := d.putConfig(); err != nil {
+		return 0, err
+	}
 	for i := range 6 {
 		if _, err := d.startServer(fmt.Sprintf("i-e%d", i), "engines", 8, []string{"m0", "m1", "m2"}, stream(events, 400, 3*time.Millisecond)); err != nil {
 			return 0, err
@@ -101,7 +83,7 @@
 	var ids []string
 	for i := range 4 {
 		id := fmt.Sprintf("%012x", 0xa0b000+i)
-		s, _, _ := d.call(hosts[i%2].callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, job(id, i, groups, perGroup, "m0"), 5*time.Second)
+		s, _, _ := d.call(hosts[i%2].callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, d.names.job(id, i, groups, perGroup, "m0"), 5*time.Second)
 		d.record.line("batch job %s answered %d", id, s)
 		if s != 202 {
 			return 0, fmt.Errorf("job %s was not accepted", id)
@@ -184,7 +166,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(2500 * time.Millisecond))
-	if _, err := fmt.Fprintf(c, "GET %s%s?after=0 HTTP/1.1\r\nHost: %s\r\n%s: 1000\r\nConnection: close\r\n\r\n", d.names.Jobs, id, routeHost, "X-Wait"+"-Ms"); err != nil {
+	if _, err := fmt.Fprintf(c, "GET %s%s?after=0 HTTP/1.1\r\nHost: %s\r\n%s: 1000\r\nConnection: close\r\n\r\n", d.names.Jobs, id, routeHost, d.names.WaitHeader); err != nil {
 		return "not sent"
 	}
 	total := 0
