--- a/review/standins-3/slowreaders.go
+++ b/review/standins-3/clients.go
@@ -59,70 +59,6 @@
 	return fmt.Errorf("job %s has %d results only", id, at)
 }
 
-// slowReaders has clients read long lists of results slowly, on two machines. The platform ends a process that exceeds the machine's
-// memory and starts it again.
-func slowReaders(d *deployment, trouble bool) (int, error) {
-	const memoryMB, readers, groups, perGroup, events = 144, 200, 7, 16, 21
-	if err := d.putConfig(); err != nil {
-		return 0, err
-	}
-	for i := range 6 {
-		if _, err := d.startServer(fmt.Sprintf("i-e%d", i), "engines", 8, []string{"m0", "m1", "m2"}, stream(events, 400, 3*time.Millisecond)); err != nil {
-			return 0, err
-		}
-	}
-	for i := range 2 {
-		if _, err := d.startServer(fmt.Sprintf("i-d%d", i), "desk", 20, nil, plain(800, 5*time.Millisecond)); err != nil {
-			return 0, err
-		}
-	}
-	hosts, err := d.startHosts(2, memoryMB)
-	if err != nil {
-		return 0, err
-	}
-	var ids []string
-	for i := range 4 {
-		id := fmt.Sprintf("%012x", 0xa0b000+i)
-		s, _, _ := d.call(hosts[i%2].callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, d.names.job(id, i, groups, perGroup, "m0"), 5*time.Second)
-		d.record.line("batch job %s answered %d", id, s)
-		if s != 202 {
-			return 0, fmt.Errorf("job %s was not accepted", id)
-		}
-		if err := d.awaitAll(hosts[i%2].callers, id, 30*time.Second); err != nil {
-			return 0, err
-		}
-		ids = append(ids, id)
-	}
-	for _, h := range hosts {
-		d.record.line("all results are listed; memory of %s: %d KB of %d KB", h.name, h.memory("VmRSS"), memoryMB<<10)
-	}
-	stop := time.Now().Add(60 * time.Second)
-	var wg sync.WaitGroup
-	var read counter
-	ends := make([]int, len(hosts))
-	for k, h := range hosts {
-		for i := range readers {
-			wg.Go(func() {
-				for n := 0; time.Now().Before(stop); n++ {
-					read.add(d.readSlowly(h.callers, ids[(i+n)%len(ids)], trouble))
-					time.Sleep(500 * time.Millisecond)
-				}
-			})
-		}
-		wg.Go(func() { ends[k] = d.limitMemory(h, stop) })
-	}
-	wg.Wait()
-	d.record.line("reads: %v", read.n)
-	if ends[0] < 0 || ends[1] < 0 {
-		return 0, fmt.Errorf("a process could not be started again")
-	}
-	d.record.line("ends by itself: %s %d, %s %d", hosts[0].name, ends[0], hosts[1].name, ends[1])
-	if ends[0] >= 3 && ends[1] >= 3 {
-		return broken, nil
-	}
-	return held, nil
-}
-
 // limitMemory ends the process of a host whenever it exceeds the memory of its machine, and starts it again a second later. It
 // returns how often that was, -1 if the process could not be started again. A process that ends otherwise counts too.
 func (d *deployment) limitMemory(h *host, stop time.Time) int {
@@ -185,3 +121,84 @@
 		}
 	}
 }
+
+// startSheet writes the configuration and starts the servers of the sheet of the first deployment.
+func (d *deployment) startSheet() (desk, engines []*server, err error) {
+	if err := d.putConfig(); err != nil {
+		return nil, nil, err
+	}
+	for i := range 6 {
+		s, err := d.startServer(fmt.Sprintf("i-d%d", i), "desk", 6, nil, byPath(plain(800, 1200*time.Millisecond), plain(800, 25*time.Millisecond)))
+		if err != nil {
+			return nil, nil, err
+		}
+		desk = append(desk, s)
+	}
+	for i := range 9 {
+		s, err := d.startServer(fmt.Sprintf("i-e%d", i), "engines", 8, []string{"m0", "m1", "m2"}, stream(25, 300, 8*time.Millisecond))
+		if err != nil {
+			return nil, nil, err
+		}
+		engines = append(engines, s)
+	}
+	return desk, engines, nil
+}
+
+// work is what clients and trainers send.
+type work struct {
+	d       *deployment
+	wg      sync.WaitGroup
+	answers counter
+	mu      sync.Mutex
+	// failed holds the ids of the requests that may run once and got no success.
+	failed map[string]int
+}
+
+// startWork sends plain requests, 4 a second, that may run once only, and from a time on a batch job of 11 groups
+// of 4 items each 4 s for each of three models.
+func (d *deployment) startWork(hosts []*host, stop time.Time, jobsAfter time.Duration) *work {
+	w := &work{d: d, failed: make(map[string]int)}
+	w.wg.Go(func() {
+		for i := 0; time.Now().Before(stop.Add(-4 * time.Second)); i++ {
+			w.wg.Go(func() { w.ask(hosts[i%len(hosts)], fmt.Sprintf("0e%010x", i), 4*time.Second) })
+			time.Sleep(time.Second / 4)
+		}
+	})
+	w.wg.Go(func() {
+		time.Sleep(jobsAfter)
+		for step := 0; time.Now().Before(stop.Add(-7 * time.Second)); step++ {
+			for m := range 3 {
+				w.wg.Go(func() {
+					w.train(hosts[(step+m)%len(hosts)], fmt.Sprintf("b%d%010x", m, step), step, fmt.Sprint("m", m))
+				})
+			}
+			time.Sleep(4 * time.Second)
+		}
+	})
+	return w
+}
+
+// ask makes a plain request that may run once only.
+func (w *work) ask(h *host, id string, deadline time.Duration) {
+	header := map[string]string{wire.Dialect.RequestID: id, wire.Dialect.Deadline: fmt.Sprint(deadline.Milliseconds())}
+	s, _, _ := w.d.call(h.callers, "POST", oncePrefix+id, header, []byte("ask"), deadline)
+	w.answers.add(fmt.Sprint("plain request ", s))
+	if s == 200 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failed[id] = s
+}
+
+// train submits a batch job, reads its results and ends it.
+func (w *work) train(h *host, id string, step int, model string) {
+	d := w.d
+	s, _, _ := d.call(h.callers, "POST", "/gen/"+id, map[string]string{wire.Dialect.RequestID: id, "Content-Type": "application/json"}, d.names.job(id, step, 11, 4, model), 5*time.Second)
+	w.answers.add(fmt.Sprint("batch job ", s))
+	if s == 202 && d.awaitAll(h.callers, id, 6*time.Second) == nil {
+		w.answers.add("batch job complete")
+	}
+	s, _, _ = d.call(h.callers, "DELETE", d.names.Jobs+id, nil, nil, 5*time.Second)
+	w.answers.add(fmt.Sprint("end of a batch job ", s))
+}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -18,10 +18,8 @@
 // play plays a case, with its disruption if trouble is set, and returns the exit code.
 type play func(d *deployment, trouble bool) (int, error)
 
-var cases = map[string]play{
-	"slow-readers": slowReaders,
-	"late-entry":   lateEntry,
-}
+// cases holds the cases by name. Those that are built in add themselves.
+var cases = make(map[string]play)
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
